--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -24,7 +24,8 @@
     long bucket; /* the bucket in force, counted in time of day */
     double charged_at;
     double cpus[PM_TEAMS_MAX], gpus[PM_TEAMS_MAX]; /* in use */
-    double production_cpus[PM_TEAMS_MAX];
+    double yielding[PM_TEAMS_MAX]; /* processors of tasks that are being stopped */
+    double promised[PM_TEAMS_MAX]; /* processors that are being made free for the team */
     GArray *wants;
     GPtrArray *queue;
     double ratio[PM_TEAMS_MAX];
@@ -113,7 +114,8 @@
     turn_buckets(p, day);
     memset(p->cpus, 0, sizeof p->cpus);
     memset(p->gpus, 0, sizeof p->gpus);
-    memset(p->production_cpus, 0, sizeof p->production_cpus);
+    memset(p->yielding, 0, sizeof p->yielding);
+    memset(p->promised, 0, sizeof p->promised);
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         for (guint j = 0; m && j < m->places->len; j++) {
@@ -123,8 +125,8 @@
                 continue;
             p->cpus[spec->team] += spec->cpus;
             p->gpus[spec->team] += spec->gpus;
-            if (spec->priority == PM_PRODUCTION)
-                p->production_cpus[spec->team] += spec->cpus;
+            if (place->stop)
+                p->yielding[spec->team] += spec->cpus;
             if (!unallocated(place->job) && m->type >= 0 && place->state >= PM_DURABLE) {
                 double charge = span * machine_share(p->books, spec, m);
                 p->ledger[spec->team].bucket[p->bucket % BUCKETS] += charge;
@@ -339,10 +341,15 @@
 
 /* ---- placing ---- */
 
-static bool within_limit(const struct pm_plan *p, const struct pm_job *job, uint32_t tasks)
+/* Within the team's guarantee, or its limit. */
+static bool within(const struct pm_plan *p, const struct pm_job *job, uint32_t tasks,
+                   bool guarantee)
 {
     const struct pm_team_setting *team = &p->books->settings->team[job->spec->team];
 
+    if (guarantee)
+        return p->cpus[job->spec->team] + tasks * job->spec->cpus <= team->cpus + EPS &&
+               p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus + EPS;
     return p->cpus[job->spec->team] + tasks * job->spec->cpus <= team->cpus_max + EPS &&
            p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus_max + EPS;
 }
@@ -371,7 +378,7 @@
     return job->entries;
 }
 
-static uint32_t place_tasks(struct pm_plan *p, struct pm_job *job, double now)
+static uint32_t place_tasks(struct pm_plan *p, struct pm_job *job, bool guarantee, double now)
 {
     struct spread at;
     uint32_t placed = 0, i;
@@ -385,7 +392,7 @@
     while (p->steps < STEPS_MAX) {
         struct pm_machine *m;
         i = next_waiting(job, i, now);
-        if (i >= job->entries || !within_limit(p, job, 1) ||
+        if (i >= job->entries || !within(p, job, 1, guarantee) ||
             !(m = best_machine(p, job, &at, now)))
             break;
         put_task(p, job, i, m, ++job->last_try, &at, now);
@@ -396,13 +403,14 @@
 }
 
 /* A gang starts whole: every task gets its machine in this run, or none does. */
-static bool place_gang(struct pm_plan *p, struct pm_job *job, int only_zone, double now)
+static bool place_gang(struct pm_plan *p, struct pm_job *job, int only_zone, bool guarantee,
+                       double now)
 {
     struct spread at = {0};
     struct pm_machine **chosen;
     bool ok = true;
 
-    if (!within_limit(p, job, job->entries))
+    if (!within(p, job, job->entries, guarantee))
         return false;
     chosen = g_new0(struct pm_machine *, job->entries);
     for (uint32_t i = 0; ok && i < job->entries; i++) {
@@ -444,10 +452,10 @@
     return ok;
 }
 
-static uint32_t place_job(struct pm_plan *p, struct pm_job *job, double now)
+static uint32_t place_job(struct pm_plan *p, struct pm_job *job, bool guarantee, double now)
 {
     if (job->spec->form != PM_GANG)
-        return place_tasks(p, job, now);
+        return place_tasks(p, job, guarantee, now);
     /* The old attempt's tasks hold their machines, and their zones, until they are gone. */
     if (job->nplaced || job->ndone || next_waiting(job, 0, now) > 0)
         return 0;
@@ -457,9 +465,9 @@
             return 0;
     }
     if (!job->spec->same_place)
-        return place_gang(p, job, -1, now) ? job->entries : 0;
+        return place_gang(p, job, -1, guarantee, now) ? job->entries : 0;
     for (int zone = 0; zone < p->books->settings->zones; zone++)
-        if (place_gang(p, job, zone, now))
+        if (place_gang(p, job, zone, guarantee, now))
             return job->entries;
     return 0;
 }
@@ -487,8 +495,9 @@
     if (unallocated(job))
         return false;
     if (mine->team != theirs->team && theirs->priority < PM_PRODUCTION &&
-        p->cpus[mine->team] + mine->cpus <= s->team[mine->team].cpus + EPS &&
-        p->cpus[theirs->team] > s->team[theirs->team].cpus + EPS)
+        p->cpus[mine->team] + p->promised[mine->team] + mine->cpus <=
+            s->team[mine->team].cpus + EPS &&
+        p->cpus[theirs->team] - p->yielding[theirs->team] > s->team[theirs->team].cpus + EPS)
         return true;
     if (theirs->priority >= mine->priority)
         return false;
@@ -577,6 +586,7 @@
                                     leave_for(victims[v].place,
                                               job->spec->priority == PM_PRODUCTION),
                                     now);
+                    p->yielding[spec->team] += spec->cpus;
                     p->steps++;
                 }
             }
@@ -590,6 +600,7 @@
             return false;
     }
     promised[best->index] += job->spec->cpus;
+    p->promised[job->spec->team] += job->spec->cpus;
     return true;
 }
 
@@ -736,13 +747,22 @@
     ranking = p;
     g_ptr_array_sort(p->queue, by_rank);
     g_array_set_size(p->wants, 0);
+    /* What is within a guarantee goes before what is beyond one; ratio order rules in both. Else
+     * work that was stopped for a guarantee would be the first to take the room again. */
+    for (guint i = 0; i < p->queue->len && p->steps < STEPS_MAX; i++) {
+        struct pm_job *job = g_ptr_array_index(p->queue, i);
+        if (job->spec->priority != PM_PRODUCTION && !unallocated(job))
+            place_job(p, job, true, now);
+        else if (job->spec->priority == PM_PRODUCTION)
+            place_job(p, job, false, now);
+    }
     for (guint i = 0; i < p->queue->len; i++) {
         struct pm_job *job = g_ptr_array_index(p->queue, i);
         const struct pm_team_setting *team = &p->books->settings->team[job->spec->team];
         uint32_t left;
         double room;
         if (p->steps < STEPS_MAX)
-            place_job(p, job, now);
+            place_job(p, job, false, now);
         left = pm_job_waiting(job);
         if (!left || (job->spec->form == PM_GANG && job->nplaced))
             continue;
