--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -83,6 +83,11 @@
         team->cpus_max = want_number(r, at("settings.teams", i, "cpus_max"), 0, 1e9);
         team->gpus = want_number(r, at("settings.teams", i, "gpus"), 0, 1e9);
         team->gpus_max = want_number(r, at("settings.teams", i, "gpus_max"), 0, 1e9);
+        /* A maximum of 0 means that there is none. */
+        if (team->cpus_max <= 0)
+            team->cpus_max = 1e12;
+        if (team->gpus_max <= 0)
+            team->gpus_max = 1e12;
     }
 }
 
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -15,7 +15,8 @@
 
 struct pm_team_setting {
     char name[PM_NAME_MAX];
-    double cpus, cpus_max, gpus, gpus_max; /* a maximum of 0: none allowed */
+    double cpus, gpus;         /* guaranteed; 0: nothing */
+    double cpus_max, gpus_max; /* where the file says 0, there is no limit: a huge number */
 };
 
 struct pm_aim_setting {
