--- /dev/null
+++ b/src/base/tests/test_base.c
@@ -0,0 +1,157 @@
+/* Bodies from outside cost bounded memory and time; settings name the field at fault. */
+#include "base/cbor.h"
+#include "base/settings.h"
+
+#include <glib.h>
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+static cbor_item_t *parse(const char *bytes, size_t size)
+{
+    return pm_cbor_parse(bytes, size);
+}
+
+static void refuses_hostile_cbor(void **state)
+{
+    char deep[4096];
+
+    (void)state;
+    memset(deep, 0x81, sizeof deep); /* lists in lists, without end */
+    assert_null(parse(deep, sizeof deep));
+    assert_null(parse("\x9b\x00\x00\x00\x01\x00\x00\x00\x00", 9)); /* claims 2^32 entries */
+    assert_null(parse("\xbb\xff\xff\xff\xff\xff\xff\xff\xff", 9));
+    assert_null(parse("\x7b\xff\xff\xff\xff\xff\xff\xff\xff", 9)); /* a text longer than memory */
+    assert_null(parse("\xa1\x61", 2));                             /* truncated */
+    assert_null(parse("\xa0\x00", 2));                             /* something behind it */
+    assert_null(parse("\xbf\x61\x61\xff", 4));                     /* a key without a value */
+    assert_null(parse("", 0));
+    assert_null(parse("\xff", 1));
+}
+
+static void reads_what_it_writes(void **state)
+{
+    struct pm_buf buf = {0};
+    cbor_item_t *item;
+    char text[8];
+    double number;
+    uint64_t count;
+    bool flag;
+
+    (void)state;
+    pm_put_map(&buf);
+    pm_put_pair_text(&buf, "t", "abc");
+    pm_put_pair_count(&buf, "c", UINT64_MAX);
+    pm_put_pair_number(&buf, "n", -2.5);
+    pm_put_pair_flag(&buf, "f", true);
+    pm_put_pair_number(&buf, "nan", NAN);
+    pm_put_text(&buf, "z");
+    pm_put_null(&buf);
+    pm_put_end(&buf);
+    item = pm_cbor_parse(buf.data, buf.size);
+    assert_non_null(item);
+    assert_int_equal(pm_cbor_text(pm_cbor_get(item, "t"), text, sizeof text), 0);
+    assert_string_equal(text, "abc");
+    assert_int_equal(pm_cbor_text(pm_cbor_get(item, "t"), text, 3), -1); /* no room for it */
+    assert_int_equal(pm_cbor_count(pm_cbor_get(item, "c"), &count), 0);
+    assert_true(count == UINT64_MAX);
+    assert_int_equal(pm_cbor_count(pm_cbor_get(item, "n"), &count), -1);
+    assert_int_equal(pm_cbor_number(pm_cbor_get(item, "n"), &number), 0);
+    assert_true(number == -2.5);
+    assert_int_equal(pm_cbor_number(pm_cbor_get(item, "nan"), &number), -1);
+    assert_int_equal(pm_cbor_flag(pm_cbor_get(item, "f"), &flag), 0);
+    assert_true(flag);
+    assert_false(pm_cbor_has(item, "z")); /* null is as good as absent */
+    pm_cbor_free(item);
+    pm_buf_free(&buf);
+}
+
+static const char *write_file(const char *text)
+{
+    static char path[] = "/tmp/pumicemount-test-XXXXXX";
+    int fd;
+
+    memcpy(path + strlen(path) - 6, "XXXXXX", 6);
+    fd = mkstemp(path);
+    assert_true(fd >= 0);
+    assert_int_equal(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+    close(fd);
+    return path;
+}
+
+static const char good[] =
+    "host_name = \"n0\"\ndomain = \"z\"\nserve_on = \"127.0.0.1:1\"\nback = \"127.0.0.1:2\"\n"
+    "new_field = 3\n[outside]\ncloud = \"127.0.0.1:3\"\nstate = \"127.0.0.1:4\"\n"
+    "[settings]\nsize = 1\nzones = [\"z\"]\n"
+    "[[settings.teams]]\nname = \"a\"\ncpus = 1.0\ncpus_max = 0\ngpus = 0.0\ngpus_max = 2.0\n"
+    "[settings.workers]\nreport_s = 2\nlease_s = 12.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\n"
+    "cancel_s = 42.0\n[settings.state]\nrps = 250.0\nwrite_rps = 30.0\nvalue_kb = 16.0\n"
+    "txn_ops = 12\n[settings.cloud]\nrps = 2.0\nlist_lag_s = 4.0\n[settings.quota]\ncores = 0.16\n"
+    "mem_mb = 72.0\nsockets = 900\n";
+
+static void reads_platform_settings(void **state)
+{
+    struct pm_settings s;
+    char err[256];
+    const char *path = write_file(good);
+
+    (void)state;
+    assert_int_equal(pm_settings_load(&s, path, err, sizeof err), 0);
+    unlink(path);
+    assert_string_equal(s.name, "n0");
+    assert_int_equal(s.teams, 1);
+    assert_true(s.team[0].cpus_max > 1e6); /* 0: no limit */
+    assert_true(s.team[0].gpus_max == 2.0);
+    assert_true(s.report_s == 2.0);
+}
+
+static void names_the_field_at_fault(void **state)
+{
+    struct pm_settings s;
+    char err[256], *text = g_strdup(good);
+    const char *path;
+
+    (void)state;
+    memcpy(strstr(text, "lease_s"), "leash_s", 7);
+    path = write_file(text);
+    assert_int_equal(pm_settings_load(&s, path, err, sizeof err), -1);
+    unlink(path);
+    assert_non_null(strstr(err, "settings.workers.lease_s"));
+    g_free(text);
+}
+
+static void reads_operator_settings(void **state)
+{
+    struct pm_operator op;
+    char err[256];
+    const char *path = write_file("min_runtime_s: 60\nadmit_max: 99\n");
+
+    (void)state;
+    assert_int_equal(pm_operator_load(&op, path, err, sizeof err), 0);
+    unlink(path);
+    assert_true(op.min_runtime_s == 60);
+    assert_int_equal(op.admit_max, 99);
+    assert_true(op.window_h == 24); /* the default stays */
+    path = write_file("no_such_key: 1\n");
+    assert_int_equal(pm_operator_load(&op, path, err, sizeof err), -1);
+    unlink(path);
+    path = write_file("min_runtime_s: 99999\n"); /* above the design's cap of 8 hours */
+    assert_int_equal(pm_operator_load(&op, path, err, sizeof err), -1);
+    unlink(path);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(refuses_hostile_cbor),     cmocka_unit_test(reads_what_it_writes),
+        cmocka_unit_test(reads_platform_settings),  cmocka_unit_test(names_the_field_at_fault),
+        cmocka_unit_test(reads_operator_settings),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/jobs/tests/test_jobs.c
@@ -0,0 +1,195 @@
+/* Submissions are judged as the protocol says, and what is written is read back the same. */
+#include "jobs/jobs.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+static struct pm_settings settings;
+static struct pm_books books;
+static struct pm_jobs *jobs;
+
+static int set_up(void **state)
+{
+    (void)state;
+    memset(&settings, 0, sizeof settings);
+    memset(&books, 0, sizeof books);
+    settings.teams = 1;
+    strcpy(settings.team[0].name, "vision");
+    settings.team[0].cpus_max = 32;
+    settings.team[0].gpus_max = 1e12;
+    settings.zones = 1;
+    strcpy(settings.zone_name[0], "a");
+    books.settings = &settings;
+    books.classes = pm_names_new();
+    books.images = pm_names_new();
+    books.types = pm_names_new();
+    books.machines = pm_names_new();
+    pm_names_add(books.types, "g8");
+    books.type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64};
+    books.ntypes = 1;
+    jobs = pm_jobs_new(&books);
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    pm_jobs_free(jobs);
+    pm_names_free(books.classes);
+    pm_names_free(books.images);
+    pm_names_free(books.types);
+    pm_names_free(books.machines);
+    return 0;
+}
+
+struct form {
+    const char *id, *team, *kind;
+    uint64_t entries;
+    double cpus, ram;
+};
+
+static int judge(struct form f)
+{
+    struct pm_buf buf = {0};
+    struct pm_spec spec;
+    char id[PM_ID_MAX];
+    const char *why;
+    cbor_item_t *item;
+    int status;
+
+    pm_put_map(&buf);
+    pm_put_pair_text(&buf, "name_id", f.id);
+    pm_put_pair_text(&buf, "ledger", "train");
+    pm_put_pair_text(&buf, "desk", f.team);
+    pm_put_pair_text(&buf, "bundle", "img");
+    pm_put_pair_text(&buf, "form", f.kind);
+    pm_put_pair_text(&buf, "urgency", "normal");
+    pm_put_pair_count(&buf, "entries", f.entries);
+    pm_put_pair_number(&buf, "cpus", f.cpus);
+    pm_put_pair_number(&buf, "accelerators", 0);
+    pm_put_pair_number(&buf, "ram_gb", f.ram);
+    pm_put_pair_number(&buf, "size_gb", 1);
+    pm_put_pair_number(&buf, "expected_s", 10);
+    pm_put_pair_number(&buf, "bookmark_s", 0);
+    pm_put_pair_number(&buf, "filing_s", 0);
+    pm_put_end(&buf);
+    item = pm_cbor_parse(buf.data, buf.size);
+    status = pm_jobs_read(&books, item, id, &spec, &why);
+    pm_cbor_free(item);
+    pm_buf_free(&buf);
+    return status;
+}
+
+static void judges_submissions(void **state)
+{
+    const struct form good = {"job-000412", "vision", "array", 4, 8, 16};
+    struct form f;
+
+    (void)state;
+    assert_int_equal(judge(good), 200);
+    f = good, f.id = "jab-1";
+    assert_int_equal(judge(f), 400);
+    f = good, f.entries = 0;
+    assert_int_equal(judge(f), 400);
+    f = good, f.entries = PM_ENTRIES_MAX + 1;
+    assert_int_equal(judge(f), 400);
+    f = good, f.cpus = -1;
+    assert_int_equal(judge(f), 400);
+    f = good, f.kind = "herd";
+    assert_int_equal(judge(f), 400);
+    f = good, f.team = "nobody";
+    assert_int_equal(judge(f), 422);
+    f = good, f.ram = 65; /* fits no type */
+    assert_int_equal(judge(f), 422);
+    f = good, f.entries = 100; /* an array waits for its team's limit... */
+    assert_int_equal(judge(f), 200);
+    f.kind = "group"; /* ...a gang above it can never run */
+    assert_int_equal(judge(f), 422);
+    f.kind = "standing";
+    assert_int_equal(judge(f), 422);
+    books.ntypes = 0; /* not yet able to decide */
+    assert_int_equal(judge(good), 503);
+}
+
+static struct pm_job *put(const char *key, struct pm_buf *buf, uint64_t stamp)
+{
+    cbor_item_t *item = pm_cbor_parse(buf->data, buf->size);
+    struct pm_job *job = pm_jobs_put(jobs, key, item, stamp);
+
+    assert_non_null(item);
+    pm_cbor_free(item);
+    pm_buf_free(buf);
+    return job;
+}
+
+static struct pm_job *put_live(uint64_t stamp)
+{
+    struct pm_spec spec = {.zone = -1, .types = ~(uint64_t)0, .entries = 300, .due_s = 9};
+    struct pm_buf buf = {0};
+
+    spec.class_index = pm_names_add(books.classes, "train");
+    spec.image = pm_names_add(books.images, "img");
+    pm_jobs_write(&books, &spec, spec.entries, PM_LIVE, true, &buf);
+    return put("p/j/job-1", &buf, stamp);
+}
+
+static void chunks_survive_a_new_leader(void **state)
+{
+    struct pm_buf buf = {0};
+    struct pm_place place = {.index = 130, .attempt = 7, .session = 3, .state = PM_RUNNING};
+    struct pm_job *job = put_live(5);
+    struct pm_spot *spot;
+
+    (void)state;
+    assert_int_equal(job->nchunks, 3);
+    place.machine_index = pm_names_add(books.machines, "i-000001");
+    pm_job_task(job, 130)->place = &place;
+    for (uint32_t i = 128; i < 256; i += 2)
+        pm_job_task(job, i + (i == 130))->done = true; /* every other one: the longest text */
+    job->last_try = 7;
+    pm_jobs_write_chunk(&books, job, 1, &buf);
+    assert_true(buf.size < 4096);
+    put("p/t/job-1/1", &buf, 6);
+    pm_jobs_reset_work(jobs);
+    assert_int_equal(job->ndone, 64);
+    assert_int_equal(job->last_try, 7);
+    assert_true(pm_job_peek(job, 131)->done);
+    assert_false(pm_job_peek(job, 130)->done);
+    assert_int_equal(job->chunk[1]->spots->len, 1);
+    spot = &g_array_index(job->chunk[1]->spots, struct pm_spot, 0);
+    assert_int_equal(spot->task, 2);
+    assert_int_equal(spot->attempt, 7);
+    assert_int_equal(spot->session, 3);
+    assert_string_equal(pm_names_text(books.machines, spot->machine), "i-000001");
+}
+
+static void final_states_stay(void **state)
+{
+    struct pm_buf buf = {0};
+    struct pm_job *job = put_live(5);
+
+    (void)state;
+    pm_jobs_write(&books, job->spec, job->entries, PM_CANCELLED, false, &buf);
+    assert_ptr_equal(put("p/j/job-1", &buf, 9), job);
+    assert_int_equal(job->state, PM_CANCELLED);
+    assert_null(job->spec);
+    assert_null(put_live(5)); /* an older value, told late */
+    assert_int_equal(job->state, PM_CANCELLED);
+    pm_jobs_sweep_begin(jobs); /* a new listing takes nothing back */
+    assert_int_equal(pm_jobs_find(jobs, "job-1")->state, PM_CANCELLED);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(judges_submissions, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(chunks_survive_a_new_leader, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(final_states_stay, set_up, tear_down),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -91,9 +91,10 @@
 static void turn_buckets(struct pm_plan *p, double day)
 {
     double width = p->op->window_h * 3600 / BUCKETS;
-    long bucket = (long)(day / width);
+    /* Counted from a window before the epoch of time, so that no index is below zero. */
+    long bucket = (long)(day / width) + BUCKETS;
 
-    if (!p->bucket || bucket - p->bucket > BUCKETS)
+    if (bucket - p->bucket > BUCKETS)
         p->bucket = bucket - BUCKETS;
     while (p->bucket < bucket) {
         p->bucket++;
@@ -174,7 +175,7 @@
     if (pm_cbor_number(pm_cbor_get(value, "day"), &day))
         return;
     memset(p->ledger, 0, sizeof p->ledger);
-    p->bucket = (long)(day / (p->op->window_h * 3600 / BUCKETS));
+    p->bucket = (long)(day / (p->op->window_h * 3600 / BUCKETS)) + BUCKETS;
     for (int t = 0; t < p->books->settings->teams; t++) {
         struct ledger *l = &p->ledger[t];
         if (pm_cbor_number(pm_cbor_get(teams, p->books->settings->team[t].name), &l->sum))
--- /dev/null
+++ b/src/placement/tests/test_traces.c
@@ -0,0 +1,415 @@
+/* Replays the kept traces of the workers and placement slices (*.trace). A trace is a list of what
+ * arrives, line by line; lines that begin with "> " are what the books must say in return. The
+ * first word of a line is a function below; blank lines and those that begin with # are for the
+ * reader. Time comes from the trace, so the verdict is always the same. */
+#include "placement/plan.h"
+
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+struct world {
+    struct pm_settings settings;
+    struct pm_operator op;
+    struct pm_books books;
+    struct pm_jobs *jobs;
+    struct pm_workers *workers;
+    struct pm_plan *plan;
+    double now;
+    uint64_t epoch, stamp;
+    GString *said;
+};
+
+static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
+{
+    static const char *const ends[] = {"", "done", "stopped", "error", "refused", "gang", "gone"};
+    struct world *w = arg;
+
+    (void)now;
+    g_string_append_printf(w->said, "> ended %s/%u try %u on %s: %s%s\n", place->job->id,
+                           place->index, place->attempt, place->machine->name, ends[end],
+                           saved ? " saved" : "");
+}
+
+static void on_ran(void *arg, struct pm_place *place, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)now;
+}
+
+static void world_begin(struct world *w)
+{
+    memset(w, 0, sizeof *w);
+    pm_operator_defaults(&w->op);
+    w->settings.txn_ops = 12;
+    w->settings.lease_s = 12;
+    w->settings.report_s = 2;
+    w->settings.zones = 2;
+    strcpy(w->settings.zone_name[0], "east");
+    strcpy(w->settings.zone_name[1], "west");
+    w->books.settings = &w->settings;
+    w->books.classes = pm_names_new();
+    w->books.images = pm_names_new();
+    w->books.types = pm_names_new();
+    w->books.machines = pm_names_new();
+    w->jobs = pm_jobs_new(&w->books);
+    w->workers = pm_workers_new(&w->books, w->jobs, &(struct pm_workers_hooks){on_ended, on_ran, w});
+    w->plan = pm_plan_new(&w->books, w->jobs, w->workers, &w->op);
+    w->epoch = 1;
+    w->stamp = 1;
+    w->now = 100;
+    w->said = g_string_new("");
+}
+
+static void world_end(struct world *w)
+{
+    pm_plan_free(w->plan);
+    pm_workers_free(w->workers);
+    pm_jobs_free(w->jobs);
+    pm_names_free(w->books.classes);
+    pm_names_free(w->books.images);
+    pm_names_free(w->books.types);
+    pm_names_free(w->books.machines);
+    g_string_free(w->said, TRUE);
+}
+
+/* The value of key=VALUE among the words, or `otherwise`. */
+static const char *word(char **words, const char *key, const char *otherwise)
+{
+    size_t n = strlen(key);
+
+    for (; *words; words++)
+        if (!strncmp(*words, key, n) && (*words)[n] == '=')
+            return *words + n + 1;
+    return otherwise;
+}
+
+static double number(char **words, const char *key, double otherwise)
+{
+    const char *text = word(words, key, NULL);
+
+    return text ? atof(text) : otherwise;
+}
+
+static void do_type(struct world *w, char **words)
+{
+    int index = pm_names_add(w->books.types, words[1]);
+
+    w->books.type[index] = (struct pm_type){.cpus = number(words, "cpus", 16),
+                                            .ram_gb = number(words, "ram", 64),
+                                            .gpus = number(words, "gpus", 0),
+                                            .local_gb = 40,
+                                            .price = number(words, "price", 1),
+                                            .spot_price = number(words, "price", 1) / 3,
+                                            .ready_s = 20,
+                                            .zones = 3};
+    w->books.ntypes = pm_names_count(w->books.types);
+}
+
+static void do_team(struct world *w, char **words)
+{
+    struct pm_team_setting *team = &w->settings.team[w->settings.teams++];
+
+    g_strlcpy(team->name, words[1], sizeof team->name);
+    team->cpus = number(words, "guaranteed", 0);
+    team->cpus_max = number(words, "most", 1e12);
+    team->gpus_max = 1e12;
+}
+
+static void feed_job(struct world *w, const char *id, const struct pm_spec *spec,
+                     enum pm_job_state state)
+{
+    struct pm_buf buf = {0};
+    cbor_item_t *value;
+    char key[64];
+
+    pm_jobs_write(&w->books, spec, spec->entries, state, true, &buf);
+    value = pm_cbor_parse(buf.data, buf.size);
+    assert_non_null(value);
+    snprintf(key, sizeof key, "p/j/%s", id);
+    pm_jobs_put(w->jobs, key, value, ++w->stamp);
+    pm_cbor_free(value);
+    pm_buf_free(&buf);
+}
+
+/* job ID team=T form=array|group|standing priority=... entries=N cpus=N ram=N ... */
+static void do_job(struct world *w, char **words)
+{
+    static const char *const forms[] = {"array", "group", "standing"};
+    static const char *const priorities[] = {"best_effort", "normal", "urgent", "production"};
+    struct pm_spec spec = {.zone = -1, .types = ~(uint64_t)0};
+    const char *team = word(words, "team", "a"), *form = word(words, "form", "array"),
+               *priority = word(words, "priority", "normal");
+
+    for (int i = 0; i < w->settings.teams; i++)
+        if (!strcmp(w->settings.team[i].name, team))
+            spec.team = i;
+    for (int i = 0; i < 3; i++)
+        if (!strcmp(forms[i], form))
+            spec.form = (enum pm_form)i;
+    for (int i = 0; i < 4; i++)
+        if (!strcmp(priorities[i], priority))
+            spec.priority = (enum pm_priority)i;
+    spec.entries = (uint32_t)number(words, "entries", 1);
+    spec.cpus = number(words, "cpus", 4);
+    spec.ram_gb = number(words, "ram", 4);
+    spec.image_gb = 1;
+    spec.image = pm_names_add(w->books.images, word(words, "image", "img"));
+    spec.class_index = pm_names_add(w->books.classes, "class");
+    spec.bookmark_s = number(words, "saves", 0);
+    spec.filing_s = 2;
+    spec.expected_s = number(words, "expected", 60);
+    spec.due_s = number(words, "due", -1);
+    spec.spot = number(words, "spot", 0) > 0;
+    spec.same_place = number(words, "same_place", 0) > 0;
+    spec.spread = number(words, "spread", 0) > 0;
+    spec.submitted = 1000 + w->now;
+    feed_job(w, words[1], &spec, PM_LIVE);
+}
+
+static void do_cancel(struct world *w, char **words)
+{
+    struct pm_job *job = pm_jobs_find(w->jobs, words[1]);
+    struct pm_spec spec = *job->spec;
+
+    feed_job(w, words[1], &spec, PM_CANCELLED);
+}
+
+/* report|direct HOST shift.tally mandate=N type=T zone=Z spot=0|1 [recall=S] [ENTRY:TRY:STATUS]... */
+static void do_message(struct world *w, char **words, enum pm_message kind)
+{
+    struct pm_buf buf = {0};
+    unsigned long shift = 1, tally = 1;
+    cbor_item_t *report;
+    bool fresh;
+
+    sscanf(words[2], "%lu.%lu", &shift, &tally);
+    pm_put_map(&buf);
+    pm_put_pair_text(&buf, "host", words[1]);
+    pm_put_pair_text(&buf, "endpoint", "127.0.0.1:9");
+    pm_put_pair_text(&buf, "model", word(words, "type", "small"));
+    pm_put_pair_text(&buf, "room", word(words, "zone", "east"));
+    pm_put_pair_flag(&buf, "borrowed", number(words, "spot", 0) > 0);
+    pm_put_pair_count(&buf, "shift", shift);
+    pm_put_pair_count(&buf, "tally", tally);
+    pm_put_pair_count(&buf, "mandate", (uint64_t)number(words, "mandate", (double)w->epoch));
+    if (word(words, "recall", NULL))
+        pm_put_pair_number(&buf, "recall_s", number(words, "recall", 0));
+    pm_put_text(&buf, "entries");
+    pm_put_list(&buf);
+    for (char **entry = words + 3; *entry; entry++) {
+        char **part;
+        if (!strchr(*entry, ':'))
+            continue;
+        part = g_strsplit(*entry, ":", 4);
+        pm_put_map(&buf);
+        pm_put_pair_text(&buf, "entry", part[0]);
+        pm_put_pair_count(&buf, "try", (uint64_t)atoi(part[1]));
+        pm_put_pair_text(&buf, "status", part[2]);
+        if (part[3])
+            pm_put_pair_text(&buf, "cause", part[3]);
+        pm_put_end(&buf);
+        g_strfreev(part);
+    }
+    pm_put_end(&buf);
+    pm_put_end(&buf);
+    report = pm_cbor_parse(buf.data, buf.size);
+    assert_non_null(report);
+    if (!pm_workers_report(w->workers, report, kind, w->epoch, w->now, &fresh))
+        g_string_append(w->said, "> malformed\n");
+    else if (!fresh)
+        g_string_append(w->said, "> late\n");
+    pm_cbor_free(report);
+    pm_buf_free(&buf);
+}
+
+static void do_orders(struct world *w, char **words)
+{
+    struct pm_machine *m = pm_workers_find(w->workers, words[1]);
+    bool direct = words[2] && !strcmp(words[2], "direct");
+    struct pm_buf buf = {0};
+    cbor_item_t *orders;
+
+    if (direct)
+        m->direct_busy = true;
+    pm_workers_orders(m, direct, w->epoch, &buf);
+    orders = pm_cbor_parse(buf.data, buf.size);
+    for (size_t i = 0; i < pm_cbor_length(orders); i++) {
+        const cbor_item_t *order = pm_cbor_at(orders, i);
+        char verb[16], entry[64];
+        uint64_t attempt;
+        double leave;
+        pm_cbor_text(pm_cbor_get(order, "verb"), verb, sizeof verb);
+        pm_cbor_text(pm_cbor_get(order, "entry"), entry, sizeof entry);
+        pm_cbor_count(pm_cbor_get(order, "try"), &attempt);
+        g_string_append_printf(w->said, "> %s %s try %llu", verb, entry,
+                               (unsigned long long)attempt);
+        if (!pm_cbor_number(pm_cbor_get(order, "leave_s"), &leave))
+            g_string_append_printf(w->said, " leave %g", leave);
+        g_string_append(w->said, "\n");
+    }
+    pm_cbor_free(orders);
+    pm_buf_free(&buf);
+}
+
+static void each_place(struct world *w, void (*visit)(struct world *, struct pm_place *))
+{
+    GPtrArray *all = pm_workers_all(w->workers);
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        for (guint j = 0; m && j < m->places->len; j++)
+            visit(w, g_ptr_array_index(m->places, j));
+    }
+}
+
+static void say_place(struct world *w, struct pm_place *place)
+{
+    static const char *const states[] = {"intent",  "durable", "fetching", "waiting",
+                                         "running", "saving",  "ended"};
+
+    g_string_append_printf(w->said, "> %s/%u try %u on %s %s%s\n", place->job->id, place->index,
+                           place->attempt, place->machine->name, states[place->state],
+                           place->stop ? " stop" : "");
+}
+
+static void make_durable(struct world *w, struct pm_place *place)
+{
+    (void)w;
+    if (place->state == PM_INTENT)
+        place->state = PM_DURABLE;
+}
+
+static void clean_chunks(struct world *w)
+{
+    GPtrArray *active = pm_jobs_active(w->jobs);
+
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        for (int k = 0; k < job->nchunks; k++)
+            if (job->chunk[k])
+                job->chunk[k]->dirty = false;
+    }
+}
+
+static void step(struct world *w, char **words)
+{
+    const char *verb = words[0];
+
+    if (!strcmp(verb, "type"))
+        do_type(w, words);
+    else if (!strcmp(verb, "team"))
+        do_team(w, words);
+    else if (!strcmp(verb, "job"))
+        do_job(w, words);
+    else if (!strcmp(verb, "cancel"))
+        do_cancel(w, words);
+    else if (!strcmp(verb, "report"))
+        do_message(w, words, PM_REPORT);
+    else if (!strcmp(verb, "direct"))
+        do_message(w, words, PM_DIRECT);
+    else if (!strcmp(verb, "orders"))
+        do_orders(w, words);
+    else if (!strcmp(verb, "places"))
+        each_place(w, say_place);
+    else if (!strcmp(verb, "plan"))
+        pm_plan_run(w->plan, w->now, 1000 + w->now);
+    else if (!strcmp(verb, "durable")) {
+        each_place(w, make_durable);
+        clean_chunks(w);
+    } else if (!strcmp(verb, "wait"))
+        w->now += atof(words[1]);
+    else if (!strcmp(verb, "epoch"))
+        w->epoch = (uint64_t)atoi(words[1]);
+    else if (!strcmp(verb, "unanswered"))
+        pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, PM_HTTP_LOST);
+    else if (!strcmp(verb, "answered"))
+        pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, 200);
+    else if (!strcmp(verb, "lapsed"))
+        pm_workers_gone(w->workers, pm_workers_find(w->workers, words[1]), w->now);
+    else
+        fail_msg("unknown word in a trace: %s", verb);
+}
+
+static void replay(const char *path)
+{
+    struct world world, *w = &world;
+    char *text, **lines;
+    GString *expected = g_string_new("");
+    int number_of_checks = 0;
+
+    assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    lines = g_strsplit(text, "\n", -1);
+    world_begin(w);
+    for (int i = 0; lines[i]; i++) {
+        char **words;
+        if (!lines[i][0] || lines[i][0] == '#')
+            continue;
+        g_string_truncate(w->said, 0);
+        g_string_truncate(expected, 0);
+        words = g_strsplit(lines[i], " ", -1);
+        step(w, words);
+        g_strfreev(words);
+        while (lines[i + 1] && lines[i + 1][0] == '>')
+            g_string_append_printf(expected, "%s\n", lines[++i]);
+        number_of_checks += expected->len > 0;
+        if (strcmp(w->said->str, expected->str))
+            fail_msg("%s:%d: said\n%sexpected\n%s", path, i + 1, w->said->str, expected->str);
+    }
+    assert_true(number_of_checks > 0); /* a trace that expects nothing checks nothing */
+    world_end(w);
+    g_string_free(expected, TRUE);
+    g_strfreev(lines);
+    g_free(text);
+}
+
+static void replay_slice(const char *slice)
+{
+    char *dir = g_strdup_printf("src/%s/tests", slice);
+    GDir *open = g_dir_open(dir, 0, NULL);
+    const char *name;
+    int n = 0;
+
+    assert_non_null(open);
+    while ((name = g_dir_read_name(open))) {
+        char *path;
+        if (!g_str_has_suffix(name, ".trace"))
+            continue;
+        path = g_build_filename(dir, name, NULL);
+        print_message("%s\n", path);
+        replay(path);
+        g_free(path);
+        n++;
+    }
+    assert_true(n > 0);
+    g_dir_close(open);
+    g_free(dir);
+}
+
+static void workers_traces(void **state)
+{
+    (void)state;
+    replay_slice("workers");
+}
+
+static void placement_traces(void **state)
+{
+    (void)state;
+    replay_slice("placement");
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(workers_traces),
+        cmocka_unit_test(placement_traces),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
