A leader without confirmation judges no lease and returns no machine

Cause: cut off from the state service, the old leader heard no reports (workers had gone to the new one), took every lease for lapsed and returned the machines as idle; the cloud did end them. Also: a leader that is not confirmed for long steps down, and keeps its replica instead of listing anew.

--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -207,7 +207,8 @@
     if (n->ruling) {
         commit_run(n);
         all_direct(n);
-        pm_fleet_run(n->fleet, pm_clock_steady());
+        if (pm_lead_confirmed(n->lead, pm_clock_steady()))
+            pm_fleet_run(n->fleet, pm_clock_steady());
     }
 }
 
@@ -388,7 +389,6 @@
     pm_fleet_reset(n->fleet, 0);
     pm_workers_reset(n->workers);
     pm_jobs_reset_work(n->jobs);
-    pm_store_relist(n->store);
 }
 
 static void on_raised(void *arg, uint64_t epoch)
@@ -555,6 +555,10 @@
     GPtrArray *all = pm_workers_all(n->workers);
     double floor_at = pm_lead_floor(n->lead);
 
+    /* Cut off, we hear nothing because workers report to a later leader: that proves nothing, and
+     * returning their machines as idle would end what runs there. */
+    if (!pm_lead_confirmed(n->lead, now))
+        return;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double base;
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -89,9 +89,9 @@
         job->chunk[part->k]->in_flight = false;
         if (status == 200) {
             if (part->drop)
-                job->chunk[part->k]->stamp = 0;
+                job->chunk[part->k]->stamp = job->chunk[part->k]->written = 0;
             else
-                job->chunk[part->k]->stamp = edition;
+                job->chunk[part->k]->written = edition;
         } else if (!part->drop) {
             /* Unknown or failed: written again on the stamp that the watch tells by then. If this
              * copy is applied late after all, its own stamps no longer match, or ours don't. */
@@ -161,7 +161,7 @@
 
     condition_job(f, job);
     chunk_key(job, k, key, sizeof key);
-    pm_txn_if(&f->txn, key, chunk->stamp);
+    pm_txn_if(&f->txn, key, pm_chunk_stamp(chunk));
     pm_txn_put(&f->txn, key);
     pm_jobs_write_chunk(c->books, job, k, &f->txn.writes);
     pm_txn_put_end(&f->txn, 0);
@@ -181,7 +181,7 @@
 
     condition_job(f, job);
     chunk_key(job, k, key, sizeof key);
-    pm_txn_if(&f->txn, key, job->chunk[k]->stamp);
+    pm_txn_if(&f->txn, key, pm_chunk_stamp(job->chunk[k]));
     pm_txn_drop(&f->txn, key);
     job->chunk[k]->dirty = false;
     job->chunk[k]->in_flight = true;
@@ -205,7 +205,7 @@
     for (int k = 0; k < job->nchunks; k++) {
         if (!job->chunk[k])
             continue;
-        n += job->chunk[k]->stamp != 0;
+        n += pm_chunk_stamp(job->chunk[k]) != 0;
         *busy |= job->chunk[k]->in_flight;
     }
     return n;
@@ -236,7 +236,7 @@
     g_array_append_vals(f->parts, &(struct part){job, -1, false}, 1);
     job->final_in_flight = true;
     for (int k = 0; k < job->nchunks && room > 0 && (fits || job->state != PM_LIVE); k++) {
-        if (!job->chunk[k] || !job->chunk[k]->stamp)
+        if (!job->chunk[k] || !pm_chunk_stamp(job->chunk[k]))
             continue;
         drop_chunk(f, job, k);
         room--;
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -601,6 +601,11 @@
     job->chunk[index / PM_CHUNK]->dirty = true;
 }
 
+uint64_t pm_chunk_stamp(const struct pm_chunk *chunk)
+{
+    return MAX(chunk->stamp, chunk->written);
+}
+
 uint32_t pm_job_waiting(const struct pm_job *job)
 {
     if (job->state != PM_LIVE || !job->spec)
@@ -623,6 +628,7 @@
             chunk->task = NULL;
             chunk->dirty = chunk->in_flight = false;
             chunk->retry_at = 0;
+            chunk->written = 0;
             if (!chunk->stamp)
                 continue;
             chunk->task = g_new0(struct pm_task, PM_CHUNK);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -101,6 +101,7 @@
     struct pm_task *task; /* PM_CHUNK of them, or NULL: none was ever touched */
     bool dirty, in_flight;
     double retry_at;
+    uint64_t written; /* stamp of our own last write: the watch may not have told it yet */
 };
 
 struct pm_job {
@@ -155,6 +156,8 @@
 /* Writes the value of p/t/ID/k from the working state. */
 void pm_jobs_write_chunk(const struct pm_books *books, const struct pm_job *job, int k,
                          struct pm_buf *out);
+/* The stamp to write the chunk on. */
+uint64_t pm_chunk_stamp(const struct pm_chunk *chunk);
 /* Tasks that are neither done nor placed. */
 uint32_t pm_job_waiting(const struct pm_job *job);
 
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -335,6 +335,10 @@
 
     (void)loop;
     (void)events;
+    if (l->leads && now - l->confirmed > 2 * l->op->leader_ttl_s + l->op->confirm_s) {
+        step_down(l, "not confirmed for long");
+        return;
+    }
     if (l->leads) {
         if (!l->renew_busy && now - l->renewed > l->op->leader_ttl_s / 3.5) {
             l->renew_busy = true;
