--- /dev/null
+++ b/src/blocks/blocks.h
@@ -0,0 +1,63 @@
+/* Leasing machine blocks, with the jobs to place in them, to the other controllers.
+ *
+ * Key:  p/b/CONTROLLER  {boot, serial, hosts, jobs}: written by the leader only, on the condition of
+ *                       the epoch's key. Its holder writes every placement on the condition of this
+ *                       key's stamp too, so the leader takes a block back by one compare-and-set.
+ *
+ * The leader keeps services, gangs and whatever spans blocks to itself, and leases whole machines to
+ * the holders of array jobs. A machine comes back when its holder says that it is clean; a holder
+ * that is not heard of loses its block, and the epoch is raised in the same transaction, so that
+ * whatever it still had under way dies (safety invariants 1, 3 and 5). */
+#ifndef PM_BLOCKS_BLOCKS_H
+#define PM_BLOCKS_BLOCKS_H
+
+#include "leadership/leadership.h"
+#include "placement/plan.h"
+#include "store/store.h"
+#include "workers/workers.h"
+
+struct pm_blocks;
+
+struct pm_blocks_hooks {
+    void (*changed)(void *arg);                          /* plan again */
+    void (*back)(void *arg, struct pm_job *job);         /* a job came back with a lost block */
+    void (*bad)(void *arg, struct pm_machine *machine);  /* its holder says that tasks fail there */
+    /* Holder: this controller's block as it now is; `granted` false: none. */
+    void (*mine)(void *arg, bool granted);
+    void *arg;
+};
+
+struct pm_blocks *pm_blocks_new(struct pm_books *books, struct pm_jobs *jobs,
+                                struct pm_workers *workers, struct pm_plan *plan,
+                                struct pm_store *store, struct pm_http_client *http,
+                                struct pm_lead *lead, const struct pm_operator *op,
+                                const struct pm_blocks_hooks *hooks);
+void pm_blocks_free(struct pm_blocks *blocks);
+
+/* The replica's feed, for p/b. */
+void pm_blocks_put(struct pm_blocks *blocks, const char *key, const cbor_item_t *value,
+                   uint64_t stamp);
+void pm_blocks_drop(struct pm_blocks *blocks, const char *key, uint64_t stamp);
+void pm_blocks_relist(struct pm_blocks *blocks);
+/* All changes up to some edition are in: completes what waited for that. */
+void pm_blocks_caught_up(struct pm_blocks *blocks);
+
+/* The controller that holds the machine's block, NULL: the leader. */
+const char *pm_blocks_holder(const struct pm_blocks *blocks, const char *machine);
+
+/* Leader. On taking the lead: adopts the blocks that are out. */
+void pm_blocks_take(struct pm_blocks *blocks, double now);
+void pm_blocks_lose(struct pm_blocks *blocks);
+/* Leader, planner: gives new array jobs to holders, before placing... */
+void pm_blocks_assign(struct pm_blocks *blocks, double now);
+/* ...and machines to the holders' jobs after it; what is missing is added to the plan's wants. */
+void pm_blocks_allot(struct pm_blocks *blocks, double now);
+/* Leader, loop: writes what changed, asks the holders. */
+void pm_blocks_run(struct pm_blocks *blocks, double now);
+
+/* Holder. The stamp of this controller's block, 0: holds none. */
+uint64_t pm_blocks_mine(const struct pm_blocks *blocks);
+/* POST /block on the back address. */
+void pm_blocks_peer(struct pm_blocks *blocks, struct pm_http_request *req);
+
+#endif
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/http.h"
 #include "base/log.h"
+#include "blocks/blocks.h"
 #include "fleet/fleet.h"
 #include "intake/intake.h"
 #include "jobs/commit.h"
@@ -40,10 +41,13 @@
     struct pm_commit *commit;
     struct pm_fleet *fleet;
     struct pm_intake *intake;
+    struct pm_blocks *blocks;
     GMutex lock;    /* all of the above */
-    bool ruling;    /* leads, and the working state is rebuilt */
-    uint64_t ledger_stamp, types_stamp;
-    bool ledger_busy, types_busy;
+    bool ruling;    /* leads, or holds a block, and the working state is rebuilt */
+    bool leading;   /* leads */
+    char block_key[PM_NAME_MAX + 8];
+    uint64_t types_stamp;
+    bool ledger_busy, types_busy, blocks_changed;
     double ledger_at, raised_at;
     /* The planner's thread. */
     GThread *planner;
@@ -57,6 +61,20 @@
 
 /* ---- planning ---- */
 
+static void plan(struct pm_node *n)
+{
+    double now = pm_clock_steady();
+
+    pm_plan_set_alone(n->plan, n->leading);
+    pm_plan_begin(n->plan, now, pm_clock_day());
+    if (n->leading)
+        pm_blocks_assign(n->blocks, now);
+    pm_plan_place(n->plan, now);
+    if (n->leading)
+        pm_blocks_allot(n->blocks, now);
+    pm_plan_preempt(n->plan, now);
+}
+
 static gpointer planner_main(gpointer data)
 {
     struct pm_node *n = data;
@@ -69,7 +87,7 @@
         g_mutex_unlock(&n->wake_lock);
         g_mutex_lock(&n->lock);
         if (n->ruling && n->books.ntypes)
-            pm_plan_run(n->plan, pm_clock_steady(), pm_clock_day());
+            plan(n);
         g_mutex_unlock(&n->lock);
         ev_async_send(n->loop, &n->planned);
     }
@@ -104,10 +122,16 @@
 static void commit_run(struct pm_node *n)
 {
     double now = pm_clock_steady(), next;
+    struct pm_grounds grounds = {0};
 
     if (!n->ruling)
         return;
-    next = pm_commit_run(n->commit, pm_lead_stamp(n->lead), now);
+    grounds.epoch_stamp = pm_lead_stamp(n->lead);
+    if (!n->leading) {
+        grounds.block_key = n->block_key;
+        grounds.block_stamp = pm_blocks_mine(n->blocks);
+    }
+    next = pm_commit_run(n->commit, &grounds, now);
     ev_timer_stop(n->loop, &n->commit_timer);
     if (next > 0) {
         ev_timer_set(&n->commit_timer, MAX(next - now, 0.002), 0.);
@@ -193,7 +217,7 @@
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
-        if (m && m->state == PM_UP)
+        if (m && m->state == PM_UP && !m->lent)
             direct_due(n, m, false);
     }
 }
@@ -207,8 +231,10 @@
     if (n->ruling) {
         commit_run(n);
         all_direct(n);
-        if (pm_lead_confirmed(n->lead, pm_clock_steady()))
+        if (n->leading && pm_lead_confirmed(n->lead, pm_clock_steady())) {
+            pm_blocks_run(n->blocks, pm_clock_steady());
             pm_fleet_run(n->fleet, pm_clock_steady());
+        }
     }
 }
 
@@ -304,7 +330,7 @@
         return;
     }
     plan_soon(n);
-    if (!n->ruling || n->types_busy || n->types_stamp)
+    if (!n->leading || n->types_busy || n->types_stamp)
         return;
     /* Kept in the state service, for controllers that start while the cloud has an outage. */
     n->types_busy = true;
@@ -340,6 +366,38 @@
 
 /* ---- the lead ---- */
 
+/* Finds a job's places again in what the state service says. */
+static int find_places(struct pm_node *n, struct pm_job *job, double now)
+{
+    int places = 0;
+
+    for (int k = 0; job->spec && k < job->nchunks; k++) {
+        GArray *spots = job->chunk[k] && job->chunk[k]->stamp ? job->chunk[k]->spots : NULL;
+        for (guint s = 0; spots && s < spots->len; s++) {
+            struct pm_spot *spot = &g_array_index(spots, struct pm_spot, s);
+            struct pm_machine *m =
+                pm_workers_add(n->workers, pm_names_text(n->books.machines, spot->machine));
+            pm_workers_place(n->workers, job, (uint32_t)k * PM_CHUNK + spot->task, m,
+                             spot->attempt, spot->session, PM_DURABLE, now);
+            if (m->state == PM_BOOTING) { /* its worker may be silent by now: counted from here */
+                m->state = PM_UP;
+                m->heard = now;
+            }
+            places++;
+        }
+    }
+    return places;
+}
+
+static void start_anew(struct pm_node *n)
+{
+    pm_workers_reset(n->workers);
+    pm_jobs_reset_work(n->jobs);
+    pm_commit_reset(n->commit);
+    pm_plan_reset(n->plan);
+    pm_plan_set_reserve(n->plan, 0);
+}
+
 /* Rebuilds the working state from the state service: what is done, and every place that is not
  * proven gone. Tasks are then found again in workers' reports rather than started anew. */
 static void on_took(void *arg, uint64_t epoch)
@@ -349,33 +407,19 @@
     double now = pm_clock_steady();
     int places = 0;
 
-    pm_workers_reset(n->workers);
-    pm_jobs_reset_work(n->jobs);
-    pm_commit_reset(n->commit);
-    pm_plan_reset(n->plan);
+    start_anew(n);
+    pm_jobs_set_away(n->jobs, false);
     pm_fleet_reset(n->fleet, epoch);
+    pm_blocks_take(n->blocks, now);
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        for (int k = 0; job->spec && k < job->nchunks; k++) {
-            GArray *spots = job->chunk[k] && job->chunk[k]->stamp ? job->chunk[k]->spots : NULL;
-            for (guint s = 0; spots && s < spots->len; s++) {
-                struct pm_spot *spot = &g_array_index(spots, struct pm_spot, s);
-                struct pm_machine *m = pm_workers_add(
-                    n->workers, pm_names_text(n->books.machines, spot->machine));
-                pm_workers_place(n->workers, job, (uint32_t)k * PM_CHUNK + spot->task, m,
-                                 spot->attempt, spot->session, PM_DURABLE, now);
-                /* Its worker may be silent already: it counts from now. */
-                m->state = PM_UP;
-                m->heard = now;
-                places++;
-            }
-        }
+        if (!job->away)
+            places += find_places(n, job, now);
     }
-    n->ruling = true;
-    pm_store_set_share(n->store, 0.75);
+    n->ruling = n->leading = true;
+    pm_store_set_share(n->store, 0.6);
     pm_info("node.rules", "epoch %llu, %u jobs, %d places", (unsigned long long)epoch, active->len,
             places);
-    pm_fleet_run(n->fleet, now);
     plan_soon(n);
 }
 
@@ -383,12 +427,11 @@
 {
     struct pm_node *n = arg;
 
-    n->ruling = false;
+    n->ruling = n->leading = false;
     pm_store_set_share(n->store, 0.4);
-    pm_commit_reset(n->commit);
     pm_fleet_reset(n->fleet, 0);
-    pm_workers_reset(n->workers);
-    pm_jobs_reset_work(n->jobs);
+    pm_blocks_lose(n->blocks);
+    start_anew(n);
 }
 
 static void on_raised(void *arg, uint64_t epoch)
@@ -397,6 +440,62 @@
     plan_soon(arg);
 }
 
+static void find_again(struct pm_node *n, double now);
+
+static void on_lead_confirmed(void *arg)
+{
+    struct pm_node *n = arg;
+
+    if (!n->ruling)
+        return;
+    find_again(n, pm_clock_steady());
+    plan_soon(n);
+}
+
+/* ---- blocks ---- */
+
+static void on_block_changed(void *arg)
+{
+    plan_soon(arg);
+}
+
+static void on_job_back(void *arg, struct pm_job *job)
+{
+    struct pm_node *n = arg;
+
+    pm_job_reset_work(job);
+    find_places(n, job, pm_clock_steady());
+}
+
+static void on_machine_bad(void *arg, struct pm_machine *m)
+{
+    (void)arg;
+    m->errors = MAX(m->errors, 3);
+}
+
+/* This controller holds a block now, or a different one, or none. */
+static void on_block_mine(void *arg, bool granted)
+{
+    struct pm_node *n = arg;
+
+    if (n->leading)
+        return;
+    if (!granted) {
+        pm_lead_hold(n->lead, n->block_key, 0);
+        if (n->ruling)
+            start_anew(n);
+        n->ruling = false;
+        return;
+    }
+    if (!n->ruling) {
+        pm_commit_reset(n->commit);
+        pm_plan_reset(n->plan);
+    }
+    n->ruling = true;
+    pm_lead_hold(n->lead, n->block_key, pm_blocks_mine(n->blocks));
+    plan_soon(n);
+}
+
 /* ---- the replica's feed ---- */
 
 static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
@@ -405,8 +504,11 @@
 
     if (!strcmp(key, "p/epoch") || !strcmp(key, "p/lead")) {
         pm_lead_put(n->lead, key, value, stamp);
+    } else if (!strncmp(key, "p/b/", 4)) {
+        n->blocks_changed |= n->ruling;
+        pm_blocks_put(n->blocks, key, value, stamp);
     } else if (!strcmp(key, "p/ledger")) {
-        if (!n->ruling)
+        if (!n->leading)
             pm_plan_read_ledger(n->plan, value);
     } else if (!strcmp(key, "p/types")) {
         n->types_stamp = stamp;
@@ -422,6 +524,7 @@
     struct pm_node *n = arg;
 
     pm_lead_drop(n->lead, key, stamp);
+    pm_blocks_drop(n->blocks, key, stamp);
     pm_jobs_drop(n->jobs, key, stamp);
 }
 
@@ -430,6 +533,7 @@
     struct pm_node *n = arg;
 
     pm_lead_relist(n->lead);
+    pm_blocks_relist(n->blocks);
     pm_jobs_sweep_begin(n->jobs);
 }
 
@@ -442,17 +546,27 @@
 
 static void on_caught_up(void *arg, uint64_t edition)
 {
-    (void)arg;
+    struct pm_node *n = arg;
+
     (void)edition;
+    pm_blocks_caught_up(n->blocks);
+    if (n->blocks_changed) {
+        n->blocks_changed = false;
+        find_again(n, pm_clock_steady());
+        plan_soon(n);
+    }
 }
 
 /* ---- requests ---- */
 
-static void reply_elsewhere(struct pm_node *n, struct pm_http_request *req)
+static void reply_elsewhere(struct pm_node *n, struct pm_http_request *req, const char *machine)
 {
-    const char *other = pm_lead_other(n->lead);
+    const char *other = pm_blocks_holder(n->blocks, machine);
     struct pm_buf body = {0};
 
+    if (!other || !strcmp(other, n->settings->name))
+        other = pm_lead_other(n->lead);
+
     if (!other) {
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
@@ -473,13 +587,21 @@
     struct pm_buf body = {0};
     struct pm_machine *m;
     cbor_item_t *report;
+    char name[PM_NAME_MAX];
     bool fresh;
 
-    if (!n->ruling) {
-        reply_elsewhere(n, req);
+    report = pm_cbor_parse(req->body, req->body_size);
+    if (pm_cbor_text(pm_cbor_get(report, "host"), name, sizeof name)) {
+        pm_cbor_free(report);
+        pm_http_reply(req, 400, NULL, 0, 0);
+        return;
+    }
+    m = n->ruling ? pm_workers_find(n->workers, name) : NULL;
+    if (!n->ruling || (n->leading ? m && m->lent : !m || m->left)) {
+        pm_cbor_free(report);
+        reply_elsewhere(n, req, name);
         return;
     }
-    report = pm_cbor_parse(req->body, req->body_size);
     pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate);
     if (!pm_lead_confirmed(n->lead, now) || mandate > epoch) {
         if (mandate > epoch)
@@ -488,7 +610,7 @@
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
     }
-    m = report ? pm_workers_report(n->workers, report, PM_REPORT, epoch, now, &fresh) : NULL;
+    m = pm_workers_report(n->workers, report, PM_REPORT, epoch, now, &fresh);
     pm_cbor_free(report);
     if (!m) {
         pm_http_reply(req, 400, NULL, 0, 0);
@@ -541,6 +663,8 @@
 
     if (!strcmp(req->path, "/peer") && req->method == PM_HTTP_POST)
         pm_lead_peer(n->lead, req);
+    else if (!strcmp(req->path, "/block") && req->method == PM_HTTP_POST)
+        pm_blocks_peer(n->blocks, req);
     else
         pm_http_reply(req, 404, NULL, 0, 0);
 }
@@ -553,8 +677,6 @@
 static void judge_leases(struct pm_node *n, double now)
 {
     GPtrArray *all = pm_workers_all(n->workers);
-    double floor_at = pm_lead_floor(n->lead);
-
     /* Cut off, we hear nothing because workers report to a later leader: that proves nothing, and
      * returning their machines as idle would end what runs there. */
     if (!pm_lead_confirmed(n->lead, now))
@@ -562,9 +684,15 @@
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double base;
-        if (!m || !m->places->len)
+        if (!m || !m->places->len || m->lent)
             continue;
-        base = MAX(m->answered, floor_at);
+        base = m->floor;
+        if (!base && n->leading) {
+            base = pm_lead_floor(n->lead, m->since_epoch);
+            if (m->since_epoch && isfinite(base))
+                m->floor = base;
+        }
+        base = MAX(m->answered, base);
         if (now <= base + n->settings->lease_s * (1 + 2 * PM_DRIFT) + 0.2)
             continue;
         pm_info("workers.lapsed", "%s with %u places", m->name, m->places->len);
@@ -580,7 +708,7 @@
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!m || m->state == PM_RELEASING)
+        if (!m || m->state == PM_RELEASING || m->lent)
             continue;
         doubtful |= m->doubtful && m->mandate <= m->doubtful &&
                     m->doubtful >= pm_lead_epoch(n->lead) && now - m->heard < 3;
@@ -589,9 +717,9 @@
         if (!m->reported && m->endpoint[0] && m->listed)
             direct_due(n, m, true);
     }
-    if (doubtful && now - n->raised_at > 6) {
+    if (doubtful && n->leading && now - n->raised_at > 6) {
         n->raised_at = now;
-        pm_lead_raise(n->lead); /* ends the doubt: late copies of the old token die */
+        pm_lead_raise(n->lead, NULL, 0); /* ends the doubt: late copies of the old token die */
     }
 }
 
@@ -608,7 +736,8 @@
         judge_leases(n, now);
         find_again(n, now);
         all_direct(n);
-        write_ledger(n, now);
+        if (n->leading)
+            write_ledger(n, now);
         plan_soon(n);
     }
 }
@@ -653,10 +782,15 @@
                                                     on_caught_up, n});
     pm_store_set_share(n->store, 0.4);
     n->lead = pm_lead_new(loop, n->store, n->http, settings, op,
-                          &(struct pm_lead_hooks){on_took, on_lost, on_raised, n});
+                          &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_lead_confirmed, n});
     n->commit = pm_commit_new(&n->books, n->jobs, n->store,
                               &(struct pm_commit_hooks){on_durable, on_commit_confirmed,
                                                         on_commit_doubt, n});
+    snprintf(n->block_key, sizeof n->block_key, "p/b/%s", settings->name);
+    n->blocks = pm_blocks_new(&n->books, n->jobs, n->workers, n->plan, n->store, n->http, n->lead,
+                              op,
+                              &(struct pm_blocks_hooks){on_block_changed, on_job_back,
+                                                        on_machine_bad, on_block_mine, n});
     n->intake = pm_intake_new(loop, n->store, n->jobs, &n->books, op);
     ev_async_init(&n->planned, on_planned);
     ev_timer_init(&n->pace, on_pace, 0., 0.);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -194,10 +194,7 @@
     }
     if (m->type < 0 && !pm_cbor_text(pm_cbor_get(item, "model"), text, sizeof text) &&
         (type = pm_names_find(f->books->types, text)) >= 0 && type < f->books->ntypes) {
-        m->type = type;
-        m->cpus += f->books->type[type].cpus;
-        m->gpus += f->books->type[type].gpus;
-        m->ram_gb += f->books->type[type].ram_gb;
+        pm_workers_set_type(f->workers, m, type);
         if (!pm_cbor_text(pm_cbor_get(item, "room"), text, sizeof text))
             m->zone = zone_index(f->books, text);
         pm_cbor_flag(pm_cbor_get(item, "borrowed"), &m->spot);
@@ -221,7 +218,9 @@
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->state == PM_RELEASING || g_hash_table_contains(f->seen, m->name))
             continue;
-        if (f->list_sent - m->rented > lag && now - m->heard > lag && !m->absent_since)
+        /* One that is lent reports elsewhere: the list alone tells. */
+        if (f->list_sent - m->rented > lag && (m->lent || now - m->heard > lag) &&
+            !m->absent_since)
             m->absent_since = now;
     }
 }
@@ -329,13 +328,10 @@
         got++;
         if (m->type >= 0)
             continue; /* reported already */
-        m->type = call->rent.type;
+        pm_workers_set_type(f->workers, m, call->rent.type);
         m->zone = call->rent.zone;
         m->spot = call->rent.spot;
         m->rented = call->sent;
-        m->cpus += f->books->type[m->type].cpus;
-        m->gpus += f->books->type[m->type].gpus;
-        m->ram_gb += f->books->type[m->type].ram_gb;
     }
     pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->booking, got, call->rent.count,
             pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "",
@@ -533,12 +529,16 @@
 {
     const struct pm_spec *spec = want->job->spec;
     double each = pm_plan_expected(f->plan, want->job) * 1.2 + 2, left, waves;
+    uint32_t done, placed = want->job->nplaced;
+
+    if (want->job->away)
+        pm_jobs_count(want->job, &done, &placed);
 
     if (spec->form != PM_ARRAY || spec->due_s < 0)
         return (int)want->tasks;
     left = spec->submitted + spec->due_s - day - 35;
     waves = CLAMP(floor(left / each), 1, 8);
-    return (int)ceil((want->tasks + want->job->nplaced) / waves) - (int)want->job->nplaced;
+    return (int)ceil((want->tasks + placed) / waves) - (int)placed;
 }
 
 /* With `used_up`, machines that are up are left out: the planner found no room on them. */
@@ -581,7 +581,7 @@
         /* One that boots too long is not counted on. */
         if (m->state == PM_BOOTING && now - m->rented > 2.5 * f->books->type[m->type].ready_s + 10)
             continue;
-        if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 ||
+        if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
             continue;
         s->bin[s->bins++] = (struct bin){m->cpus, m->gpus, m->ram_gb,
@@ -635,7 +635,7 @@
             continue;
         }
         /* Taken or dead: the confirmed release proves it at once, sooner than its lease. */
-        if (m->absent_since && now - m->heard > 4 && m->state == PM_UP) {
+        if (m->absent_since && (m->lent || now - m->heard > 4) && m->state == PM_UP) {
             give_back(m, "no longer listed, and silent");
             continue;
         }
@@ -644,6 +644,8 @@
             give_back(m, "does not come up");
             continue;
         }
+        if (m->lent)
+            continue;
         if (m->state == PM_UP && m->places->len == 0 && now - m->heard > 2 * lease + 20) {
             give_back(m, "silent and empty");
             continue;
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -172,6 +172,7 @@
     }
     chunk->dirty = false;
     chunk->in_flight = true;
+    job->tried = true;
     g_array_append_vals(f->parts, &(struct part){job, k, false}, 1);
 }
 
@@ -244,7 +245,7 @@
     return true;
 }
 
-static struct flight *flight_new(struct pm_commit *c, uint64_t epoch_stamp, double now)
+static struct flight *flight_new(struct pm_commit *c, const struct pm_grounds *grounds, double now)
 {
     struct flight *f = g_new0(struct flight, 1);
 
@@ -253,7 +254,9 @@
     f->sent = now;
     f->marks = g_array_new(FALSE, FALSE, sizeof(struct mark));
     f->parts = g_array_new(FALSE, FALSE, sizeof(struct part));
-    pm_txn_if(&f->txn, "p/epoch", epoch_stamp);
+    pm_txn_if(&f->txn, "p/epoch", grounds->epoch_stamp);
+    if (grounds->block_key)
+        pm_txn_if(&f->txn, grounds->block_key, grounds->block_stamp);
     return f;
 }
 
@@ -288,7 +291,7 @@
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (!job->spec || job->final_in_flight)
+        if (!job->spec || job->away || job->final_in_flight)
             continue;
         if (over(job)) {
             if (pass == 0 && job->retry_at <= now) {
@@ -311,7 +314,7 @@
     return found;
 }
 
-double pm_commit_run(struct pm_commit *c, uint64_t epoch_stamp, double now)
+double pm_commit_run(struct pm_commit *c, const struct pm_grounds *grounds, double now)
 {
     int txn_ops = c->books->settings->txn_ops;
 
@@ -324,7 +327,7 @@
             return now + 0.02;
         if (room < MIN(4, txn_ops))
             return now + 0.05;
-        f = flight_new(c, epoch_stamp, now);
+        f = flight_new(c, grounds, now);
         add_pass(c, f, 0, room, now, &next);
         add_pass(c, f, 1, room, now, &next);
         if (c->lazy_since && now - c->lazy_since >= BATCH_S) {
@@ -335,7 +338,7 @@
             GPtrArray *active = pm_jobs_active(c->jobs);
             for (guint i = 0; !lazy && i < active->len; i++) {
                 struct pm_job *job = g_ptr_array_index(active, i);
-                for (int k = 0; job->spec && !over(job) && !lazy && k < job->nchunks; k++)
+                for (int k = 0; job->spec && !job->away && !over(job) && !lazy && k < job->nchunks; k++)
                     lazy = job->chunk[k] &&
                            chunk_rank(job, job->chunk[k], now, &ignored) == 2;
             }
--- a/src/jobs/commit.h
+++ b/src/jobs/commit.h
@@ -18,9 +18,15 @@
 struct pm_commit *pm_commit_new(struct pm_books *books, struct pm_jobs *jobs,
                                 struct pm_store *store, const struct pm_commit_hooks *hooks);
 void pm_commit_free(struct pm_commit *commit);
+/* What every transaction is conditioned on. */
+struct pm_grounds {
+    uint64_t epoch_stamp;
+    const char *block_key; /* NULL for the leader, whose block is what it has not leased out */
+    uint64_t block_stamp;
+};
 /* Sends what is due and what the write budget has room for. Returns the steady time at which to
  * call again, 0 when nothing waits. */
-double pm_commit_run(struct pm_commit *commit, uint64_t epoch_stamp, double now);
+double pm_commit_run(struct pm_commit *commit, const struct pm_grounds *grounds, double now);
 /* Answers to transactions under way are no longer ours to read: on losing the lead. */
 void pm_commit_reset(struct pm_commit *commit);
 
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -12,6 +12,7 @@
     struct pm_books *books;
     GHashTable *by_id; /* owns the jobs */
     GPtrArray *active;
+    bool away;
 };
 
 static const char *const form_names[] = {"array", "group", "standing"};
@@ -311,6 +312,8 @@
 {
     if (!job->listed) {
         job->listed = true;
+        job->away = jobs->away;
+        job->width = UINT32_MAX;
         g_ptr_array_add(jobs->active, job);
     }
 }
@@ -613,32 +616,46 @@
     return job->entries - job->ndone - job->nplaced;
 }
 
+void pm_job_reset_work(struct pm_job *job)
+{
+    job->ndone = job->nplaced = job->last_try = job->hint = 0;
+    job->final_in_flight = job->stopping = job->tried = false;
+    job->retry_at = job->first_wait = job->gang_tried = job->cancelled_seen = 0;
+    for (int k = 0; k < job->nchunks; k++) {
+        struct pm_chunk *chunk = job->chunk[k];
+        if (!chunk)
+            continue;
+        g_free(chunk->task);
+        chunk->task = NULL;
+        chunk->dirty = chunk->in_flight = false;
+        chunk->retry_at = 0;
+        chunk->written = 0;
+        if (!chunk->stamp)
+            continue;
+        chunk->task = g_new0(struct pm_task, PM_CHUNK);
+        job->tried = true;
+        job->last_try = MAX(job->last_try, chunk->last_try);
+        for (int t = 0; t < PM_CHUNK; t++) {
+            if (chunk->done[t / 64] >> (t % 64) & 1) {
+                chunk->task[t].done = true;
+                job->ndone++;
+            }
+        }
+    }
+}
+
 void pm_jobs_reset_work(struct pm_jobs *jobs)
 {
+    for (guint i = 0; i < jobs->active->len; i++)
+        pm_job_reset_work(g_ptr_array_index(jobs->active, i));
+}
+
+void pm_jobs_set_away(struct pm_jobs *jobs, bool away)
+{
+    jobs->away = away;
     for (guint i = 0; i < jobs->active->len; i++) {
         struct pm_job *job = g_ptr_array_index(jobs->active, i);
-        job->ndone = job->nplaced = job->last_try = job->hint = 0;
-        job->final_in_flight = job->stopping = false;
-        job->retry_at = job->first_wait = job->gang_tried = job->cancelled_seen = 0;
-        for (int k = 0; k < job->nchunks; k++) {
-            struct pm_chunk *chunk = job->chunk[k];
-            if (!chunk)
-                continue;
-            g_free(chunk->task);
-            chunk->task = NULL;
-            chunk->dirty = chunk->in_flight = false;
-            chunk->retry_at = 0;
-            chunk->written = 0;
-            if (!chunk->stamp)
-                continue;
-            chunk->task = g_new0(struct pm_task, PM_CHUNK);
-            job->last_try = MAX(job->last_try, chunk->last_try);
-            for (int t = 0; t < PM_CHUNK; t++) {
-                if (chunk->done[t / 64] >> (t % 64) & 1) {
-                    chunk->task[t].done = true;
-                    job->ndone++;
-                }
-            }
-        }
+        job->away = away;
+        job->width = UINT32_MAX;
     }
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -116,6 +116,9 @@
     uint32_t ndone, nplaced, last_try;
     uint32_t hint; /* no task below it waits */
     bool final_in_flight, listed;
+    bool away;      /* another controller places it */
+    bool tried;     /* a chunk was written, or is being written, from here */
+    uint32_t width; /* tasks at once that its block's lease allows */
     bool stopping; /* gang: all of the attempt must go before the next one */
     double retry_at, first_wait, gang_tried;
     double cancelled_seen;
@@ -151,6 +154,11 @@
 struct pm_task *pm_job_task(struct pm_job *job, uint32_t index); /* made when missing */
 const struct pm_task *pm_job_peek(const struct pm_job *job, uint32_t index); /* NULL: untouched */
 void pm_job_touch(struct pm_job *job, uint32_t index); /* its chunk needs writing */
+/* Whether jobs are, until told otherwise, another controller's to place: for all, and for those to
+ * come. */
+void pm_jobs_set_away(struct pm_jobs *jobs, bool away);
+/* Rebuilds one job's counts from the replica. */
+void pm_job_reset_work(struct pm_job *job);
 /* Drops the working state of all jobs and rebuilds the counts from the replica. */
 void pm_jobs_reset_work(struct pm_jobs *jobs);
 /* Writes the value of p/t/ID/k from the working state. */
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -34,8 +34,11 @@
     bool renew_busy, check_busy;
     /* Peers' words on our epoch: for the acknowledgement, and for confirmation in an outage. */
     bool acked[PM_PEERS_MAX];
-    double ack_at;
-    double ask_sent;
+    double ack_at, first_ack_at; /* of the epoch in force; of the reign's first */
+    uint64_t ack_epoch;
+    /* Holding a block instead of leading. */
+    char block_key[PM_NAME_MAX + 8];
+    uint64_t block_stamp;
     int ask_round, ask_yes;
     uint64_t ask_epoch;
 };
@@ -46,6 +49,17 @@
     double sent;
 };
 
+/* Whether this controller has any say over workers, and in which epoch. */
+static bool acts(const struct pm_lead *l)
+{
+    return l->leads || l->block_stamp;
+}
+
+static uint64_t acting(const struct pm_lead *l)
+{
+    return l->leads ? l->mine : l->epoch;
+}
+
 static int majority(const struct pm_lead *l)
 {
     return l->settings->size / 2 + 1;
@@ -92,6 +106,7 @@
     struct pm_lead *lead;
     uint64_t epoch, tenure;
     double sent;
+    bool leads;
 };
 
 static void on_taken(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
@@ -110,7 +125,9 @@
         l->tenure = attempt->tenure;
         l->renewed = l->checked = now;
         l->confirmed = attempt->sent;
-        l->ack_at = majority(l) <= 1 ? now : 0;
+        l->ack_at = l->first_ack_at = majority(l) <= 1 ? now : 0;
+        l->ack_epoch = l->mine;
+        l->block_stamp = 0;
         l->asked = 0;
         memset(l->acked, 0, sizeof l->acked);
         l->reach = edition;
@@ -127,6 +144,7 @@
     struct pm_lead *l = arg;
     struct pm_txn txn = {0};
     struct attempt *attempt;
+    char key[PM_NAME_MAX + 8];
 
     if (status != 200) {
         l->trying = false;
@@ -147,6 +165,9 @@
     pm_put_pair_text(&txn.writes, "boot", l->boot);
     pm_put_end(&txn.writes);
     pm_txn_put_end(&txn, tenure);
+    /* A leader holds no block: whatever it held becomes the leader's with the same stroke. */
+    snprintf(key, sizeof key, "p/b/%s", l->settings->name);
+    pm_txn_drop(&txn, key);
     pm_store_commit(l->store, &txn, on_taken, attempt);
 }
 
@@ -159,6 +180,20 @@
 
 /* ---- raising the epoch while leading ---- */
 
+static void adopt(struct pm_lead *l, uint64_t epoch, uint64_t stamp)
+{
+    l->mine = l->epoch = epoch;
+    l->mine_stamp = l->epoch_stamp = stamp;
+    /* Acknowledged anew: a holder that lost its block with the old epoch may answer its workers
+     * until a majority knows this one. */
+    memset(l->acked, 0, sizeof l->acked);
+    l->ack_at = majority(l) <= 1 ? pm_clock_steady() : 0;
+    l->ack_epoch = epoch;
+    l->asked = 0;
+    pm_info("lead.raised", "epoch %llu", (unsigned long long)epoch);
+    l->hooks.raised(l->hooks.arg, epoch);
+}
+
 static void on_raised(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
 {
     struct attempt *attempt = arg;
@@ -167,18 +202,15 @@
     (void)failed;
     l->raising = false;
     if (l->leads && status == 200 && l->mine < attempt->epoch) {
-        l->mine = l->epoch = attempt->epoch;
-        l->mine_stamp = l->epoch_stamp = edition;
+        adopt(l, attempt->epoch, edition);
         l->confirmed = MAX(l->confirmed, attempt->sent);
-        pm_info("lead.raised", "epoch %llu", (unsigned long long)l->mine);
-        l->hooks.raised(l->hooks.arg, l->mine);
     } else if (l->leads && status == 409) {
         pm_lead_doubt(l);
     }
     g_free(attempt);
 }
 
-void pm_lead_raise(struct pm_lead *l)
+void pm_lead_raise(struct pm_lead *l, const char *key, uint64_t stamp)
 {
     struct pm_txn txn = {0};
     struct attempt *attempt;
@@ -192,6 +224,10 @@
     attempt->sent = pm_clock_steady();
     pm_txn_if(&txn, "p/epoch", l->mine_stamp);
     put_epoch(l, &txn, attempt->epoch);
+    if (key) {
+        pm_txn_if(&txn, key, stamp);
+        pm_txn_drop(&txn, key);
+    }
     pm_store_commit(l->store, &txn, on_raised, attempt);
 }
 
@@ -214,11 +250,16 @@
 
     (void)failed;
     l->check_busy = false;
-    if (l->leads && l->mine == attempt->epoch) {
-        if (status == 200)
+    if (acts(l) && acting(l) == attempt->epoch && l->leads == attempt->leads) {
+        if (status == 200) {
+            bool first = !l->confirmed;
             l->confirmed = MAX(l->confirmed, attempt->sent);
-        else if (status == 409)
+            if (first)
+                l->hooks.confirmed(l->hooks.arg);
+        } else if (status == 409 && l->leads)
             pm_store_reach(l->store, edition, on_judged, l);
+        else if (status == 409)
+            l->checked = 0; /* a holder: the watch tells what became of its block */
     }
     g_free(attempt);
 }
@@ -231,9 +272,12 @@
     l->check_busy = true;
     l->checked = now;
     attempt->lead = l;
-    attempt->epoch = l->mine;
+    attempt->epoch = acting(l);
+    attempt->leads = l->leads;
     attempt->sent = now;
-    pm_txn_if(&txn, "p/epoch", l->mine_stamp);
+    pm_txn_if(&txn, "p/epoch", l->leads ? l->mine_stamp : l->epoch_stamp);
+    if (!l->leads)
+        pm_txn_if(&txn, l->block_key, l->block_stamp);
     pm_store_commit(l->store, &txn, on_checked, attempt);
 }
 
@@ -267,12 +311,15 @@
         l->acked[ask->peer] = true;
         for (int i = 0; i < l->settings->peers; i++)
             acks += l->acked[i];
-        if (!l->ack_at && acks >= majority(l))
+        if (!l->ack_at && acks >= majority(l)) {
             l->ack_at = pm_clock_steady();
+            if (!l->first_ack_at)
+                l->first_ack_at = l->ack_at;
+        }
     }
     /* In an outage of the state service, a majority that knows no higher epoch confirms ours. */
-    if (tell && l->leads && tell->ready && tell->known <= l->mine && ask->round == l->ask_round &&
-        l->ask_epoch == l->mine && ++l->ask_yes >= majority(l) && pm_store_refusing(l->store))
+    if (tell && acts(l) && tell->ready && tell->known <= acting(l) &&
+        ask->round == l->ask_round && l->ask_epoch == acting(l) && ++l->ask_yes >= majority(l) && pm_store_refusing(l->store))
         l->confirmed = MAX(l->confirmed, ask->sent);
     if (tell)
         pm__peer_tell__free_unpacked(tell, NULL);
@@ -287,10 +334,10 @@
 
     l->asked = now;
     l->ask_round++;
-    l->ask_epoch = l->mine;
-    l->ask_yes = 1; /* ourselves: a leader has read the state */
+    l->ask_epoch = acting(l);
+    l->ask_yes = 1; /* ourselves: who leads, or holds a block, has read the state */
     message.from = (char *)l->settings->name;
-    message.epoch = l->mine;
+    message.epoch = l->ask_epoch;
     if (pm__peer_ask__get_packed_size(&message) > sizeof data)
         return;
     size = pm__peer_ask__pack(&message, data);
@@ -339,17 +386,18 @@
         step_down(l, "not confirmed for long");
         return;
     }
+    if (acts(l) && !l->check_busy && !l->raising &&
+        now - MAX(l->confirmed, l->checked) > l->op->confirm_s / 3)
+        check(l, now);
+    if (acts(l) && ((l->leads && !l->ack_at) || pm_store_refusing(l->store)) &&
+        now - l->asked > l->op->confirm_s / 4)
+        ask_peers(l, now);
     if (l->leads) {
         if (!l->renew_busy && now - l->renewed > l->op->leader_ttl_s / 3.5) {
             l->renew_busy = true;
             l->renewed = now;
             pm_store_renew(l->store, l->tenure, on_renewed, l);
         }
-        if (!l->check_busy && !l->raising && now - MAX(l->confirmed, l->checked) >
-                                                 l->op->confirm_s / 3)
-            check(l, now);
-        if ((!l->ack_at || pm_store_refusing(l->store)) && now - l->asked > l->op->confirm_s / 4)
-            ask_peers(l, now);
         return;
     }
     if (l->trying || !pm_store_ready(l->store) || !vacant(l)) {
@@ -382,9 +430,9 @@
         if (l->leads && epoch > l->mine && strcmp(boot, l->boot)) {
             step_down(l, "another one leads");
         } else if (l->leads && epoch > l->mine) {
-            l->mine = epoch;
-            l->mine_stamp = stamp;
-            l->hooks.raised(l->hooks.arg, l->mine);
+            adopt(l, epoch, stamp);
+        } else if (!l->leads && l->block_stamp && !l->check_busy) {
+            check(l, pm_clock_steady());
         }
     } else if (!strcmp(key, "p/lead") && stamp >= l->lead_stamp) {
         l->lead_stamp = stamp;
@@ -414,22 +462,43 @@
 
 uint64_t pm_lead_epoch(const struct pm_lead *l)
 {
-    return l->mine;
+    return acting(l);
 }
 
 uint64_t pm_lead_stamp(const struct pm_lead *l)
 {
-    return l->mine_stamp;
+    return l->leads ? l->mine_stamp : l->epoch_stamp;
+}
+
+const char *pm_lead_boot(const struct pm_lead *l)
+{
+    return l->boot;
+}
+
+void pm_lead_hold(struct pm_lead *l, const char *key, uint64_t stamp)
+{
+    if (l->leads || stamp == l->block_stamp)
+        return;
+    /* A block that is written anew but stays ours keeps its confirmation: whoever takes it away has
+     * to wait until our last one is old anyway. A new block needs one first. */
+    if (!l->block_stamp || !stamp)
+        l->confirmed = 0;
+    l->block_stamp = stamp;
+    if (!stamp)
+        return;
+    g_strlcpy(l->block_key, key, sizeof l->block_key);
+    if (!l->check_busy)
+        check(l, pm_clock_steady());
 }
 
 bool pm_lead_confirmed(const struct pm_lead *l, double now)
 {
-    return l->leads && !l->reach && now - l->confirmed < l->op->confirm_s * (1 - PM_DRIFT);
+    return acts(l) && !l->reach && now - l->confirmed < l->op->confirm_s * (1 - PM_DRIFT);
 }
 
 void pm_lead_confirm(struct pm_lead *l, double sent)
 {
-    if (l->leads)
+    if (acts(l))
         l->confirmed = MAX(l->confirmed, sent);
 }
 
@@ -440,11 +509,13 @@
     return l->holder;
 }
 
-double pm_lead_floor(const struct pm_lead *l)
+double pm_lead_floor(const struct pm_lead *l, uint64_t epoch)
 {
-    if (!l->leads || !l->ack_at)
+    double at = epoch ? l->ack_at : l->first_ack_at;
+
+    if (!l->leads || !at || epoch > l->ack_epoch)
         return INFINITY;
-    return l->ack_at + l->op->confirm_s * (1 + PM_DRIFT);
+    return at + l->op->confirm_s * (1 + PM_DRIFT);
 }
 
 struct pm_lead *pm_lead_new(struct ev_loop *loop, struct pm_store *store,
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -22,6 +22,7 @@
     void (*took)(void *arg, uint64_t epoch); /* leads, and the replica has caught up with that */
     void (*lost)(void *arg);
     void (*raised)(void *arg, uint64_t epoch); /* still leads, with a higher epoch */
+    void (*confirmed)(void *arg);              /* a block newly held may be used */
     void *arg;
 };
 
@@ -42,15 +43,21 @@
 bool pm_lead_confirmed(const struct pm_lead *lead, double now);
 /* A conditional transaction succeeded that was sent at `sent`: a confirmation. */
 void pm_lead_confirm(struct pm_lead *lead, double sent);
-/* Raises the epoch while leading, so that commands under way with the old one die. */
-void pm_lead_raise(struct pm_lead *lead);
+/* Raises the epoch while leading, so that commands under way with the old one die. With `key`, drops
+ * that key in the same transaction, on the condition of its stamp. */
+void pm_lead_raise(struct pm_lead *lead, const char *key, uint64_t stamp);
+/* Not leading, but holding a block: the key and stamp that stand for it, stamp 0: none. The epoch is
+ * then confirmed together with that stamp. */
+void pm_lead_hold(struct pm_lead *lead, const char *key, uint64_t stamp);
+/* The name of this process, unlike that of any other that has run or will run. */
+const char *pm_lead_boot(const struct pm_lead *lead);
 /* A transaction failed on the epoch's stamp. */
 void pm_lead_doubt(struct pm_lead *lead);
 /* The name of the controller that leads as far as known, NULL when nobody does or it is us. */
 const char *pm_lead_other(const struct pm_lead *lead);
-/* Steady time since when no other controller can have answered a worker with 200; INFINITY until a
- * majority has acknowledged our epoch and A has passed. */
-double pm_lead_floor(const struct pm_lead *lead);
+/* Steady time since when nobody who did not know `epoch` can have answered a worker with 200: A
+ * after a majority acknowledged it; INFINITY until then. Epoch 0: the first one of this reign. */
+double pm_lead_floor(const struct pm_lead *lead, uint64_t epoch);
 /* POST /peer on the back address. */
 void pm_lead_peer(struct pm_lead *lead, struct pm_http_request *req);
 
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -23,7 +23,8 @@
     struct ledger ledger[PM_TEAMS_MAX];
     long bucket; /* the bucket in force, counted in time of day */
     double charged_at;
-    double cpus[PM_TEAMS_MAX], gpus[PM_TEAMS_MAX]; /* in use */
+    double cpus[PM_TEAMS_MAX], gpus[PM_TEAMS_MAX]; /* in use, or leased out: for the limits */
+    double actual[PM_TEAMS_MAX]; /* processors in use: for the guarantees */
     double yielding[PM_TEAMS_MAX]; /* processors of tasks that are being stopped */
     double promised[PM_TEAMS_MAX]; /* processors that are being made free for the team */
     GArray *wants;
@@ -32,6 +33,7 @@
     double factor[CLASSES_MAX]; /* measured run time over the owner's estimate, 0: unknown */
     double reserve;             /* processors on ordinary machines kept for services */
     int steps;
+    bool sees_all;
 };
 
 struct pm_plan *pm_plan_new(struct pm_books *books, struct pm_jobs *jobs,
@@ -43,6 +45,7 @@
     p->jobs = jobs;
     p->workers = workers;
     p->op = op;
+    p->sees_all = true;
     p->wants = g_array_new(FALSE, FALSE, sizeof(struct pm_want));
     p->queue = g_ptr_array_new();
     return p;
@@ -71,6 +74,11 @@
     p->reserve = cpus;
 }
 
+void pm_plan_set_alone(struct pm_plan *p, bool sees_all)
+{
+    p->sees_all = sees_all;
+}
+
 /* ---- the ledger ---- */
 
 /* Best-effort work declares a minimum runtime of zero: it is unallocated and free of charge. */
@@ -106,6 +114,49 @@
     }
 }
 
+static void charge(struct pm_plan *p, const struct pm_job *job, const struct pm_machine *m,
+                   double span)
+{
+    struct ledger *l = &p->ledger[job->spec->team];
+    double amount = span * machine_share(p->books, job->spec, m);
+
+    if (unallocated(job))
+        return;
+    l->bucket[p->bucket % BUCKETS] += amount;
+    l->sum += amount;
+}
+
+/* Jobs that holders place: their leases' width counts for the limits, what the replica says of them
+ * for the guarantees and the ledger. */
+static void account_away(struct pm_plan *p, double span)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs), *all = pm_workers_all(p->workers);
+
+    for (guint i = 0; i < active->len; i++) {
+        const struct pm_job *job = g_ptr_array_index(active, i);
+        const struct pm_spec *spec = job->spec;
+        uint32_t done, placed, width;
+        if (!job->away || !spec || job->width == UINT32_MAX)
+            continue;
+        /* What is done, durably, never runs again: it takes nothing of the limit any more. */
+        pm_jobs_count(job, &done, &placed);
+        width = MIN(job->width, job->entries - MIN(done, job->entries));
+        p->cpus[spec->team] += width * spec->cpus;
+        p->gpus[spec->team] += width * spec->gpus;
+        for (int k = 0; k < job->nchunks; k++) {
+            const GArray *spots = job->chunk[k] ? job->chunk[k]->spots : NULL;
+            for (guint s = 0; spots && s < spots->len; s++) {
+                int index = g_array_index(spots, struct pm_spot, s).machine;
+                const struct pm_machine *m =
+                    index >= 0 && index < (int)all->len ? g_ptr_array_index(all, index) : NULL;
+                p->actual[spec->team] += spec->cpus;
+                if (m && m->type >= 0)
+                    charge(p, job, m, span);
+            }
+        }
+    }
+}
+
 /* Adds what ran since the last run to the teams' occupied time, and counts what they use now. */
 static void account(struct pm_plan *p, double now, double day)
 {
@@ -115,6 +166,7 @@
     turn_buckets(p, day);
     memset(p->cpus, 0, sizeof p->cpus);
     memset(p->gpus, 0, sizeof p->gpus);
+    memset(p->actual, 0, sizeof p->actual);
     memset(p->yielding, 0, sizeof p->yielding);
     memset(p->promised, 0, sizeof p->promised);
     for (guint i = 0; i < all->len; i++) {
@@ -126,15 +178,14 @@
                 continue;
             p->cpus[spec->team] += spec->cpus;
             p->gpus[spec->team] += spec->gpus;
+            p->actual[spec->team] += spec->cpus;
             if (place->stop)
                 p->yielding[spec->team] += spec->cpus;
-            if (!unallocated(place->job) && m->type >= 0 && place->state >= PM_DURABLE) {
-                double charge = span * machine_share(p->books, spec, m);
-                p->ledger[spec->team].bucket[p->bucket % BUCKETS] += charge;
-                p->ledger[spec->team].sum += charge;
-            }
+            if (m->type >= 0 && place->state >= PM_DURABLE)
+                charge(p, place->job, m, span);
         }
     }
+    account_away(p, span);
     p->charged_at = now;
 }
 
@@ -220,7 +271,7 @@
 
 static bool usable(const struct pm_machine *m, double now)
 {
-    return m->state == PM_UP && m->reported && !m->recall_at && m->errors < 3 &&
+    return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->recall_at && m->errors < 3 &&
            m->strays->len == 0 && now - m->heard < 12;
 }
 
@@ -348,8 +399,10 @@
 {
     const struct pm_team_setting *team = &p->books->settings->team[job->spec->team];
 
+    if (job->nplaced + tasks > job->width)
+        return false; /* the block's lease allows no more at once */
     if (guarantee)
-        return p->cpus[job->spec->team] + tasks * job->spec->cpus <= team->cpus + EPS &&
+        return p->actual[job->spec->team] + tasks * job->spec->cpus <= team->cpus + EPS &&
                p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus + EPS;
     return p->cpus[job->spec->team] + tasks * job->spec->cpus <= team->cpus_max + EPS &&
            p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus_max + EPS;
@@ -362,6 +415,7 @@
     pm_job_touch(job, index);
     p->cpus[job->spec->team] += job->spec->cpus;
     p->gpus[job->spec->team] += job->spec->gpus;
+    p->actual[job->spec->team] += job->spec->cpus;
     at->zone[m->zone]++;
     at->total++;
     p->steps++;
@@ -495,10 +549,10 @@
         return true;
     if (unallocated(job))
         return false;
-    if (mine->team != theirs->team && theirs->priority < PM_PRODUCTION &&
-        p->cpus[mine->team] + p->promised[mine->team] + mine->cpus <=
+    if (p->sees_all && mine->team != theirs->team && theirs->priority < PM_PRODUCTION &&
+        p->actual[mine->team] + p->promised[mine->team] + mine->cpus <=
             s->team[mine->team].cpus + EPS &&
-        p->cpus[theirs->team] - p->yielding[theirs->team] > s->team[theirs->team].cpus + EPS)
+        p->actual[theirs->team] - p->yielding[theirs->team] > s->team[theirs->team].cpus + EPS)
         return true;
     if (theirs->priority >= mine->priority)
         return false;
@@ -605,7 +659,7 @@
     return true;
 }
 
-static void preempt(struct pm_plan *p, double now)
+void pm_plan_preempt(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
     double *promised = g_new0(double, all->len + 1);
@@ -614,6 +668,8 @@
         struct pm_want *want = &g_array_index(p->wants, struct pm_want, i);
         struct pm_job *job = want->job;
         uint32_t made = 0;
+        if (job->away)
+            continue; /* the leader calls machines back for it */
         if (job->spec->form == PM_GANG)
             continue; /* gangs wait for room that others leave, or that is rented */
         while (made < MIN(want->tasks, 16) && preempt_for(p, job, promised, now))
@@ -667,7 +723,8 @@
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (job->spec && job->spec->form == PM_GANG && job->nplaced && job->state == PM_LIVE &&
+        if (job->spec && !job->away && job->spec->form == PM_GANG && job->nplaced &&
+            job->state == PM_LIVE &&
             !job->ndone && job->nplaced < job->entries)
             stop_gang(p, job, 0, now);
     }
@@ -729,33 +786,40 @@
     return strcmp(x->id, y->id);
 }
 
-int pm_plan_run(struct pm_plan *p, double now, double day)
+void pm_plan_rank(struct pm_plan *p, GPtrArray *jobs)
 {
-    GPtrArray *active = pm_jobs_active(p->jobs);
-    double held_cpus[PM_TEAMS_MAX] = {0};
+    ranking = p;
+    g_ptr_array_sort(jobs, by_rank);
+}
 
+void pm_plan_begin(struct pm_plan *p, double now, double day)
+{
     p->steps = 0;
     account(p, now, day);
     stop_the_lost(p, now);
     for (int t = 0; t < p->books->settings->teams; t++)
         p->ratio[t] = pm_plan_ratio(p, t);
+}
+
+int pm_plan_place(struct pm_plan *p, double now)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs);
+    double held_cpus[PM_TEAMS_MAX] = {0};
+
     g_ptr_array_set_size(p->queue, 0);
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (pm_job_waiting(job))
+        if (!job->away && pm_job_waiting(job))
             g_ptr_array_add(p->queue, job);
     }
-    ranking = p;
-    g_ptr_array_sort(p->queue, by_rank);
+    pm_plan_rank(p, p->queue);
     g_array_set_size(p->wants, 0);
     /* What is within a guarantee goes before what is beyond one; ratio order rules in both. Else
      * work that was stopped for a guarantee would be the first to take the room again. */
     for (guint i = 0; i < p->queue->len && p->steps < STEPS_MAX; i++) {
         struct pm_job *job = g_ptr_array_index(p->queue, i);
-        if (job->spec->priority != PM_PRODUCTION && !unallocated(job))
-            place_job(p, job, true, now);
-        else if (job->spec->priority == PM_PRODUCTION)
-            place_job(p, job, false, now);
+        if (!unallocated(job))
+            place_job(p, job, job->spec->priority != PM_PRODUCTION, now);
     }
     for (guint i = 0; i < p->queue->len; i++) {
         struct pm_job *job = g_ptr_array_index(p->queue, i);
@@ -776,8 +840,108 @@
         if (!left)
             continue;
         held_cpus[job->spec->team] += left * job->spec->cpus;
-        g_array_append_vals(p->wants, &(struct pm_want){job, left}, 1);
+        pm_plan_add_want(p, job, left);
     }
-    preempt(p, now);
     return p->steps;
 }
+
+int pm_plan_run(struct pm_plan *p, double now, double day)
+{
+    pm_plan_begin(p, now, day);
+    pm_plan_place(p, now);
+    pm_plan_preempt(p, now);
+    return p->steps;
+}
+
+/* ---- for the leasing of blocks ---- */
+
+void pm_plan_add_want(struct pm_plan *p, struct pm_job *job, uint32_t tasks)
+{
+    g_array_append_vals(p->wants, &(struct pm_want){job, tasks}, 1);
+}
+
+double pm_plan_room(const struct pm_plan *p, int team)
+{
+    return p->books->settings->team[team].cpus_max - p->cpus[team];
+}
+
+void pm_plan_take_room(struct pm_plan *p, int team, double cpus)
+{
+    p->cpus[team] += cpus;
+}
+
+uint32_t pm_plan_within_guarantee(struct pm_plan *p, const struct pm_job *job)
+{
+    const struct pm_spec *spec = job->spec;
+    double left = p->books->settings->team[spec->team].cpus - p->actual[spec->team];
+    uint32_t done, placed, n;
+
+    pm_jobs_count(job, &done, &placed);
+    if (left <= 0 || spec->cpus <= 0)
+        return 0;
+    n = (uint32_t)MIN(floor((left + EPS) / spec->cpus), job->entries - MIN(done + placed, job->entries));
+    p->actual[spec->team] += n * spec->cpus;
+    return n;
+}
+
+bool pm_plan_whole(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
+                   uint64_t epoch, double now)
+{
+    return usable(m, now) && pm_workers_clean(m, epoch) && m->type >= 0 &&
+           pm_plan_allows(p->books, job, m->type, m->zone, m->spot) && has_room(m, job->spec) &&
+           (m->spot || ordinary_free(p, now) - m->cpus >= p->reserve);
+}
+
+struct pm_machine *pm_plan_whole_machine(struct pm_plan *p, const struct pm_job *job,
+                                         uint32_t tasks, uint64_t epoch, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    struct pm_machine *best = NULL;
+    double best_score = -INFINITY;
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        double value;
+        if (!m || !pm_plan_whole(p, m, job, epoch, now))
+            continue;
+        value = (has_image(m, job->spec->image) ? 3 : 0) + (m->spot ? 5 : 0) -
+                2 * MAX(0, m->cpus - tasks * job->spec->cpus) / MAX(m->cpus, EPS);
+        if (value > best_score) {
+            best_score = value;
+            best = m;
+        }
+    }
+    return best;
+}
+
+bool pm_plan_may_clear(struct pm_plan *p, const struct pm_job *job, int machine)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs);
+
+    for (guint i = 0; i < active->len; i++) {
+        const struct pm_job *other = g_ptr_array_index(active, i);
+        const struct pm_team_setting *team;
+        bool there = false;
+        if (!other->away || !other->spec)
+            continue;
+        for (int k = 0; k < other->nchunks && !there; k++) {
+            const GArray *spots = other->chunk[k] ? other->chunk[k]->spots : NULL;
+            for (guint s = 0; spots && s < spots->len && !there; s++)
+                there = g_array_index(spots, struct pm_spot, s).machine == machine;
+        }
+        if (!there)
+            continue;
+        team = &p->books->settings->team[other->spec->team];
+        if (other->spec->team == job->spec->team || other->spec->priority == PM_PRODUCTION ||
+            p->actual[other->spec->team] - p->yielding[other->spec->team] <= team->cpus + EPS)
+            return false;
+        p->yielding[other->spec->team] += other->spec->cpus;
+    }
+    return true;
+}
+
+void pm_plan_yield(struct pm_place *place, double now)
+{
+    if (!place->stop && place->state != PM_ENDED)
+        pm_workers_stop(place, leave_for(place, false), now);
+}
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -13,6 +13,28 @@
 void pm_plan_reset(struct pm_plan *plan);
 /* Places what fits and stops what must yield. Returns how many places were made or stopped. */
 int pm_plan_run(struct pm_plan *plan, double now, double day);
+/* The same in two steps: the accounts and what must be stopped first; then what is placed. */
+void pm_plan_begin(struct pm_plan *plan, double now, double day);
+int pm_plan_place(struct pm_plan *plan, double now);
+/* Stops what must yield to the wants that are not away. */
+void pm_plan_preempt(struct pm_plan *plan, double now);
+/* For the leasing of blocks: processors left below the team's limit, and taking them. */
+double pm_plan_room(const struct pm_plan *plan, int team);
+void pm_plan_take_room(struct pm_plan *plan, int team, double cpus);
+/* How many more of the job's tasks are within its team's guarantee; counts those as used. */
+uint32_t pm_plan_within_guarantee(struct pm_plan *plan, const struct pm_job *job);
+void pm_plan_rank(struct pm_plan *plan, GPtrArray *jobs);
+void pm_plan_add_want(struct pm_plan *plan, struct pm_job *job, uint32_t tasks);
+/* Whether the machine is empty, and may be leased out whole for the job. */
+bool pm_plan_whole(struct pm_plan *plan, const struct pm_machine *machine,
+                   const struct pm_job *job, uint64_t epoch, double now);
+/* An empty machine that can be leased out for the job, NULL: none. */
+struct pm_machine *pm_plan_whole_machine(struct pm_plan *plan, const struct pm_job *job,
+                                         uint32_t tasks, uint64_t epoch, double now);
+/* Whether all that the replica says runs on a lent machine is beyond its team's guarantee. */
+bool pm_plan_may_clear(struct pm_plan *plan, const struct pm_job *job, int machine);
+/* Stops a place in an orderly way. */
+void pm_plan_yield(struct pm_place *place, double now);
 /* What the team uses, counting all that is not proven gone. */
 void pm_plan_usage(struct pm_plan *plan, int team, double *cpus, double *gpus);
 /* Occupied time of a team within the window, in machine-seconds, and its ratio to its budget. */
@@ -34,6 +56,10 @@
 /* Room on ordinary machines that is kept for services, in processors (the fleet sets it). */
 void pm_plan_set_reserve(struct pm_plan *plan, double cpus);
 
+/* Whether this controller sees all of the teams' use: a holder of a block does not, and leaves what
+ * the guarantees demand to the leader. */
+void pm_plan_set_alone(struct pm_plan *plan, bool sees_all);
+
 /* The ledger's value for the state service, and back. */
 void pm_plan_write_ledger(const struct pm_plan *plan, double day, struct pm_buf *out);
 void pm_plan_read_ledger(struct pm_plan *plan, const cbor_item_t *value);
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -188,6 +188,24 @@
     m->doubtful = 0;
 }
 
+void pm_workers_set_type(struct pm_workers *w, struct pm_machine *m, int type)
+{
+    const struct pm_type *t = &w->books->type[type < 0 ? 0 : type];
+
+    if (m->type >= 0 || type < 0 || type >= w->books->ntypes)
+        return;
+    m->type = type;
+    m->cpus += t->cpus; /* places found before are taken off already */
+    m->gpus += t->gpus;
+    m->ram_gb += t->ram_gb;
+}
+
+bool pm_workers_clean(const struct pm_machine *m, uint64_t epoch)
+{
+    return !m->places->len && !m->direct_busy && !m->doubtful && !m->ended->len &&
+           !m->strays->len && m->reported && m->mandate >= epoch;
+}
+
 /* ---- reports ---- */
 
 static const char *const states[] = {"fetching", "waiting", "running", "saving", "ended"};
@@ -345,13 +363,7 @@
             m->zone = i;
     m->spot = false;
     pm_cbor_flag(pm_cbor_get(report, "borrowed"), &m->spot);
-    if (m->type < 0 && (m->type = pm_names_find(w->books->types, type)) >= 0 &&
-        m->type < w->books->ntypes) {
-        const struct pm_type *t = &w->books->type[m->type];
-        m->cpus += t->cpus; /* places found before are taken off already */
-        m->gpus += t->gpus;
-        m->ram_gb += t->ram_gb;
-    }
+    pm_workers_set_type(w, m, pm_names_find(w->books->types, type));
     return 0;
 }
 
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -40,7 +40,12 @@
     } cached[PM_CACHE_MAX];
     GArray *ended;  /* of struct pm_entry: ended there, to be forgotten */
     GArray *strays; /* of struct pm_entry: there, but not by our books: to be killed */
+    /* Blocks. */
+    int lent;           /* leader: 1 + the peer that holds it, 0: nobody */
+    bool leaving, left; /* holder: called back; given back, though the block still lists it */
     /* Leases. */
+    double floor;         /* steady: since when no other controller can have answered it, 0: unknown */
+    uint64_t since_epoch; /* the epoch that took it back from a holder, 0: none did */
     double answered; /* steady: when this leader last answered a report of it with 200 */
     /* Direct commands. */
     bool direct_busy, direct_launches; /* a /do is open; it carries launches */
@@ -80,6 +85,11 @@
 /* Forgets all places and what was heard: on taking or losing the lead. */
 void pm_workers_reset(struct pm_workers *workers);
 
+/* Gives it its type, and the room that goes with it, once. */
+void pm_workers_set_type(struct pm_workers *workers, struct pm_machine *machine, int type);
+/* Whether nothing is there, and nothing to it is under way or in doubt. */
+bool pm_workers_clean(const struct pm_machine *machine, uint64_t epoch);
+
 /* The books' record of a place: an intent of ours, or one found in the state service. */
 struct pm_place *pm_workers_place(struct pm_workers *workers, struct pm_job *job, uint32_t index,
                                   struct pm_machine *machine, uint32_t attempt, uint64_t session,
