A lease never lapses before its session's first message plus lease_s

Ruled out: late launches, and the recall of a block shortly before (its places were found again). The judgement moved into the workers slice, with a trace.

--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -692,8 +692,7 @@
             if (m->since_epoch && isfinite(base))
                 m->floor = base;
         }
-        base = MAX(m->answered, base);
-        if (now <= base + n->settings->lease_s * (1 + 2 * PM_DRIFT) + 0.2)
+        if (!pm_workers_lapsed(m, base, n->settings->lease_s, now))
             continue;
         pm_info("workers.lapsed", "%s with %u places", m->name, m->places->len);
         pm_workers_gone(n->workers, m, now);
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -331,6 +331,13 @@
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, PM_HTTP_LOST);
     else if (!strcmp(verb, "answered"))
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, 200);
+    else if (!strcmp(verb, "lease")) /* lease HOST: with no other controller since time 0 */
+        g_string_append(w->said, pm_workers_lapsed(pm_workers_find(w->workers, words[1]), 0,
+                                                   w->settings.lease_s, w->now)
+                                     ? "> lapsed\n"
+                                     : "> holds\n");
+    else if (!strcmp(verb, "answer"))
+        pm_workers_find(w->workers, words[1])->answered = w->now;
     else if (!strcmp(verb, "lapsed"))
         pm_workers_gone(w->workers, pm_workers_find(w->workers, words[1]), w->now);
     else
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -206,6 +206,15 @@
            !m->strays->len && m->reported && m->mandate >= epoch;
 }
 
+/* A worker's lease runs from its last answered report, or, in a session that none was answered in,
+ * from that session's begin: a machine that was only reached by /do so far is not a silent one. */
+bool pm_workers_lapsed(const struct pm_machine *m, double floor, double lease_s, double now)
+{
+    double base = MAX(MAX(m->answered, m->session_heard), floor);
+
+    return now > base + lease_s * (1 + 2 * PM_DRIFT) + 0.2;
+}
+
 /* ---- reports ---- */
 
 static const char *const states[] = {"fetching", "waiting", "running", "saving", "ended"};
@@ -405,6 +414,8 @@
         if (m->session)
             m->ncached = 0;
     }
+    if (session > m->session || !m->reported)
+        m->session_heard = now;
     m->session = session;
     m->tally = tally;
     m->mandate = mandate;
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -46,6 +46,7 @@
     /* Leases. */
     double floor;         /* steady: since when no other controller can have answered it, 0: unknown */
     uint64_t since_epoch; /* the epoch that took it back from a holder, 0: none did */
+    double session_heard; /* steady: first message of its session, which cannot have begun later */
     double answered; /* steady: when this leader last answered a report of it with 200 */
     /* Direct commands. */
     bool direct_busy, direct_launches; /* a /do is open; it carries launches */
@@ -114,6 +115,9 @@
 void pm_workers_direct_done(struct pm_machine *machine, uint64_t epoch, int status);
 /* Everything on the machine is gone, its session over: the lease lapsed, or it was released. */
 void pm_workers_gone(struct pm_workers *workers, struct pm_machine *machine, double now);
+/* Whether the lease of what is on the machine has lapsed for certain. `floor` is the steady time since
+ * when no other controller can have answered it, INFINITY if that is not known. */
+bool pm_workers_lapsed(const struct pm_machine *machine, double floor, double lease_s, double now);
 void pm_workers_stop(struct pm_place *place, double leave_s, double now);
 
 #endif
