--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -475,6 +475,7 @@
             job->width += (uint32_t)more;
             pm_plan_take_room(b->plan, job->spec->team, more * job->spec->cpus);
             b->block[i].dirty = true;
+            pm_debug("blocks.widen", "%s to %u", job->id, job->width);
         }
 }
 
@@ -553,7 +554,8 @@
         pm_plan_take_room(b->plan, job->spec->team, job->width * job->spec->cpus);
         g_array_append_vals(best->given, &(struct given){job}, 1);
         best->dirty = true;
-        pm_debug("blocks.give", "%s to %s, %u at once", job->id, best->name, job->width);
+        pm_debug("blocks.give", "%s of %s to %s, %u at once", job->id,
+                 b->books->settings->team[job->spec->team].name, best->name, job->width);
     }
     g_free(taken);
 }
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -48,7 +48,7 @@
     char block_key[PM_NAME_MAX + 8];
     uint64_t types_stamp;
     bool ledger_busy, types_busy, blocks_changed;
-    double ledger_at, raised_at;
+    double ledger_at, raised_at, took_at, report_at;
     /* The planner's thread. */
     GThread *planner;
     GMutex wake_lock;
@@ -417,6 +417,7 @@
             places += find_places(n, job, now);
     }
     n->ruling = n->leading = true;
+    n->took_at = now;
     pm_store_set_share(n->store, 0.6);
     pm_info("node.rules", "epoch %llu, %u jobs, %d places", (unsigned long long)epoch, active->len,
             places);
@@ -590,6 +591,7 @@
     char name[PM_NAME_MAX];
     bool fresh;
 
+    n->report_at = now;
     report = pm_cbor_parse(req->body, req->body_size);
     if (pm_cbor_text(pm_cbor_get(report, "host"), name, sizeof name)) {
         pm_cbor_free(report);
@@ -606,6 +608,8 @@
     if (!pm_lead_confirmed(n->lead, now) || mandate > epoch) {
         if (mandate > epoch)
             pm_lead_doubt(n->lead);
+        pm_debug("report.unsure", "%s: epoch %llu, its token %llu", name,
+                 (unsigned long long)epoch, (unsigned long long)mandate);
         pm_cbor_free(report);
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
@@ -722,6 +726,27 @@
     }
 }
 
+/* Cut off from the workers alone, a leader does nothing but let their leases lapse: another one may
+ * reach them. */
+static void resign_if_deaf(struct pm_node *n, double now)
+{
+    GPtrArray *all = pm_workers_all(n->workers);
+    double limit = MAX(3.5, 1.6 * n->settings->report_s);
+    int silent = 0;
+
+    /* Any report counts, also one that an outage keeps from being answered. */
+    if (!n->settings->peers || now - MAX(n->took_at + 1, n->report_at) < limit)
+        return;
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->state != PM_UP || m->lent)
+            continue;
+        silent += now - m->heard >= limit;
+    }
+    if (silent >= 3)
+        pm_lead_resign(n->lead, "no worker is heard");
+}
+
 static void on_round(struct ev_loop *loop, ev_timer *w, int events)
 {
     struct pm_node *n = w->data;
@@ -737,6 +762,8 @@
         all_direct(n);
         if (n->leading)
             write_ledger(n, now);
+        if (n->leading)
+            resign_if_deaf(n, now);
         plan_soon(n);
     }
 }
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#define RESIGNED_S 15.0 /* who resigned leaves the lead to the others for so long */
 #define PEER_S 1.0 /* a peer's answer counts only within this */
 
 struct pm_lead {
@@ -39,6 +40,7 @@
     /* Holding a block instead of leading. */
     char block_key[PM_NAME_MAX + 8];
     uint64_t block_stamp;
+    double resigned_until;
     int ask_round, ask_yes;
     uint64_t ask_epoch;
 };
@@ -72,6 +74,7 @@
     pm_info("lead.lost", "epoch %llu: %s", (unsigned long long)l->mine, why);
     l->leads = false;
     l->confirmed = 0;
+    l->vacant_since = 0;
     l->hooks.lost(l->hooks.arg);
 }
 
@@ -406,6 +409,8 @@
     }
     if (!l->vacant_since)
         l->vacant_since = now;
+    if (now < l->resigned_until && now - l->vacant_since < 4)
+        return;
     /* A little apart by name, so that two that see it free at once seldom collide. */
     if (now - l->vacant_since < 0.02 + 0.15 * (g_str_hash(l->settings->name) % 3))
         return;
@@ -449,6 +454,15 @@
     }
 }
 
+void pm_lead_resign(struct pm_lead *l, const char *why)
+{
+    if (!l->leads)
+        return;
+    l->resigned_until = pm_clock_steady() + RESIGNED_S;
+    pm_store_unhold(l->store, l->tenure);
+    step_down(l, why);
+}
+
 void pm_lead_relist(struct pm_lead *l)
 {
     l->lead_stamp = 0;
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -51,6 +51,8 @@
 void pm_lead_hold(struct pm_lead *lead, const char *key, uint64_t stamp);
 /* The name of this process, unlike that of any other that has run or will run. */
 const char *pm_lead_boot(const struct pm_lead *lead);
+/* Leaves the lead to the others, and does not try for it itself for a while. */
+void pm_lead_resign(struct pm_lead *lead, const char *why);
 /* A transaction failed on the epoch's stamp. */
 void pm_lead_doubt(struct pm_lead *lead);
 /* The name of the controller that leads as far as known, NULL when nobody does or it is us. */
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -393,7 +393,7 @@
 
 /* ---- placing ---- */
 
-/* Within the team's guarantee, or its limit. */
+/* Within the team's limit, and, if asked, its guarantee. */
 static bool within(const struct pm_plan *p, const struct pm_job *job, uint32_t tasks,
                    bool guarantee)
 {
@@ -401,9 +401,10 @@
 
     if (job->nplaced + tasks > job->width)
         return false; /* the block's lease allows no more at once */
-    if (guarantee)
-        return p->actual[job->spec->team] + tasks * job->spec->cpus <= team->cpus + EPS &&
-               p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus + EPS;
+    if (guarantee && (p->actual[job->spec->team] + tasks * job->spec->cpus > team->cpus + EPS ||
+                      p->gpus[job->spec->team] + tasks * job->spec->gpus > team->gpus + EPS))
+        return false;
+    /* Always the limit too: leases out count for it, though they are not in use yet. */
     return p->cpus[job->spec->team] + tasks * job->spec->cpus <= team->cpus_max + EPS &&
            p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus_max + EPS;
 }
@@ -419,7 +420,8 @@
     at->zone[m->zone]++;
     at->total++;
     p->steps++;
-    pm_debug("plan.place", "%s/%u try %u on %s", job->id, index, attempt, m->name);
+    pm_debug("plan.place", "%s/%u try %u on %s, %s uses %g", job->id, index, attempt, m->name,
+             p->books->settings->team[job->spec->team].name, p->cpus[job->spec->team]);
 }
 
 /* The next waiting task from `from` on, or `entries`. Those that rest after errors are skipped. */
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -331,7 +331,10 @@
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, PM_HTTP_LOST);
     else if (!strcmp(verb, "answered"))
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, 200);
-    else if (!strcmp(verb, "lease")) /* lease HOST: with no other controller since time 0 */
+    else if (!strcmp(verb, "away")) { /* away JOB WIDTH: leased to another controller */
+        pm_jobs_find(w->jobs, words[1])->away = true;
+        pm_jobs_find(w->jobs, words[1])->width = (uint32_t)atoi(words[2]);
+    } else if (!strcmp(verb, "lease")) /* lease HOST: with no other controller since time 0 */
         g_string_append(w->said, pm_workers_lapsed(pm_workers_find(w->workers, words[1]), 0,
                                                    w->settings.lease_s, w->now)
                                      ? "> lapsed\n"
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -505,6 +505,21 @@
     pm_buf_free(&body);
 }
 
+static void on_unheld(void *arg, int status, const unsigned char *body, size_t size)
+{
+    (void)body;
+    (void)size;
+    note(arg, status);
+}
+
+void pm_store_unhold(struct pm_store *s, uint64_t tenure)
+{
+    char target[64];
+
+    snprintf(target, sizeof target, "/holds/%llu", (unsigned long long)tenure);
+    pm_http_call(s->http, s->addr, "DELETE", target, NULL, 0, CALL_S, 4096, on_unheld, s);
+}
+
 bool pm_store_ready(const struct pm_store *s)
 {
     return s->ready;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -70,6 +70,8 @@
 
 typedef void pm_hold_done(void *arg, int status, uint64_t tenure);
 void pm_store_hold(struct pm_store *store, double ttl_s, pm_hold_done *done, void *arg);
+/* Ends it at once, with the keys attached to it; nobody waits for the answer. */
+void pm_store_unhold(struct pm_store *store, uint64_t tenure);
 void pm_store_renew(struct pm_store *store, uint64_t tenure, pm_hold_done *done, void *arg);
 
 #endif
