Spread services, let array tasks use their reserve, empty machines that do little

Also: a machine whose release was confirmed is not taken for a new one when a late list still has it; no ordinary machine is rented for an array job that is late anyway.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -32,8 +32,8 @@
     double types_asked, listed, list_sent;
     char since[PM_NAME_MAX];
     GHashTable *seen; /* names of the listing under way */
-    GHashTable *unsure; /* rent requests with no answer: their booking, to be asked again */
-    double spare_want;
+    GHashTable *gone; /* names whose release was confirmed: a list that lags still has them */
+    double spare_want, emptied;
 };
 
 struct call {
@@ -61,6 +61,7 @@
     f->op = op;
     f->hooks = *hooks;
     f->tokens = 1;
+    f->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return f;
 }
@@ -68,6 +69,7 @@
 void pm_fleet_free(struct pm_fleet *f)
 {
     g_hash_table_destroy(f->seen);
+    g_hash_table_destroy(f->gone);
     g_free(f);
 }
 
@@ -186,7 +188,7 @@
     pm_cbor_text(pm_cbor_get(item, "status"), status, sizeof status);
     pm_cbor_number(pm_cbor_get(item, "age_s"), &age);
     m = pm_workers_find(f->workers, name);
-    if (m && m->state == PM_RELEASING)
+    if ((m && m->state == PM_RELEASING) || g_hash_table_contains(f->gone, name))
         return;
     if (!m) {
         m = pm_workers_add(f->workers, name);
@@ -378,9 +380,11 @@
                 pm_workers_find(f->workers, g_ptr_array_index(call->names, i));
             if (!m)
                 continue;
-            if (status == 200)
+            if (status == 200) {
+                g_hash_table_add(f->gone, g_strdup(m->name));
                 f->hooks.gone(f->hooks.arg, m);
-            else
+            }
+            if (status != 200)
                 m->release_retry = f->filled + 1; /* until it is confirmed */
         }
         pm_info("fleet.released", "%u machines, status %d", call->names->len, status);
@@ -448,7 +452,7 @@
     int bins;
     struct pm_rent *out;
     int n, max;
-    double now;
+    double now, day;
 };
 
 static bool bin_takes(const struct sizing *s, struct bin *bin, const struct pm_job *job)
@@ -480,7 +484,7 @@
 
 /* The kind that runs `left` such tasks at the least cost each; false when none is to be had. */
 static bool cheapest(const struct sizing *s, const struct pm_job *job, int left, int zone_wanted,
-                     struct pm_rent *out)
+                     bool spot_only, struct pm_rent *out)
 {
     double best = INFINITY;
 
@@ -488,7 +492,7 @@
         const struct pm_type *t = &s->f->books->type[type];
         int fit = MIN(tasks_per(t, job->spec), left);
         for (int zone = 0; fit > 0 && zone < s->f->books->settings->zones; zone++) {
-            for (int spot = 0; spot < 2; spot++) {
+            for (int spot = spot_only; spot < 2; spot++) {
                 /* Longer boots cost as well, as a share of a machine's usual stay. */
                 double price = (spot ? t->spot_price : t->price) * (1 + t->ready_s / 300);
                 if (!(t->zones >> zone & 1) || (zone_wanted >= 0 && zone != zone_wanted) ||
@@ -541,22 +545,34 @@
     return (int)ceil((want->tasks + placed) / waves) - (int)placed;
 }
 
+/* An array job that cannot be done in time any more waits for spot machines: ordinary ones would cost
+ * several times as much and save nothing. */
+static bool too_late(const struct sizing *s, const struct pm_job *job)
+{
+    const struct pm_spec *spec = job->spec;
+
+    return spec->form == PM_ARRAY && spec->spot && spec->due_s >= 0 &&
+           spec->submitted + spec->due_s - s->day < pm_plan_expected(s->f->plan, job);
+}
+
 /* With `used_up`, machines that are up are left out: the planner found no room on them. */
 static void fill(struct sizing *s, const struct pm_job *job, int tasks, bool used_up)
 {
     struct pm_rent rent;
+    bool spot_only = too_late(s, job);
     int zone = job->spec->same_place && job->spec->form == PM_GANG ? -2 : -1;
 
     while (tasks > 0) {
         bool held = false;
         for (int i = 0; i < s->bins && !held; i++)
-            if (!(used_up && s->bin[i].up) && (zone < 0 || s->bin[i].zone == zone))
+            if (!(used_up && s->bin[i].up) && !(spot_only && !s->bin[i].spot) && (zone < 0 || s->bin[i].zone == zone))
                 held = bin_takes(s, &s->bin[i], job);
         if (held) {
             tasks--;
             continue;
         }
-        if (s->bins >= BINS_MAX || !cheapest(s, job, tasks, zone >= 0 ? zone : -1, &rent))
+        if (s->bins >= BINS_MAX ||
+            !cheapest(s, job, tasks, zone >= 0 ? zone : -1, spot_only, &rent))
             return;
         if (zone == -2)
             zone = rent.zone;
@@ -573,7 +589,7 @@
     double day = ev_time(), service_cpus = 0, spare = 0;
     struct pm_job *typical = NULL;
 
-    *s = (struct sizing){.f = f, .out = out, .max = max, .now = now};
+    *s = (struct sizing){.f = f, .out = out, .max = max, .now = now, .day = day};
     for (guint i = 0; i < all->len && s->bins < BINS_MAX; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->type < 0 || m->zone < 0)
@@ -602,11 +618,12 @@
     }
     f->spare_want = service_cpus * f->op->warm_share;
     if (typical && typical->spec->cpus > 0) {
+        /* What array tasks use on ordinary machines yields at once, so it counts as spare. */
+        spare = pm_plan_spare(f->plan, now);
         for (int i = 0; i < s->bins; i++)
-            if (!s->bin[i].spot && s->bin[i].cpus > 0)
+            if (!s->bin[i].spot && !s->bin[i].up && s->bin[i].cpus > 0)
                 spare += s->bin[i].cpus;
-        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus),
-             false);
+        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), true);
     }
     pm_plan_set_reserve(f->plan, f->spare_want);
     return s->n;
@@ -617,12 +634,12 @@
 static void review(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
-    double spare = 0, lease = f->books->settings->lease_s;
+    double spare = pm_plan_spare(f->plan, now), lease = f->books->settings->lease_s;
+    bool waits = pm_plan_wants(f->plan)->len > 0;
 
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (m && m->state == PM_UP && !m->spot)
-            spare += m->cpus;
+    if (!waits && now - f->emptied > 1) {
+        f->emptied = now;
+        pm_plan_consolidate(f->plan, now);
     }
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
@@ -656,6 +673,12 @@
         }
         if (!m->idle_since)
             m->idle_since = now;
+        if (m->draining && waits && now - m->rented < LEAST_AGE_S)
+            m->draining = false;
+        if (m->draining) {
+            give_back(m, "emptied");
+            continue;
+        }
         if (m->errors >= 3) {
             give_back(m, "its tasks keep failing");
             continue;
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -8,6 +8,9 @@
 
 enum { BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
+#define YOUNG_S 35.0 /* a replica is not moved within this of its start */
+#define LATE_S 1.0         /* what users of a service are promised; kept here as the design's own */
+#define FETCH_UNTIL_S 35.0 /* a replica that starts by then is not missed */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
@@ -34,6 +37,7 @@
     double reserve;             /* processors on ordinary machines kept for services */
     int steps;
     bool sees_all;
+    double day; /* time of day of the run under way */
 };
 
 struct pm_plan *pm_plan_new(struct pm_books *books, struct pm_jobs *jobs,
@@ -271,7 +275,7 @@
 
 static bool usable(const struct pm_machine *m, double now)
 {
-    return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->recall_at && m->errors < 3 &&
+    return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining && !m->recall_at && m->errors < 3 &&
            m->strays->len == 0 && now - m->heard < 12;
 }
 
@@ -335,24 +339,50 @@
     return n;
 }
 
+/* Processors on the machine that a production task could have at once: free, or yielding. */
+static double yielding_room(const struct pm_machine *m)
+{
+    double room = m->cpus;
+
+    for (guint j = 0; j < m->places->len; j++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, j);
+        if (place->state != PM_ENDED && place->job->spec->priority < PM_PRODUCTION)
+            room += place->job->spec->cpus;
+    }
+    return room;
+}
+
+/* Whether the job has waited so long that a fetch more or less is no matter, and yet not so long
+ * that its replicas are missed: the time to bring its image to one more machine. */
+static bool may_fetch(const struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
+{
+    const struct pm_type *t = &p->books->type[m->type];
+    double waited = p->day - job->spec->submitted;
+
+    return waited > LATE_S &&
+           waited + 1.5 * job->spec->image_gb / MAX(t->pull_gb_per_s, EPS) < FETCH_UNTIL_S;
+}
+
 static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
     const struct pm_type *t = &p->books->type[m->type];
-    double value = 0;
-
-    if (has_image(m, spec->image))
-        value += spec->form == PM_SERVICE ? 10 : 3;
-    if (spec->form == PM_SERVICE)
-        value -= 2.0 * of_job(m, job);
-    else
-        value += m->spot == spec->spot ? 5 : 0; /* ordinary room is dearer and services' */
-    value -= 2 * m->errors;
+    bool image = has_image(m, spec->image);
+    double value = -2.0 * m->errors;
+
+    if (spec->form == PM_SERVICE) {
+        /* Spread: then every machine comes to hold every image, and has some room to start the next
+         * service at once. Array tasks use that room meanwhile. */
+        value += may_fetch(p, m, job) ? (image ? 0 : 4) : (image ? 10 : 0);
+        return value - 2.0 * of_job(m, job) + 3 * yielding_room(m) / MAX(t->cpus, EPS);
+    }
+    value += image ? 3 : 0;
+    value += m->spot == spec->spot ? 5 : 0; /* ordinary room is dearer, and services' */
     /* Fill what is fullest, so that others come free and can go back. */
     return value - 2 * (m->cpus - spec->cpus) / MAX(t->cpus, EPS);
 }
 
-/* Processors free on ordinary machines. */
+/* Processors on ordinary machines that services could have at once. */
 static double ordinary_free(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
@@ -361,7 +391,7 @@
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (m && !m->spot && usable(m, now))
-            sum += m->cpus;
+            sum += yielding_room(m);
     }
     return sum;
 }
@@ -372,13 +402,11 @@
     GPtrArray *all = pm_workers_all(p->workers);
     struct pm_machine *best = NULL;
     double best_score = -INFINITY;
-    bool keep_off = job->spec->form != PM_SERVICE && job->spec->spot && p->reserve > 0 &&
-                    ordinary_free(p, now) - job->spec->cpus < p->reserve;
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double value;
-        if (!m || !usable(m, now) || (keep_off && !m->spot) ||
+        if (!m || !usable(m, now) ||
             !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
             !has_room(m, job->spec) || !zone_ok(job, at, m->zone))
             continue;
@@ -391,6 +419,26 @@
     return best;
 }
 
+/* A production task that would have to fetch its image here, though elsewhere a machine holds it and
+ * only lower work has to yield: that one starts it within the second. */
+static bool better_cleared(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
+                           const struct spread *at, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+
+    if (job->spec->priority != PM_PRODUCTION || has_image(m, job->spec->image) ||
+        may_fetch(p, m, job) || p->day - job->spec->submitted > 3 * LATE_S)
+        return false;
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *other = g_ptr_array_index(all, i);
+        if (other && usable(other, now) && has_image(other, job->spec->image) &&
+            pm_plan_allows(p->books, job, other->type, other->zone, other->spot) &&
+            zone_ok(job, at, other->zone) && yielding_room(other) + EPS >= job->spec->cpus)
+            return true;
+    }
+    return false;
+}
+
 /* ---- placing ---- */
 
 /* Within the team's limit, and, if asked, its guarantee. */
@@ -450,7 +498,7 @@
         struct pm_machine *m;
         i = next_waiting(job, i, now);
         if (i >= job->entries || !within(p, job, 1, guarantee) ||
-            !(m = best_machine(p, job, &at, now)))
+            !(m = best_machine(p, job, &at, now)) || better_cleared(p, m, job, &at, now))
             break;
         put_task(p, job, i, m, ++job->last_try, &at, now);
         placed++;
@@ -608,7 +656,7 @@
     for (int round = 0; round < 2; round++) {
         for (guint i = 0; i < all->len; i++) {
             struct pm_machine *m = g_ptr_array_index(all, i);
-            double cpus, gpus, ram, cost = 0;
+            double cpus, gpus, ram, cost = m && has_image(m, job->spec->image) ? 0 : 1e4;
             if (!m || !usable(m, now) ||
                 !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
                 !zone_ok(job, &at, m->zone) || (round == 1 && m != best))
@@ -797,6 +845,7 @@
 void pm_plan_begin(struct pm_plan *p, double now, double day)
 {
     p->steps = 0;
+    p->day = day;
     account(p, now, day);
     stop_the_lost(p, now);
     for (int t = 0; t < p->books->settings->teams; t++)
@@ -855,6 +904,104 @@
     return p->steps;
 }
 
+double pm_plan_spare(struct pm_plan *p, double now)
+{
+    return ordinary_free(p, now);
+}
+
+/* ---- emptying machines ---- */
+
+/* Whether all that runs on the machine are replicas that may move: a start counts only if nothing
+ * stops it for a while, so young ones stay. */
+static bool movable(const struct pm_machine *m, double now)
+{
+    for (guint j = 0; j < m->places->len; j++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, j);
+        if (place->job->spec->form != PM_SERVICE || place->state != PM_RUNNING || place->stop ||
+            now - place->ran_from < YOUNG_S || now - place->since < YOUNG_S)
+            return false;
+    }
+    return true;
+}
+
+/* Whether another machine with the image has room for the place; takes it in `room`. */
+static bool takes(struct pm_plan *p, const struct pm_machine *from, const struct pm_place *place,
+                  double (*room)[2], double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    const struct pm_spec *spec = place->job->spec;
+    struct spread at;
+
+    count_zones(p, place->job, &at);
+    at.zone[from->zone]--;
+    at.total--;
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m == from || m->spot || !usable(m, now) || !m->places->len ||
+            !has_image(m, spec->image) || spec->gpus > 0 || room[i][0] + EPS < spec->cpus ||
+            room[i][1] + EPS < spec->ram_gb || !zone_ok(place->job, &at, m->zone) ||
+            !pm_plan_allows(p->books, place->job, m->type, m->zone, m->spot))
+            continue;
+        room[i][0] -= spec->cpus;
+        room[i][1] -= spec->ram_gb;
+        return true;
+    }
+    return false;
+}
+
+/* Empties the ordinary machine that costs most for what it does, if its replicas find room and
+ * their images elsewhere and the reserve stays: each is gone for the blink of a restart. */
+void pm_plan_consolidate(struct pm_plan *p, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    struct pm_machine *worst = NULL;
+    double worst_value = 0, spare = 0;
+    double(*room)[2] = g_malloc0(sizeof(double[2]) * (all->len + 1));
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->state != PM_UP || m->lent)
+            continue;
+        if (m->draining && m->places->len)
+            goto out; /* one at a time */
+        if (m->spot || !usable(m, now))
+            continue;
+        spare += yielding_room(m);
+        room[i][0] = m->cpus;
+        room[i][1] = m->ram_gb;
+    }
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        double used, value;
+        bool fits = true;
+        double(*left)[2];
+        if (!m || m->spot || !usable(m, now) || m->type < 0 || !m->places->len ||
+            now - m->rented < 60 || !movable(m, now))
+            continue;
+        used = p->books->type[m->type].cpus - m->cpus;
+        value = p->books->type[m->type].price * (1 - used / MAX(p->books->type[m->type].cpus, EPS));
+        if (value <= worst_value ||
+            spare - p->books->type[m->type].cpus < MAX(p->reserve, EPS))
+            continue;
+        left = g_memdup2(room, sizeof(double[2]) * (all->len + 1));
+        for (guint j = 0; j < m->places->len && fits; j++)
+            fits = takes(p, m, g_ptr_array_index(m->places, j), left, now);
+        g_free(left);
+        if (!fits)
+            continue;
+        worst = m;
+        worst_value = value;
+    }
+    if (worst) {
+        pm_info("plan.empty", "%s: %u replicas move", worst->name, worst->places->len);
+        worst->draining = true;
+        for (guint j = 0; j < worst->places->len; j++)
+            pm_workers_stop(g_ptr_array_index(worst->places, j), 0, now);
+    }
+out:
+    g_free(room);
+}
+
 /* ---- for the leasing of blocks ---- */
 
 void pm_plan_add_want(struct pm_plan *p, struct pm_job *job, uint32_t tasks)
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -60,6 +60,11 @@
  * the guarantees demand to the leader. */
 void pm_plan_set_alone(struct pm_plan *plan, bool sees_all);
 
+/* Empties an ordinary machine that does little, by moving its replicas; the fleet returns it. */
+void pm_plan_consolidate(struct pm_plan *plan, double now);
+/* Processors on the ordinary machines that services could have at once. */
+double pm_plan_spare(struct pm_plan *plan, double now);
+
 /* The ledger's value for the state service, and back. */
 void pm_plan_write_ledger(const struct pm_plan *plan, double day, struct pm_buf *out);
 void pm_plan_read_ledger(struct pm_plan *plan, const cbor_item_t *value);
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -43,6 +43,7 @@
     /* Blocks. */
     int lent;           /* leader: 1 + the peer that holds it, 0: nobody */
     bool leaving, left; /* holder: called back; given back, though the block still lists it */
+    bool draining;      /* being emptied, to go back */
     /* Leases. */
     double floor;         /* steady: since when no other controller can have answered it, 0: unknown */
     uint64_t since_epoch; /* the epoch that took it back from a holder, 0: none did */
