--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -161,6 +161,7 @@
         .admit_min = 8,
         .admit_max = 256,
         .idle_return_s = 25,
+        .replica_due_s = 35,
         .warm_share = 0.15,
     };
 }
@@ -168,7 +169,7 @@
 /* Every key is optional: a pointer that stays NULL leaves the default. */
 struct yaml_form {
     double *window_h, *min_runtime_s, *block_lease_s, *leader_ttl_s, *confirm_s, *idle_return_s,
-        *warm_share;
+        *warm_share, *replica_due_s;
     unsigned *admit_min, *admit_max;
 };
 
@@ -180,8 +181,8 @@
 static const cyaml_schema_field_t yaml_fields[] = {
     YAML_NUMBER(window_h),     YAML_NUMBER(min_runtime_s), YAML_NUMBER(block_lease_s),
     YAML_NUMBER(leader_ttl_s), YAML_NUMBER(confirm_s),     YAML_NUMBER(idle_return_s),
-    YAML_NUMBER(warm_share),   YAML_COUNT(admit_min),      YAML_COUNT(admit_max),
-    CYAML_FIELD_END};
+    YAML_NUMBER(warm_share),   YAML_NUMBER(replica_due_s), YAML_COUNT(admit_min),
+    YAML_COUNT(admit_max),     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t yaml_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct yaml_form, yaml_fields)};
@@ -224,6 +225,8 @@
     take(&out->idle_return_s, form->idle_return_s, "idle_return_s", 0, 86400, err, err_size,
          &failed);
     take(&out->warm_share, form->warm_share, "warm_share", 0, 4, err, err_size, &failed);
+    take(&out->replica_due_s, form->replica_due_s, "replica_due_s", 0, 3600, err, err_size,
+         &failed);
     if (form->admit_min)
         out->admit_min = *form->admit_min;
     if (form->admit_max)
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -45,6 +45,7 @@
     GMutex lock;    /* all of the above */
     bool ruling;    /* leads, or holds a block, and the working state is rebuilt */
     bool leading;   /* leads */
+    struct pm_buf ledger;
     char block_key[PM_NAME_MAX + 8];
     uint64_t types_stamp;
     bool ledger_busy, types_busy, blocks_changed;
@@ -61,11 +62,17 @@
 
 /* ---- planning ---- */
 
+static bool writable(const struct pm_node *n, double now)
+{
+    return !pm_store_refusing(n->store) && now - pm_store_served(n->store) < 1.5;
+}
+
 static void plan(struct pm_node *n)
 {
     double now = pm_clock_steady();
 
     pm_plan_set_alone(n->plan, n->leading);
+    pm_plan_set_writable(n->plan, writable(n, now));
     pm_plan_begin(n->plan, now, pm_clock_day());
     if (n->leading)
         pm_blocks_assign(n->blocks, now);
@@ -233,6 +240,7 @@
         all_direct(n);
         if (n->leading && pm_lead_confirmed(n->lead, pm_clock_steady())) {
             pm_blocks_run(n->blocks, pm_clock_steady());
+            pm_fleet_set_writable(n->fleet, writable(n, pm_clock_steady()));
             pm_fleet_run(n->fleet, pm_clock_steady());
         }
     }
@@ -405,6 +413,7 @@
     struct pm_node *n = arg;
     GPtrArray *active = pm_jobs_active(n->jobs);
     double now = pm_clock_steady();
+    cbor_item_t *ledger;
     int places = 0;
 
     start_anew(n);
@@ -416,6 +425,9 @@
         if (!job->away)
             places += find_places(n, job, now);
     }
+    ledger = pm_cbor_parse(n->ledger.data, n->ledger.size);
+    pm_plan_read_images(n->plan, ledger);
+    pm_cbor_free(ledger);
     n->ruling = n->leading = true;
     n->took_at = now;
     pm_store_set_share(n->store, 0.6);
@@ -509,8 +521,11 @@
         n->blocks_changed |= n->ruling;
         pm_blocks_put(n->blocks, key, value, stamp);
     } else if (!strcmp(key, "p/ledger")) {
-        if (!n->leading)
+        if (!n->leading) {
             pm_plan_read_ledger(n->plan, value);
+            n->ledger.size = 0; /* kept for the images, should this controller take the lead */
+            pm_put_item(&n->ledger, value);
+        }
     } else if (!strcmp(key, "p/types")) {
         n->types_stamp = stamp;
         if (!n->books.ntypes && !pm_fleet_read_types(&n->books, value))
@@ -719,6 +734,8 @@
          * our token. A wrong session is refused, with the report all the same. */
         if (!m->reported && m->endpoint[0] && m->listed)
             direct_due(n, m, true);
+        else if (m->state == PM_UP && now - m->heard > MAX(3, 1.5 * n->settings->report_s))
+            direct_due(n, m, true); /* silent: perhaps it reaches another controller only */
     }
     if (doubtful && n->leading && now - n->raised_at > 6) {
         n->raised_at = now;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -6,10 +6,11 @@
 #include <stdio.h>
 #include <string.h>
 
-enum { RENT_MAX = 16, BINS_MAX = 512, RELEASE_MAX = 100, IN_FLIGHT_MAX = 3, PAGE = 500 };
+enum { SILENT_MAX = 3, RENT_MAX = 16, BINS_MAX = 512, RELEASE_MAX = 100, IN_FLIGHT_MAX = 3, PAGE = 500 };
 #define EPS 1e-6
 #define CALL_S 5.0
 #define REFUSED_S 6.0  /* no room of a kind: not asked for again within this */
+#define SILENT_S 8.0   /* a machine that is silent for longer may be given up */
 #define LEAST_AGE_S 60 /* a machine costs that much at least */
 
 struct kind { /* per type, zone and spot or not */
@@ -34,6 +35,7 @@
     GHashTable *seen; /* names of the listing under way */
     GHashTable *gone; /* names whose release was confirmed: a list that lags still has them */
     double spare_want, emptied;
+    bool writable;
 };
 
 struct call {
@@ -629,14 +631,51 @@
     return s->n;
 }
 
+void pm_fleet_set_writable(struct pm_fleet *f, bool writable)
+{
+    f->writable = writable;
+}
+
 /* ---- the round ---- */
 
+/* A machine that is silent while nearly all others are heard has died, hangs or is cut off. Its
+ * release, confirmed, proves its tasks gone long before its lease would, and they start elsewhere;
+ * of a machine that was only cut off, little more than the blink of a restart is lost. Where many
+ * are silent at once it is the network, and waiting is better. */
+static void give_up_silent(struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+    double limit = MAX(SILENT_S, 2.5 * f->books->settings->report_s + 3);
+    struct pm_machine *silent[SILENT_MAX];
+    int n = 0, heard = 0;
+
+    if (!f->writable)
+        return;
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->state != PM_UP || m->lent)
+            continue;
+        if (now - m->heard < limit * 0.6) {
+            heard++;
+        } else if (m->places->len && now - m->heard > limit) {
+            if (n == SILENT_MAX)
+                return;
+            silent[n++] = m;
+        }
+    }
+    if (n * 4 > heard)
+        return;
+    for (int i = 0; i < n; i++)
+        give_back(silent[i], "silent, and alone in that");
+}
+
 static void review(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
     double spare = pm_plan_spare(f->plan, now), lease = f->books->settings->lease_s;
     bool waits = pm_plan_wants(f->plan)->len > 0;
 
+    give_up_silent(f, now);
     if (!waits && now - f->emptied > 1) {
         f->emptied = now;
         pm_plan_consolidate(f->plan, now);
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -9,8 +9,7 @@
 enum { BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
 #define YOUNG_S 35.0 /* a replica is not moved within this of its start */
-#define LATE_S 1.0         /* what users of a service are promised; kept here as the design's own */
-#define FETCH_UNTIL_S 35.0 /* a replica that starts by then is not missed */
+#define LATE_S 1.0 /* where no objective says how soon a class is to start */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
@@ -36,7 +35,7 @@
     double factor[CLASSES_MAX]; /* measured run time over the owner's estimate, 0: unknown */
     double reserve;             /* processors on ordinary machines kept for services */
     int steps;
-    bool sees_all;
+    bool sees_all, writable;
     double day; /* time of day of the run under way */
 };
 
@@ -49,7 +48,7 @@
     p->jobs = jobs;
     p->workers = workers;
     p->op = op;
-    p->sees_all = true;
+    p->sees_all = p->writable = true;
     p->wants = g_array_new(FALSE, FALSE, sizeof(struct pm_want));
     p->queue = g_ptr_array_new();
     return p;
@@ -83,6 +82,11 @@
     p->sees_all = sees_all;
 }
 
+void pm_plan_set_writable(struct pm_plan *p, bool writable)
+{
+    p->writable = writable;
+}
+
 /* ---- the ledger ---- */
 
 /* Best-effort work declares a minimum runtime of zero: it is unallocated and free of charge. */
@@ -210,6 +214,53 @@
     *gpus = p->gpus[team];
 }
 
+static void write_images(const struct pm_plan *p, struct pm_buf *out)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    size_t most = (size_t)(p->books->settings->value_kb * 1024 * 0.7), used = 0;
+
+    pm_put_text(out, "images");
+    pm_put_map(out);
+    for (guint i = 0; i < all->len && used < most; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || !m->ncached || m->state != PM_UP)
+            continue;
+        pm_put_text(out, m->name);
+        pm_put_list(out);
+        used += strlen(m->name) + 6;
+        for (int k = 0; k < m->ncached; k++) {
+            const char *image = pm_names_text(p->books->images, m->cached[k].image);
+            pm_put_text(out, image);
+            pm_put_number(out, m->cached[k].gb);
+            used += strlen(image) + 12;
+        }
+        pm_put_end(out);
+    }
+    pm_put_end(out);
+}
+
+void pm_plan_read_images(struct pm_plan *p, const cbor_item_t *value)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    cbor_item_t *images = pm_cbor_get(value, "images");
+    char name[PM_NAME_MAX];
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        cbor_item_t *list = m ? pm_cbor_get(images, m->name) : NULL;
+        if (!list || m->ncached)
+            continue;
+        for (size_t k = 0; k + 1 < pm_cbor_length(list) && m->ncached < PM_CACHE_MAX; k += 2) {
+            struct pm_cached *c = &m->cached[m->ncached];
+            if (pm_cbor_text(pm_cbor_at(list, k), name, sizeof name) ||
+                pm_cbor_number(pm_cbor_at(list, k + 1), &c->gb))
+                continue;
+            c->image = pm_names_add(p->books->images, name);
+            m->ncached++;
+        }
+    }
+}
+
 void pm_plan_write_ledger(const struct pm_plan *p, double day, struct pm_buf *out)
 {
     pm_put_map(out);
@@ -219,6 +270,7 @@
     for (int t = 0; t < p->books->settings->teams; t++)
         pm_put_pair_number(out, p->books->settings->team[t].name, p->ledger[t].sum);
     pm_put_end(out);
+    write_images(p, out);
     pm_put_end(out);
 }
 
@@ -352,6 +404,19 @@
     return room;
 }
 
+/* How soon the users want the class to start. */
+static double promise(const struct pm_plan *p, const struct pm_job *job)
+{
+    const struct pm_settings *s = p->books->settings;
+    const char *name = pm_names_text(p->books->classes, job->spec->class_index);
+
+    for (int i = 0; i < s->aims; i++)
+        if (!strcmp(s->aim[i].kind, "wait") && !strcmp(s->aim[i].class_name, name) &&
+            s->aim[i].within_s > 0)
+            return s->aim[i].within_s;
+    return LATE_S;
+}
+
 /* Whether the job has waited so long that a fetch more or less is no matter, and yet not so long
  * that its replicas are missed: the time to bring its image to one more machine. */
 static bool may_fetch(const struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
@@ -359,8 +424,9 @@
     const struct pm_type *t = &p->books->type[m->type];
     double waited = p->day - job->spec->submitted;
 
-    return waited > LATE_S &&
-           waited + 1.5 * job->spec->image_gb / MAX(t->pull_gb_per_s, EPS) < FETCH_UNTIL_S;
+    return waited > promise(p, job) &&
+           waited + 1.5 * job->spec->image_gb / MAX(t->pull_gb_per_s, EPS) <
+               p->op->replica_due_s;
 }
 
 static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
@@ -427,7 +493,7 @@
     GPtrArray *all = pm_workers_all(p->workers);
 
     if (job->spec->priority != PM_PRODUCTION || has_image(m, job->spec->image) ||
-        may_fetch(p, m, job) || p->day - job->spec->submitted > 3 * LATE_S)
+        may_fetch(p, m, job) || p->day - job->spec->submitted > 3 * promise(p, job))
         return false;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *other = g_ptr_array_index(all, i);
@@ -712,7 +778,11 @@
 void pm_plan_preempt(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    double *promised = g_new0(double, all->len + 1);
+    double *promised;
+
+    if (!p->writable)
+        return;
+    promised = g_new0(double, all->len + 1);
 
     for (guint i = 0; i < p->wants->len && p->steps < STEPS_MAX; i++) {
         struct pm_want *want = &g_array_index(p->wants, struct pm_want, i);
@@ -956,8 +1026,11 @@
     GPtrArray *all = pm_workers_all(p->workers);
     struct pm_machine *worst = NULL;
     double worst_value = 0, spare = 0;
-    double(*room)[2] = g_malloc0(sizeof(double[2]) * (all->len + 1));
+    double(*room)[2];
 
+    if (!p->writable)
+        return;
+    room = g_malloc0(sizeof(double[2]) * (all->len + 1));
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->state != PM_UP || m->lent)
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -65,8 +65,14 @@
 /* Processors on the ordinary machines that services could have at once. */
 double pm_plan_spare(struct pm_plan *plan, double now);
 
-/* The ledger's value for the state service, and back. */
+/* Whether placements can be written now. While they can't, nothing is stopped in order to run it, or
+ * something else, elsewhere. */
+void pm_plan_set_writable(struct pm_plan *plan, bool writable);
+
+/* The ledger's value for the state service, and back; with it goes which machine holds which image,
+ * so that a new leader need not guess. */
 void pm_plan_write_ledger(const struct pm_plan *plan, double day, struct pm_buf *out);
+void pm_plan_read_images(struct pm_plan *plan, const cbor_item_t *value);
 void pm_plan_read_ledger(struct pm_plan *plan, const cbor_item_t *value);
 
 #endif
