Size the fleet by the flow of array work against the machines that serve it

Cause: machines were rented for every waiting task as if none would come free; with boots as long as the tasks they came up to an empty queue.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -58,6 +58,7 @@
     unsigned admit_max;
     double idle_return_s;   /* an idle machine is returned after this long */
     double replica_due_s;   /* a service's replica that runs within this is not missed yet */
+    double backlog_s;       /* array work that is late anyway is worked off within this */
     double warm_share;      /* spare room kept for services, as a share of what they use */
 };
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -6,7 +6,14 @@
 #include <stdio.h>
 #include <string.h>
 
-enum { SILENT_MAX = 3, RENT_MAX = 16, BINS_MAX = 512, RELEASE_MAX = 100, IN_FLIGHT_MAX = 3, PAGE = 500 };
+enum {
+    SILENT_MAX = 3,
+    RENT_MAX = 16,
+    BINS_MAX = 512,
+    RELEASE_MAX = 100,
+    IN_FLIGHT_MAX = 3,
+    PAGE = 500
+};
 #define EPS 1e-6
 #define CALL_S 5.0
 #define REFUSED_S 6.0  /* no room of a kind: not asked for again within this */
@@ -223,8 +230,7 @@
         if (!m || m->state == PM_RELEASING || g_hash_table_contains(f->seen, m->name))
             continue;
         /* One that is lent reports elsewhere: the list alone tells. */
-        if (f->list_sent - m->rented > lag && (m->lent || now - m->heard > lag) &&
-            !m->absent_since)
+        if (f->list_sent - m->rented > lag && (m->lent || now - m->heard > lag) && !m->absent_since)
             m->absent_since = now;
     }
 }
@@ -378,8 +384,7 @@
     if (call->round == f->round) {
         f->in_flight--;
         for (guint i = 0; i < call->names->len; i++) {
-            struct pm_machine *m =
-                pm_workers_find(f->workers, g_ptr_array_index(call->names, i));
+            struct pm_machine *m = pm_workers_find(f->workers, g_ptr_array_index(call->names, i));
             if (!m)
                 continue;
             if (status == 200) {
@@ -529,26 +534,81 @@
         s->out[s->n++] = *rent;
 }
 
-/* How many of a job's waiting tasks ought to run at once, so that it ends in time: the rest can
- * follow on the same machines. */
-static int parallel(const struct pm_fleet *f, const struct pm_want *want, double day)
+/* The array work ahead, as a flow: `work` processor-seconds in rank order up to and with the job at
+ * hand, `pool` processors that serve it now or once they have booted. */
+struct flow {
+    double work, pool;
+};
+
+static double task_seconds(const struct pm_fleet *f, const struct pm_job *job)
 {
-    const struct pm_spec *spec = want->job->spec;
-    double each = pm_plan_expected(f->plan, want->job) * 1.2 + 2, left, waves;
-    uint32_t done, placed = want->job->nplaced;
+    return MAX(pm_plan_expected(f->plan, job) * 1.5 + 2, 1);
+}
 
-    if (want->job->away)
-        pm_jobs_count(want->job, &done, &placed);
+static bool in_flow(const struct pm_job *job)
+{
+    return job->spec && job->spec->form == PM_ARRAY && job->spec->spot && job->spec->cpus > 0;
+}
 
-    if (spec->form != PM_ARRAY || spec->due_s < 0)
+/* What array tasks that run now still have before them. */
+static double running_work(const struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
+    double work = 0;
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        for (guint j = 0; m && j < m->places->len; j++) {
+            const struct pm_place *place = g_ptr_array_index(m->places, j);
+            double each, ran;
+            if (place->state == PM_ENDED || !in_flow(place->job))
+                continue;
+            each = task_seconds(f, place->job);
+            ran = place->ran_from ? now - place->ran_from : 0;
+            work += MAX(each - ran, each * 0.2) * place->job->spec->cpus;
+        }
+    }
+    for (guint i = 0; i < active->len; i++) {
+        const struct pm_job *job = g_ptr_array_index(active, i);
+        uint32_t done, placed;
+        if (!job->away || !in_flow(job))
+            continue;
+        pm_jobs_count(job, &done, &placed);
+        work += placed * task_seconds(f, job) * job->spec->cpus / 2;
+    }
+    return work;
+}
+
+/* How many more of a job's tasks ought to get machines of their own, so that it ends in time: the
+ * rest follows on the machines that there are. A job whose time cannot be kept by renting counts as
+ * backlog, to be worked off within a while. */
+static int more_tasks(const struct sizing *s, struct flow *flow, const struct pm_want *want)
+{
+    const struct pm_spec *spec = want->job->spec;
+    double each = task_seconds(s->f, want->job), boot = INFINITY, left, need;
+
+    if (!in_flow(want->job))
         return (int)want->tasks;
-    left = spec->submitted + spec->due_s - day - 35;
-    waves = CLAMP(floor(left / each), 1, 8);
-    return (int)ceil((want->tasks + placed) / waves) - (int)placed;
+    flow->work += want->tasks * each * spec->cpus;
+    for (int type = 0; type < s->f->books->ntypes; type++)
+        if (spec->types >> type & 1)
+            boot = MIN(boot, s->f->books->type[type].ready_s * 1.1 + 2);
+    left = spec->due_s >= 0 ? spec->submitted + spec->due_s - s->day - each * 0.6 : 0;
+    if (left > 0 && flow->work <= flow->pool * left)
+        return 0;
+    if (left - boot > each * 0.3)
+        need = (flow->work - flow->pool * boot) / (left - boot);
+    else
+        need = flow->work / s->f->op->backlog_s;
+    need = MIN(ceil(MAX(0, need - flow->pool) / spec->cpus), want->tasks);
+    if (flow->pool < spec->cpus)
+        need = MAX(need, 1);
+    flow->pool += need * spec->cpus;
+    return (int)need;
 }
 
-/* An array job that cannot be done in time any more waits for spot machines: ordinary ones would cost
- * several times as much and save nothing. */
+/* An array job that cannot be done in time any more waits for spot machines: ordinary ones would
+ * cost several times as much and save nothing. */
 static bool too_late(const struct sizing *s, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
@@ -567,7 +627,8 @@
     while (tasks > 0) {
         bool held = false;
         for (int i = 0; i < s->bins && !held; i++)
-            if (!(used_up && s->bin[i].up) && !(spot_only && !s->bin[i].spot) && (zone < 0 || s->bin[i].zone == zone))
+            if (!(used_up && s->bin[i].up) && !(spot_only && !s->bin[i].spot) &&
+                (zone < 0 || s->bin[i].zone == zone))
                 held = bin_takes(s, &s->bin[i], job);
         if (held) {
             tasks--;
@@ -590,6 +651,7 @@
     GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
     double day = ev_time(), service_cpus = 0, spare = 0;
     struct pm_job *typical = NULL;
+    struct flow flow;
 
     *s = (struct sizing){.f = f, .out = out, .max = max, .now = now, .day = day};
     for (guint i = 0; i < all->len && s->bins < BINS_MAX; i++) {
@@ -602,12 +664,14 @@
         if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
             continue;
-        s->bin[s->bins++] = (struct bin){m->cpus, m->gpus, m->ram_gb,
-                                           m->type, m->zone, m->spot, m->state == PM_UP};
+        s->bin[s->bins++] =
+            (struct bin){m->cpus, m->gpus, m->ram_gb, m->type, m->zone, m->spot, m->state == PM_UP};
     }
+    flow.work = running_work(f, now);
+    flow.pool = pm_plan_pool(f->plan, now);
     for (guint i = 0; i < wants->len; i++) {
         const struct pm_want *want = &g_array_index(wants, struct pm_want, i);
-        fill(s, want->job, parallel(f, want, day), true);
+        fill(s, want->job, more_tasks(s, &flow, want), true);
     }
     /* A reserve on ordinary machines, so that a new service finds room at once. */
     for (guint i = 0; i < active->len; i++) {
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -979,6 +979,24 @@
     return ordinary_free(p, now);
 }
 
+double pm_plan_pool(struct pm_plan *p, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    double sum = 0;
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        const struct pm_type *t = m && m->type >= 0 ? &p->books->type[m->type] : NULL;
+        if (!t || m->state == PM_RELEASING)
+            continue;
+        if (m->lent || (m->state == PM_BOOTING && now - m->rented < 2.5 * t->ready_s + 10))
+            sum += t->cpus;
+        else if (usable(m, now))
+            sum += yielding_room(m);
+    }
+    return sum;
+}
+
 /* ---- emptying machines ---- */
 
 /* Whether all that runs on the machine are replicas that may move: a start counts only if nothing
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -69,6 +69,9 @@
  * something else, elsewhere. */
 void pm_plan_set_writable(struct pm_plan *plan, bool writable);
 
+/* Processors that array work has, or will have once they have booted. */
+double pm_plan_pool(struct pm_plan *plan, double now);
+
 /* The ledger's value for the state service, and back; with it goes which machine holds which image,
  * so that a new leader need not guess. */
 void pm_plan_write_ledger(const struct pm_plan *plan, double day, struct pm_buf *out);
