--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -497,11 +497,14 @@
 
     for (int type = 0; type < s->f->books->ntypes; type++) {
         const struct pm_type *t = &s->f->books->type[type];
-        int fit = MIN(tasks_per(t, job->spec), left);
+        bool service = job->spec->form == PM_SERVICE;
+        int most = tasks_per(t, job->spec), fit = service ? most : MIN(most, left);
         for (int zone = 0; fit > 0 && zone < s->f->books->settings->zones; zone++) {
             for (int spot = spot_only; spot < 2; spot++) {
-                /* Longer boots cost as well, as a share of a machine's usual stay. */
-                double price = (spot ? t->spot_price : t->price) * (1 + t->ready_s / 300);
+                /* Longer boots cost as well, as a share of a machine's usual stay; users of a
+                 * service wait for them. What a service leaves free, others use. */
+                double price = (spot ? t->spot_price : t->price) *
+                               (1 + t->ready_s / (service ? 60 : 300));
                 if (!(t->zones >> zone & 1) || (zone_wanted >= 0 && zone != zone_wanted) ||
                     !pm_plan_allows(s->f->books, job, type, zone, spot) ||
                     s->f->kind[type][zone][spot].refused_until > s->now)
@@ -659,7 +662,7 @@
         if (!m || m->type < 0 || m->zone < 0)
             continue;
         /* One that boots too long is not counted on. */
-        if (m->state == PM_BOOTING && now - m->rented > 2.5 * f->books->type[m->type].ready_s + 10)
+        if (m->state == PM_BOOTING && now - m->rented > 1.4 * f->books->type[m->type].ready_s + 3)
             continue;
         if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -117,6 +117,7 @@
     uint32_t hint; /* no task below it waits */
     bool final_in_flight, listed;
     bool away;      /* another controller places it */
+    bool late;      /* its deadline is given up for now (placement) */
     bool tried;     /* a chunk was written, or is being written, from here */
     uint32_t width; /* tasks at once that its block's lease allows */
     bool stopping; /* gang: all of the attempt must go before the next one */
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -325,10 +325,11 @@
            (spec->zone < 0 || spec->zone == zone) && (!spot || spec->spot);
 }
 
-static bool usable(const struct pm_machine *m, double now)
+/* Heard as lately as reports come on a quiet day: a machine that misses one may be dead. */
+static bool usable(const struct pm_plan *p, const struct pm_machine *m, double now)
 {
     return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining && !m->recall_at && m->errors < 3 &&
-           m->strays->len == 0 && now - m->heard < 12;
+           m->strays->len == 0 && now - m->heard < 1.6 * p->books->settings->report_s + 1;
 }
 
 static bool has_room(const struct pm_machine *m, const struct pm_spec *spec)
@@ -456,7 +457,7 @@
 
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (m && !m->spot && usable(m, now))
+        if (m && !m->spot && usable(p, m, now))
             sum += yielding_room(m);
     }
     return sum;
@@ -472,7 +473,7 @@
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double value;
-        if (!m || !usable(m, now) ||
+        if (!m || !usable(p, m, now) ||
             !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
             !has_room(m, job->spec) || !zone_ok(job, at, m->zone))
             continue;
@@ -497,7 +498,7 @@
         return false;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *other = g_ptr_array_index(all, i);
-        if (other && usable(other, now) && has_image(other, job->spec->image) &&
+        if (other && usable(p, other, now) && has_image(other, job->spec->image) &&
             pm_plan_allows(p->books, job, other->type, other->zone, other->spot) &&
             zone_ok(job, at, other->zone) && yielding_room(other) + EPS >= job->spec->cpus)
             return true;
@@ -590,7 +591,7 @@
         for (guint k = 0; k < all->len; k++) {
             struct pm_machine *m = g_ptr_array_index(all, k);
             double value;
-            if (!m || !usable(m, now) || (only_zone >= 0 && m->zone != only_zone) ||
+            if (!m || !usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
                 !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
                 !has_room(m, job->spec) || !zone_ok(job, &at, m->zone))
                 continue;
@@ -723,7 +724,7 @@
         for (guint i = 0; i < all->len; i++) {
             struct pm_machine *m = g_ptr_array_index(all, i);
             double cpus, gpus, ram, cost = m && has_image(m, job->spec->image) ? 0 : 1e4;
-            if (!m || !usable(m, now) ||
+            if (!m || !usable(p, m, now) ||
                 !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
                 !zone_ok(job, &at, m->zone) || (round == 1 && m != best))
                 continue;
@@ -899,6 +900,8 @@
         return rx < ry ? -1 : 1;
     if (x->spec->priority != y->spec->priority)
         return x->spec->priority > y->spec->priority ? -1 : 1;
+    if (x->late != y->late)
+        return x->late ? 1 : -1;
     if (due_at(x) != due_at(y))
         return due_at(x) < due_at(y) ? -1 : 1;
     if (x->spec->submitted != y->spec->submitted)
@@ -912,12 +915,69 @@
     g_ptr_array_sort(jobs, by_rank);
 }
 
+struct candidate {
+    struct pm_job *job;
+    double work, due;
+};
+
+static int by_due(const void *a, const void *b)
+{
+    const struct candidate *x = a, *y = b;
+
+    return x->due < y->due ? -1 : x->due > y->due;
+}
+
+/* Marks the array jobs whose deadline is given up for now, so that the most jobs keep theirs: taken
+ * by deadline; whenever the machines could not do all of them in time, the one with most work goes
+ * last. Decides the order within a team only; ratio and priority come before it. */
+static void give_up_deadlines(struct pm_plan *p, double now)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs);
+    struct candidate *all = g_new(struct candidate, active->len + 1);
+    double pool = MAX(pm_plan_pool(p, now), 1), sum = 0;
+    guint n = 0;
+
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        const struct pm_spec *spec = job->spec;
+        uint32_t done, placed;
+        double each;
+        job->late = false;
+        if (!spec || job->state != PM_LIVE || spec->form != PM_ARRAY || spec->due_s < 0)
+            continue;
+        pm_jobs_count(job, &done, &placed);
+        each = pm_plan_expected(p, job) * 1.1 + 1;
+        all[n].job = job;
+        all[n].work = (job->entries - MIN(done, job->entries) - 0.5 * placed) * each * spec->cpus;
+        /* The last task takes its time, however many machines there are. */
+        all[n].due = spec->submitted + spec->due_s - p->day - each * (placed ? 0.5 : 1);
+        job->late = all[n].due < 0;
+        n += !job->late;
+    }
+    qsort(all, n, sizeof all[0], by_due);
+    for (guint i = 0; i < n; i++) {
+        sum += all[i].work;
+        while (sum > all[i].due * pool) {
+            guint largest = i;
+            for (guint k = 0; k <= i; k++)
+                if (!all[k].job->late && (all[largest].job->late || all[k].work > all[largest].work))
+                    largest = k;
+            if (all[largest].job->late)
+                break;
+            all[largest].job->late = true;
+            sum -= all[largest].work;
+        }
+    }
+    g_free(all);
+}
+
 void pm_plan_begin(struct pm_plan *p, double now, double day)
 {
     p->steps = 0;
     p->day = day;
     account(p, now, day);
     stop_the_lost(p, now);
+    give_up_deadlines(p, now);
     for (int t = 0; t < p->books->settings->teams; t++)
         p->ratio[t] = pm_plan_ratio(p, t);
 }
@@ -989,9 +1049,9 @@
         const struct pm_type *t = m && m->type >= 0 ? &p->books->type[m->type] : NULL;
         if (!t || m->state == PM_RELEASING)
             continue;
-        if (m->lent || (m->state == PM_BOOTING && now - m->rented < 2.5 * t->ready_s + 10))
+        if (m->lent || (m->state == PM_BOOTING && now - m->rented < 1.4 * t->ready_s + 3))
             sum += t->cpus;
-        else if (usable(m, now))
+        else if (usable(p, m, now))
             sum += yielding_room(m);
     }
     return sum;
@@ -1025,7 +1085,7 @@
     at.total--;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!m || m == from || m->spot || !usable(m, now) || !m->places->len ||
+        if (!m || m == from || m->spot || !usable(p, m, now) || !m->places->len ||
             !has_image(m, spec->image) || spec->gpus > 0 || room[i][0] + EPS < spec->cpus ||
             room[i][1] + EPS < spec->ram_gb || !zone_ok(place->job, &at, m->zone) ||
             !pm_plan_allows(p->books, place->job, m->type, m->zone, m->spot))
@@ -1055,7 +1115,7 @@
             continue;
         if (m->draining && m->places->len)
             goto out; /* one at a time */
-        if (m->spot || !usable(m, now))
+        if (m->spot || !usable(p, m, now))
             continue;
         spare += yielding_room(m);
         room[i][0] = m->cpus;
@@ -1066,7 +1126,7 @@
         double used, value;
         bool fits = true;
         double(*left)[2];
-        if (!m || m->spot || !usable(m, now) || m->type < 0 || !m->places->len ||
+        if (!m || m->spot || !usable(p, m, now) || m->type < 0 || !m->places->len ||
             now - m->rented < 60 || !movable(m, now))
             continue;
         used = p->books->type[m->type].cpus - m->cpus;
@@ -1127,7 +1187,7 @@
 bool pm_plan_whole(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
                    uint64_t epoch, double now)
 {
-    return usable(m, now) && pm_workers_clean(m, epoch) && m->type >= 0 &&
+    return usable(p, m, now) && pm_workers_clean(m, epoch) && m->type >= 0 &&
            pm_plan_allows(p->books, job, m->type, m->zone, m->spot) && has_room(m, job->spec) &&
            (m->spot || ordinary_free(p, now) - m->cpus >= p->reserve);
 }
