--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -685,7 +685,8 @@
         if (!typical || (job->spec->zone < 0 && job->spec->types == ~(uint64_t)0))
             typical = job;
     }
-    f->spare_want = service_cpus * f->op->warm_share;
+    /* Room for what comes, and for the replicas of any one machine that ends. */
+    f->spare_want = MAX(service_cpus * f->op->warm_share, pm_plan_largest(f->plan, now));
     if (typical && typical->spec->cpus > 0) {
         /* What array tasks use on ordinary machines yields at once, so it counts as spare. */
         spare = pm_plan_spare(f->plan, now);
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -1034,6 +1034,19 @@
     return p->steps;
 }
 
+double pm_plan_largest(struct pm_plan *p, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    double most = 0;
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && !m->spot && m->type >= 0 && usable(p, m, now))
+            most = MAX(most, p->books->type[m->type].cpus - yielding_room(m));
+    }
+    return most;
+}
+
 double pm_plan_spare(struct pm_plan *p, double now)
 {
     return ordinary_free(p, now);
@@ -1097,6 +1110,49 @@
     return false;
 }
 
+/* Moves one replica from the machine with most of them to one with the image and much more room, so
+ * that no machine's end takes more than the reserve can hold. */
+static void balance(struct pm_plan *p, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    struct pm_place *best = NULL;
+    double best_gain = 0;
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *from = g_ptr_array_index(all, i);
+        double here;
+        if (!from || from->spot || !usable(p, from, now))
+            continue;
+        here = yielding_room(from);
+        for (guint j = 0; j < from->places->len; j++) {
+            struct pm_place *place = g_ptr_array_index(from->places, j);
+            const struct pm_spec *spec = place->job->spec;
+            if (spec->form != PM_SERVICE || place->state != PM_RUNNING || place->stop ||
+                now - place->ran_from < YOUNG_S || spec->spread || spec->same_place)
+                continue;
+            for (guint k = 0; k < all->len; k++) {
+                const struct pm_machine *to = g_ptr_array_index(all, k);
+                double gain;
+                if (!to || to == from || to->spot || !usable(p, to, now) ||
+                    !has_image(to, spec->image) || !has_room(to, spec) ||
+                    !pm_plan_allows(p->books, place->job, to->type, to->zone, to->spot) ||
+                    of_job(to, place->job) >= of_job(from, place->job))
+                    continue;
+                gain = yielding_room(to) - here - 2 * spec->cpus -
+                       p->books->type[from->type].cpus * 0.25;
+                if (gain > best_gain) {
+                    best_gain = gain;
+                    best = place;
+                }
+            }
+        }
+    }
+    if (!best)
+        return;
+    pm_debug("plan.balance", "%s/%u leaves %s", best->job->id, best->index, best->machine->name);
+    pm_workers_stop(best, 0, now);
+}
+
 /* Empties the ordinary machine that costs most for what it does, if its replicas find room and
  * their images elsewhere and the reserve stays: each is gone for the blink of a restart. */
 void pm_plan_consolidate(struct pm_plan *p, double now)
@@ -1148,6 +1204,8 @@
         worst->draining = true;
         for (guint j = 0; j < worst->places->len; j++)
             pm_workers_stop(g_ptr_array_index(worst->places, j), 0, now);
+    } else {
+        balance(p, now);
     }
 out:
     g_free(room);
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -69,6 +69,8 @@
  * something else, elsewhere. */
 void pm_plan_set_writable(struct pm_plan *plan, bool writable);
 
+/* Processors of the services on the ordinary machine that runs most of them. */
+double pm_plan_largest(struct pm_plan *plan, double now);
 /* Processors that array work has, or will have once they have booted. */
 double pm_plan_pool(struct pm_plan *plan, double now);
 
