Drain ordinary machines while array tasks end on them

Cause: an ordinary machine with one replica and some array tasks was never emptied, for array tasks kept it from moving its replica.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -774,14 +774,14 @@
             give_back(m, "silent and empty");
             continue;
         }
+        if (m->draining && waits && (m->places->len || now - m->rented < LEAST_AGE_S))
+            m->draining = false; /* it is needed after all */
         if (m->state != PM_UP || m->places->len) {
             m->idle_since = 0;
             continue;
         }
         if (!m->idle_since)
             m->idle_since = now;
-        if (m->draining && waits && now - m->rented < LEAST_AGE_S)
-            m->draining = false;
         if (m->draining) {
             give_back(m, "emptied");
             continue;
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
+enum { DRAINING_MAX = 3, BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
 #define YOUNG_S 35.0 /* a replica is not moved within this of its start */
 #define LATE_S 1.0 /* where no objective says how soon a class is to start */
@@ -1072,12 +1072,14 @@
 
 /* ---- emptying machines ---- */
 
-/* Whether all that runs on the machine are replicas that may move: a start counts only if nothing
+/* Whether all that runs on the machine are array tasks and replicas that may move: a start counts only if nothing
  * stops it for a while, so young ones stay. */
 static bool movable(const struct pm_machine *m, double now)
 {
     for (guint j = 0; j < m->places->len; j++) {
         const struct pm_place *place = g_ptr_array_index(m->places, j);
+        if (place->job->spec->form == PM_ARRAY)
+            continue; /* ends by itself */
         if (place->job->spec->form != PM_SERVICE || place->state != PM_RUNNING || place->stop ||
             now - place->ran_from < YOUNG_S || now - place->since < YOUNG_S)
             return false;
@@ -1161,6 +1163,7 @@
     struct pm_machine *worst = NULL;
     double worst_value = 0, spare = 0;
     double(*room)[2];
+    int draining = 0;
 
     if (!p->writable)
         return;
@@ -1169,8 +1172,8 @@
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->state != PM_UP || m->lent)
             continue;
-        if (m->draining && m->places->len)
-            goto out; /* one at a time */
+        if (m->draining && m->places->len && ++draining >= DRAINING_MAX)
+            goto out;
         if (m->spot || !usable(p, m, now))
             continue;
         spare += yielding_room(m);
@@ -1185,14 +1188,16 @@
         if (!m || m->spot || !usable(p, m, now) || m->type < 0 || !m->places->len ||
             now - m->rented < 60 || !movable(m, now))
             continue;
-        used = p->books->type[m->type].cpus - m->cpus;
+        used = p->books->type[m->type].cpus - yielding_room(m);
         value = p->books->type[m->type].price * (1 - used / MAX(p->books->type[m->type].cpus, EPS));
         if (value <= worst_value ||
             spare - p->books->type[m->type].cpus < MAX(p->reserve, EPS))
             continue;
         left = g_memdup2(room, sizeof(double[2]) * (all->len + 1));
         for (guint j = 0; j < m->places->len && fits; j++)
-            fits = takes(p, m, g_ptr_array_index(m->places, j), left, now);
+            fits = ((struct pm_place *)g_ptr_array_index(m->places, j))->job->spec->form ==
+                       PM_ARRAY ||
+                   takes(p, m, g_ptr_array_index(m->places, j), left, now);
         g_free(left);
         if (!fits)
             continue;
@@ -1200,10 +1205,13 @@
         worst_value = value;
     }
     if (worst) {
-        pm_info("plan.empty", "%s: %u replicas move", worst->name, worst->places->len);
+        pm_info("plan.empty", "%s: %u tasks move or end", worst->name, worst->places->len);
         worst->draining = true;
-        for (guint j = 0; j < worst->places->len; j++)
-            pm_workers_stop(g_ptr_array_index(worst->places, j), 0, now);
+        for (guint j = 0; j < worst->places->len; j++) {
+            struct pm_place *place = g_ptr_array_index(worst->places, j);
+            if (place->job->spec->form == PM_SERVICE)
+                pm_workers_stop(place, 0, now);
+        }
     } else {
         balance(p, now);
     }
