Tell from the cloud's list that a machine is gone, when it has later ones

A list describes one moment and names go by creation, so a gap before a later name is proof enough to ask for the release.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -218,8 +218,16 @@
         m->failed = true;
 }
 
-/* "Once listed, a machine stays listed until it is gone", but a list may be older than the one
- * before it, by up to twice the lag: only what is older than that can be missed. */
+/* Whether `a` was rented before `b`: names go by creation. */
+static bool rented_before(const char *a, const char *b)
+{
+    size_t x = strlen(a), y = strlen(b);
+
+    return x != y ? x < y : strcmp(a, b) < 0;
+}
+
+/* A list describes one moment, though a past one. A machine that it leaves out while it has one that
+ * was rented later is gone; otherwise only what is older than the list can be is missed. */
 static void read_absent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
@@ -227,10 +235,14 @@
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
+        bool past;
         if (!m || m->state == PM_RELEASING || g_hash_table_contains(f->seen, m->name))
             continue;
+        past = f->since[0] && rented_before(m->name, f->since);
         /* One that is lent reports elsewhere: the list alone tells. */
-        if (f->list_sent - m->rented > lag && (m->lent || now - m->heard > lag) && !m->absent_since)
+        if (!past && (f->list_sent - m->rented <= lag || (!m->lent && now - m->heard <= lag)))
+            continue;
+        if (!m->absent_since)
             m->absent_since = now;
     }
 }
@@ -280,9 +292,23 @@
                  on_list, call);
 }
 
+static bool some_silent(const struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && m->state == PM_UP && !m->lent && m->places->len &&
+            now - m->heard > 1.6 * f->books->settings->report_s + 0.5)
+            return true;
+    }
+    return false;
+}
+
 static void list_start(struct pm_fleet *f, double now)
 {
-    double every = CLAMP(f->books->settings->list_lag_s / 2, 2, 6);
+    /* Somebody silent: the list may tell why. */
+    double every = some_silent(f, now) ? 1.5 : CLAMP(f->books->settings->list_lag_s / 2, 2, 6);
 
     if (f->list_busy || (f->listed && now - f->listed < every) || !may_call(f, now))
         return;
@@ -759,7 +785,8 @@
             continue;
         }
         /* Taken or dead: the confirmed release proves it at once, sooner than its lease. */
-        if (m->absent_since && (m->lent || now - m->heard > 4) && m->state == PM_UP) {
+        if (m->absent_since && m->state == PM_UP &&
+            (m->lent || now - m->heard > 1.3 * f->books->settings->report_s + 1)) {
             give_back(m, "no longer listed, and silent");
             continue;
         }
