--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -909,6 +909,14 @@
                 b->hooks.bad(b->hooks.arg, machine_at(b, index));
         }
     }
+    for (size_t i = 0; i < tell->n_silent; i++) {
+        struct pm_machine *m = pm_workers_find(b->workers, tell->silent[i]);
+        if (!m || !m->lent)
+            continue;
+        if (pm_clock_steady() - m->silent_told > 2)
+            m->silent_since = pm_clock_steady();
+        m->silent_told = pm_clock_steady();
+    }
     pm__block_tell__free_unpacked(tell, NULL);
     pm_blocks_run(b, pm_clock_steady());
 }
@@ -1042,6 +1050,8 @@
         tell.doubt |= m->doubtful && m->doubtful >= pm_lead_epoch(b->lead);
         if (m->errors >= 3)
             add_name(&tell.bad, &tell.n_bad, m->name);
+        if (m->reported && now - m->heard > 1.6 * b->books->settings->report_s + 1)
+            add_name(&tell.silent, &tell.n_silent, m->name);
     }
     tell.helpless = (up > 1 && !heard) || (b->mine_granted && !tell.ready);
     size = pm__block_tell__get_packed_size(&tell);
@@ -1051,5 +1061,6 @@
     g_free(data);
     g_free(tell.clean);
     g_free(tell.bad);
+    g_free(tell.silent);
     pm__block_call__free_unpacked(call, NULL);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -747,11 +747,16 @@
         return;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!m || m->state != PM_UP || m->lent)
+        double since;
+        bool used;
+        if (!m || m->state != PM_UP)
             continue;
-        if (now - m->heard < limit * 0.6) {
+        /* Of one that is lent, its holder tells. */
+        since = m->lent ? (now - m->silent_told < 2 ? m->silent_since : now) : m->heard;
+        used = m->lent || m->places->len;
+        if (now - since < limit * 0.6) {
             heard++;
-        } else if (m->places->len && now - m->heard > limit) {
+        } else if (used && now - since > (m->lent ? limit * 0.6 : limit)) {
             if (n == SILENT_MAX)
                 return;
             silent[n++] = m;
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -42,6 +42,7 @@
     GArray *strays; /* of struct pm_entry: there, but not by our books: to be killed */
     /* Blocks. */
     int lent;           /* leader: 1 + the peer that holds it, 0: nobody */
+    double silent_told, silent_since; /* leader: its holder says that it does not hear it */
     bool leaving, left; /* holder: called back; given back, though the block still lists it */
     bool draining;      /* being emptied, to go back */
     /* Leases. */
