--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 enum {
-    SILENT_MAX = 3,
+    SILENT_MAX = 5,
     RENT_MAX = 16,
     BINS_MAX = 512,
     RELEASE_MAX = 100,
@@ -732,40 +732,40 @@
 
 /* ---- the round ---- */
 
-/* A machine that is silent while nearly all others are heard has died, hangs or is cut off. Its
+/* A machine that is silent while others of its zone are heard has died, hangs or is cut off. Its
  * release, confirmed, proves its tasks gone long before its lease would, and they start elsewhere;
- * of a machine that was only cut off, little more than the blink of a restart is lost. Where many
- * are silent at once it is the network, and waiting is better. */
+ * of a machine that was only cut off, little more than the blink of a restart is lost. Where most of
+ * a zone are silent at once it is the network, and waiting is better. */
 static void give_up_silent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
     double limit = MAX(SILENT_S, 2.5 * f->books->settings->report_s + 3);
     struct pm_machine *silent[SILENT_MAX];
-    int n = 0, heard = 0;
+    int n = 0, heard[PM_ZONES_MAX] = {0}, missed[PM_ZONES_MAX] = {0};
 
     if (!f->writable)
         return;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double since;
-        bool used;
-        if (!m || m->state != PM_UP)
+        if (!m || m->state != PM_UP || m->zone < 0)
             continue;
         /* Of one that is lent, its holder tells. */
         since = m->lent ? (now - m->silent_told < 2 ? m->silent_since : now) : m->heard;
-        used = m->lent || m->places->len;
         if (now - since < limit * 0.6) {
-            heard++;
-        } else if (used && now - since > (m->lent ? limit * 0.6 : limit)) {
+            heard[m->zone]++;
+            continue;
+        }
+        missed[m->zone]++;
+        if ((m->lent || m->places->len) && now - since > (m->lent ? limit * 0.6 : limit)) {
             if (n == SILENT_MAX)
                 return;
             silent[n++] = m;
         }
     }
-    if (n * 4 > heard)
-        return;
     for (int i = 0; i < n; i++)
-        give_back(silent[i], "silent, and alone in that");
+        if (missed[silent[i]->zone] <= heard[silent[i]->zone])
+            give_back(silent[i], "silent, while its zone is heard");
 }
 
 static void review(struct pm_fleet *f, double now)
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -8,6 +8,7 @@
 
 enum { DRAINING_MAX = 3, BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
+#define CROWDED 0.25 /* of a machine: see crowded() */
 #define YOUNG_S 35.0 /* a replica is not moved within this of its start */
 #define LATE_S 1.0 /* where no objective says how soon a class is to start */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
@@ -36,7 +37,9 @@
     double reserve;             /* processors on ordinary machines kept for services */
     int steps;
     bool sees_all, writable;
-    double day; /* time of day of the run under way */
+    double day;        /* time of day of the run under way */
+    double cold_until; /* steady: no service ran a while before this */
+    bool cold;
 };
 
 struct pm_plan *pm_plan_new(struct pm_books *books, struct pm_jobs *jobs,
@@ -430,6 +433,34 @@
                p->op->replica_due_s;
 }
 
+/* Whether the task would take of the last part of the machine, which is left for services that can
+ * still start in time, and keeps the loss small should the machine end. */
+static bool crowded(const struct pm_plan *p, const struct pm_machine *m,
+                    const struct pm_spec *spec)
+{
+    return yielding_room(m) - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS;
+}
+
+/* On a cold start a replica, late already, rather waits for a machine that boots than crowds the first
+ * ones that are up: they would take all, and most machines would never hold most images. */
+static bool rather_waits(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
+                         double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+
+    if (job->spec->form != PM_SERVICE || p->day - job->spec->submitted < promise(p, job) ||
+        !p->cold || !crowded(p, m, job->spec))
+        return false;
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *other = g_ptr_array_index(all, i);
+        if (other && other->state == PM_BOOTING && other->type >= 0 &&
+            pm_plan_allows(p->books, job, other->type, other->zone, other->spot) &&
+            now - other->rented < 1.4 * p->books->type[other->type].ready_s + 3)
+            return true;
+    }
+    return false;
+}
+
 static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
@@ -441,6 +472,8 @@
         /* Spread: then every machine comes to hold every image, and has some room to start the next
          * service at once. Array tasks use that room meanwhile. */
         value += may_fetch(p, m, job) ? (image ? 0 : 4) : (image ? 10 : 0);
+        if (p->cold && crowded(p, m, spec) && p->day - spec->submitted > promise(p, job))
+            value -= 8;
         return value - 2.0 * of_job(m, job) + 3 * yielding_room(m) / MAX(t->cpus, EPS);
     }
     value += image ? 3 : 0;
@@ -565,7 +598,8 @@
         struct pm_machine *m;
         i = next_waiting(job, i, now);
         if (i >= job->entries || !within(p, job, 1, guarantee) ||
-            !(m = best_machine(p, job, &at, now)) || better_cleared(p, m, job, &at, now))
+            !(m = best_machine(p, job, &at, now)) || better_cleared(p, m, job, &at, now) ||
+            rather_waits(p, m, job, now))
             break;
         put_task(p, job, i, m, ++job->last_try, &at, now);
         placed++;
@@ -971,6 +1005,22 @@
     g_free(all);
 }
 
+static void note_cold_start(struct pm_plan *p, double now)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs);
+
+    p->cold = now < p->cold_until;
+    if (p->cold)
+        return;
+    for (guint i = 0; i < active->len; i++) {
+        const struct pm_job *job = g_ptr_array_index(active, i);
+        if (job->spec && job->spec->form == PM_SERVICE && job->nplaced)
+            return;
+    }
+    p->cold_until = now + 2 * p->op->replica_due_s;
+    p->cold = true;
+}
+
 void pm_plan_begin(struct pm_plan *p, double now, double day)
 {
     p->steps = 0;
@@ -978,6 +1028,7 @@
     account(p, now, day);
     stop_the_lost(p, now);
     give_up_deadlines(p, now);
+    note_cold_start(p, now);
     for (int t = 0; t < p->books->settings->teams; t++)
         p->ratio[t] = pm_plan_ratio(p, t);
 }
