Learn run times from each job's own tasks

Cause looked for: estimates are off by half, the same way for all tasks of a job. Also found: only a job's first attempt was learned from.

--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -279,10 +279,12 @@
 
     pm_debug("task.ended", "%s/%u try %u on %s: %d%s", job->id, place->index, place->attempt,
              m->name, end, saved ? " saved" : "");
+    if (end != PM_END_DONE && place->ran_from && job->spec->bookmark_s > 0)
+        task->resumed = true;
     if (end == PM_END_DONE) {
         m->errors = 0;
         task->errors = 0;
-        if (place->ran_from && place->attempt == 1)
+        if (place->ran_from && !task->resumed)
             pm_plan_learn(n->plan, job, now - place->ran_from);
         if (job->spec->form == PM_GANG) { /* its tasks complete together */
             for (uint32_t i = 0; i < job->entries; i++)
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -89,6 +89,7 @@
     struct pm_place *place; /* whatever is not proven gone */
     uint16_t errors;
     bool done;
+    bool resumed; /* ran before: its next run may be shorter than a whole one */
     double not_before; /* steady: the next try, after errors */
 };
 
@@ -119,6 +120,8 @@
     bool away;      /* another controller places it */
     bool late;      /* its deadline is given up for now (placement) */
     bool tried;     /* a chunk was written, or is being written, from here */
+    double ran_sum; /* run times seen of this job's tasks: its owner's estimate may be far off */
+    uint32_t ran_n;
     uint32_t width; /* tasks at once that its block's lease allows */
     bool stopping; /* gang: all of the attempt must go before the next one */
     double retry_at, first_wait, gang_tried;
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -298,15 +298,18 @@
 
 /* ---- run times ---- */
 
-void pm_plan_learn(struct pm_plan *p, const struct pm_job *job, double seconds)
+void pm_plan_learn(struct pm_plan *p, struct pm_job *job, double seconds)
 {
     int c = job->spec->class_index;
     double ratio;
 
+    job->ran_sum += seconds;
+    job->ran_n++;
     if (c >= CLASSES_MAX || job->spec->expected_s <= 0)
         return;
+    /* Slowly: the tasks of one job are all off by much the same. */
     ratio = CLAMP(seconds / job->spec->expected_s, 0.1, 10);
-    p->factor[c] = p->factor[c] > 0 ? p->factor[c] * 0.97 + ratio * 0.03 : ratio * 0.2 + 0.8;
+    p->factor[c] = (p->factor[c] > 0 ? p->factor[c] : 1) * 0.99 + ratio * 0.01;
 }
 
 double pm_plan_expected(const struct pm_plan *p, const struct pm_job *job)
@@ -314,7 +317,7 @@
     int c = job->spec->class_index;
     double factor = c < CLASSES_MAX && p->factor[c] > 0 ? p->factor[c] : 1;
 
-    return job->spec->expected_s * factor;
+    return (job->spec->expected_s * factor + job->ran_sum) / (1 + job->ran_n);
 }
 
 /* ---- fit ---- */
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -52,7 +52,7 @@
 /* How much of its run a task probably has left, from the class's measured times. */
 double pm_plan_expected(const struct pm_plan *plan, const struct pm_job *job);
 /* A task was seen to run for that long from start to end. */
-void pm_plan_learn(struct pm_plan *plan, const struct pm_job *job, double seconds);
+void pm_plan_learn(struct pm_plan *plan, struct pm_job *job, double seconds);
 /* Room on ordinary machines that is kept for services, in processors (the fleet sets it). */
 void pm_plan_set_reserve(struct pm_plan *plan, double cpus);
 
