--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -25,6 +25,7 @@
 #define PLAN_PACE_S 0.03 /* plans no more often than this */
 #define ROUND_S 0.5
 #define LEDGER_S 5.0
+#define YIELDED_S 1.0 /* a task that was stopped to make room rests for this long */
 
 struct pm_node {
     struct ev_loop *loop;
@@ -281,6 +282,9 @@
              m->name, end, saved ? " saved" : "");
     if (end != PM_END_DONE && place->ran_from && job->spec->bookmark_s > 0)
         task->resumed = true;
+    /* What was stopped to make room does not compete for that room at once. */
+    if (end != PM_END_DONE && place->stop && job->spec->form == PM_ARRAY)
+        task->not_before = now + YIELDED_S;
     if (end == PM_END_DONE) {
         m->errors = 0;
         task->errors = 0;
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -444,26 +444,30 @@
     return yielding_room(m) - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS;
 }
 
-/* On a cold start a replica, late already, rather waits for a machine that boots than crowds the first
- * ones that are up: they would take all, and most machines would never hold most images. */
-static bool rather_waits(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
-                         double now)
+/* Whether a machine that the job may run on is to come up soon. */
+static bool boot_expected(struct pm_plan *p, const struct pm_job *job, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
 
-    if (job->spec->form != PM_SERVICE || p->day - job->spec->submitted < promise(p, job) ||
-        !p->cold || !crowded(p, m, job->spec))
-        return false;
     for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *other = g_ptr_array_index(all, i);
-        if (other && other->state == PM_BOOTING && other->type >= 0 &&
-            pm_plan_allows(p->books, job, other->type, other->zone, other->spot) &&
-            now - other->rented < 1.4 * p->books->type[other->type].ready_s + 3)
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && m->state == PM_BOOTING && m->type >= 0 &&
+            pm_plan_allows(p->books, job, m->type, m->zone, m->spot) &&
+            now - m->rented < 1.4 * p->books->type[m->type].ready_s + 3)
             return true;
     }
     return false;
 }
 
+/* On a cold start a replica, late already, rather waits for a machine that boots than crowds the first
+ * ones that are up: they would take all, and most machines would never hold most images. */
+static bool rather_waits(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
+                         double now)
+{
+    return job->spec->form == PM_SERVICE && p->cold && crowded(p, m, job->spec) &&
+           p->day - job->spec->submitted >= promise(p, job) && boot_expected(p, job, now);
+}
+
 static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
@@ -826,6 +830,10 @@
         struct pm_want *want = &g_array_index(p->wants, struct pm_want, i);
         struct pm_job *job = want->job;
         uint32_t made = 0;
+        /* A replica that rather waits than crowds a machine (rather_waits) would not take the room:
+         * what was stopped for it would take it again, and so on without end. */
+        if (p->cold && job->spec->form == PM_SERVICE && boot_expected(p, job, now))
+            continue;
         if (job->away)
             continue; /* the leader calls machines back for it */
         if (job->spec->form == PM_GANG)
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -173,6 +173,16 @@
     feed_job(w, words[1], &spec, PM_LIVE);
 }
 
+/* booting HOST type=T zone=Z */
+static void do_booting(struct world *w, char **words)
+{
+    struct pm_machine *m = pm_workers_add(w->workers, words[1]);
+
+    pm_workers_set_type(w->workers, m, pm_names_find(w->books.types, word(words, "type", "small")));
+    m->zone = !strcmp(word(words, "zone", "east"), "west");
+    m->rented = w->now;
+}
+
 static void do_cancel(struct world *w, char **words)
 {
     struct pm_job *job = pm_jobs_find(w->jobs, words[1]);
@@ -308,6 +318,8 @@
         do_team(w, words);
     else if (!strcmp(verb, "job"))
         do_job(w, words);
+    else if (!strcmp(verb, "booting"))
+        do_booting(w, words);
     else if (!strcmp(verb, "cancel"))
         do_cancel(w, words);
     else if (!strcmp(verb, "report"))
