--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -1163,7 +1163,8 @@
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m == from || m->spot || !usable(p, m, now) || !m->places->len ||
-            !has_image(m, spec->image) || spec->gpus > 0 || room[i][0] + EPS < spec->cpus ||
+            !has_image(m, spec->image) || spec->gpus > 0 ||
+            room[i][0] - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS ||
             room[i][1] + EPS < spec->ram_gb || !zone_ok(place->job, &at, m->zone) ||
             !pm_plan_allows(p->books, place->job, m->type, m->zone, m->spot))
             continue;
