--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -1,6 +1,7 @@
 /* One controller: the loop's thread does all I/O, the planner's thread decides what runs where.
- * The loop holds the books' lock while it handles the events at hand, and lets go of it around every
- * wait; the planner takes it for one plan. Sockets never block, so nobody waits with the lock. */
+ * The loop holds the books' lock while it handles the events at hand, and lets go of it around
+ * every wait; the planner takes it for one plan. Sockets never block, so nobody waits with the
+ * lock. */
 #include "node.h"
 #include "base/clock.h"
 #include "base/http.h"
@@ -43,9 +44,9 @@
     struct pm_fleet *fleet;
     struct pm_intake *intake;
     struct pm_blocks *blocks;
-    GMutex lock;    /* all of the above */
-    bool ruling;    /* leads, or holds a block, and the working state is rebuilt */
-    bool leading;   /* leads */
+    GMutex lock;  /* all of the above */
+    bool ruling;  /* leads, or holds a block, and the working state is rebuilt */
+    bool leading; /* leads */
     struct pm_buf ledger;
     char block_key[PM_NAME_MAX + 8];
     uint64_t types_stamp;
@@ -241,7 +242,7 @@
         all_direct(n);
         if (n->leading && pm_lead_confirmed(n->lead, pm_clock_steady())) {
             pm_blocks_run(n->blocks, pm_clock_steady());
-            pm_fleet_set_writable(n->fleet, writable(n, pm_clock_steady()));
+            pm_fleet_set_writable(n->fleet, writable(n, pm_clock_steady()), pm_clock_steady());
             pm_fleet_run(n->fleet, pm_clock_steady());
         }
     }
@@ -391,8 +392,8 @@
             struct pm_spot *spot = &g_array_index(spots, struct pm_spot, s);
             struct pm_machine *m =
                 pm_workers_add(n->workers, pm_names_text(n->books.machines, spot->machine));
-            pm_workers_place(n->workers, job, (uint32_t)k * PM_CHUNK + spot->task, m,
-                             spot->attempt, spot->session, PM_DURABLE, now);
+            pm_workers_place(n->workers, job, (uint32_t)k * PM_CHUNK + spot->task, m, spot->attempt,
+                             spot->session, PM_DURABLE, now);
             if (m->state == PM_BOOTING) { /* its worker may be silent by now: counted from here */
                 m->state = PM_UP;
                 m->heard = now;
@@ -629,8 +630,8 @@
     if (!pm_lead_confirmed(n->lead, now) || mandate > epoch) {
         if (mandate > epoch)
             pm_lead_doubt(n->lead);
-        pm_debug("report.unsure", "%s: epoch %llu, its token %llu", name,
-                 (unsigned long long)epoch, (unsigned long long)mandate);
+        pm_debug("report.unsure", "%s: epoch %llu, its token %llu", name, (unsigned long long)epoch,
+                 (unsigned long long)mandate);
         pm_cbor_free(report);
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
@@ -821,25 +822,25 @@
     g_cond_init(&n->wake);
     n->http = pm_http_client_new(loop, settings->sockets / 4);
     n->jobs = pm_jobs_new(&n->books);
-    n->workers = pm_workers_new(&n->books, n->jobs,
-                                &(struct pm_workers_hooks){on_ended, on_ran, n});
+    n->workers =
+        pm_workers_new(&n->books, n->jobs, &(struct pm_workers_hooks){on_ended, on_ran, n});
     n->plan = pm_plan_new(&n->books, n->jobs, n->workers, op);
     n->fleet = pm_fleet_new(n->http, &n->books, n->jobs, n->workers, n->plan, op,
                             &(struct pm_fleet_hooks){on_types, on_gone, on_fleet_changed, n});
-    n->store = pm_store_new(loop, n->http, settings->state, settings->state_write_rps,
-                            &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed,
-                                                    on_caught_up, n});
+    n->store = pm_store_new(
+        loop, n->http, settings->state, settings->state_write_rps,
+        &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed, on_caught_up, n});
     pm_store_set_share(n->store, 0.4);
-    n->lead = pm_lead_new(loop, n->store, n->http, settings, op,
-                          &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_lead_confirmed, n});
-    n->commit = pm_commit_new(&n->books, n->jobs, n->store,
-                              &(struct pm_commit_hooks){on_durable, on_commit_confirmed,
-                                                        on_commit_doubt, n});
+    n->lead =
+        pm_lead_new(loop, n->store, n->http, settings, op,
+                    &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_lead_confirmed, n});
+    n->commit = pm_commit_new(
+        &n->books, n->jobs, n->store,
+        &(struct pm_commit_hooks){on_durable, on_commit_confirmed, on_commit_doubt, n});
     snprintf(n->block_key, sizeof n->block_key, "p/b/%s", settings->name);
-    n->blocks = pm_blocks_new(&n->books, n->jobs, n->workers, n->plan, n->store, n->http, n->lead,
-                              op,
-                              &(struct pm_blocks_hooks){on_block_changed, on_job_back,
-                                                        on_machine_bad, on_block_mine, n});
+    n->blocks = pm_blocks_new(
+        &n->books, n->jobs, n->workers, n->plan, n->store, n->http, n->lead, op,
+        &(struct pm_blocks_hooks){on_block_changed, on_job_back, on_machine_bad, on_block_mine, n});
     n->intake = pm_intake_new(loop, n->store, n->jobs, &n->books, op);
     ev_async_init(&n->planned, on_planned);
     ev_timer_init(&n->pace, on_pace, 0., 0.);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -16,7 +16,8 @@
 };
 #define EPS 1e-6
 #define CALL_S 5.0
-#define REFUSED_S 6.0  /* no room of a kind: not asked for again within this */
+#define REFUSED_S 6.0 /* no room of a kind: not asked for again within this */
+#define OUTAGE_KEEP_S 120
 #define SILENT_S 8.0   /* a machine that is silent for longer may be given up */
 #define LEAST_AGE_S 60 /* a machine costs that much at least */
 
@@ -43,6 +44,7 @@
     GHashTable *gone; /* names whose release was confirmed: a list that lags still has them */
     double spare_want, emptied;
     bool writable;
+    double wrote_at; /* steady: placements could be written then */
 };
 
 struct call {
@@ -216,6 +218,8 @@
     m->absent_since = 0;
     if (!strcmp(status, "failed"))
         m->failed = true;
+    if (!strcmp(status, "running") && !m->runs_since)
+        m->runs_since = now;
 }
 
 /* Whether `a` was rented before `b`: names go by creation. */
@@ -226,8 +230,8 @@
     return x != y ? x < y : strcmp(a, b) < 0;
 }
 
-/* A list describes one moment, though a past one. A machine that it leaves out while it has one that
- * was rented later is gone; otherwise only what is older than the list can be is missed. */
+/* A list describes one moment, though a past one. A machine that it leaves out while it has one
+ * that was rented later is gone; otherwise only what is older than the list can be is missed. */
 static void read_absent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
@@ -529,8 +533,8 @@
             for (int spot = spot_only; spot < 2; spot++) {
                 /* Longer boots cost as well, as a share of a machine's usual stay; users of a
                  * service wait for them. What a service leaves free, others use. */
-                double price = (spot ? t->spot_price : t->price) *
-                               (1 + t->ready_s / (service ? 60 : 300));
+                double price =
+                    (spot ? t->spot_price : t->price) * (1 + t->ready_s / (service ? 60 : 300));
                 if (!(t->zones >> zone & 1) || (zone_wanted >= 0 && zone != zone_wanted) ||
                     !pm_plan_allows(s->f->books, job, type, zone, spot) ||
                     s->f->kind[type][zone][spot].refused_until > s->now)
@@ -725,8 +729,10 @@
     return s->n;
 }
 
-void pm_fleet_set_writable(struct pm_fleet *f, bool writable)
+void pm_fleet_set_writable(struct pm_fleet *f, bool writable, double now)
 {
+    if (writable)
+        f->wrote_at = now;
     f->writable = writable;
 }
 
@@ -734,8 +740,8 @@
 
 /* A machine that is silent while others of its zone are heard has died, hangs or is cut off. Its
  * release, confirmed, proves its tasks gone long before its lease would, and they start elsewhere;
- * of a machine that was only cut off, little more than the blink of a restart is lost. Where most of
- * a zone are silent at once it is the network, and waiting is better. */
+ * of a machine that was only cut off, little more than the blink of a restart is lost. Where most
+ * of a zone are silent at once it is the network, and waiting is better. */
 static void give_up_silent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
@@ -795,8 +801,10 @@
             give_back(m, "no longer listed, and silent");
             continue;
         }
+        /* One that the list calls running has come up; after a change of leader it has yet to
+         * report here. */
         if (m->state == PM_BOOTING && type && m->places->len == 0 &&
-            now - m->rented > 6 * type->ready_s + 30) {
+            now - (m->runs_since ? m->runs_since : m->rented) > 6 * type->ready_s + 30) {
             give_back(m, "does not come up");
             continue;
         }
@@ -812,7 +820,9 @@
             m->idle_since = 0;
             continue;
         }
-        if (!m->idle_since)
+        /* While nothing can be placed, that a machine idles says nothing about its use: what waits
+         * will want it as soon as the state service is back. Not for ever, though. */
+        if (!m->idle_since || (!f->writable && now - f->wrote_at < OUTAGE_KEEP_S))
             m->idle_since = now;
         if (m->draining) {
             give_back(m, "emptied");
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -27,7 +27,7 @@
 /* Asks the cloud for the machine types, for a controller that knows none. */
 void pm_fleet_ask_types(struct pm_fleet *fleet, double now);
 /* Whether placements can be written; while they can't, nothing that runs is given up. */
-void pm_fleet_set_writable(struct pm_fleet *fleet, bool writable);
+void pm_fleet_set_writable(struct pm_fleet *fleet, bool writable, double now);
 /* Leader only: decides, and sends what the cloud's limit has room for. */
 void pm_fleet_run(struct pm_fleet *fleet, double now);
 
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -57,6 +57,7 @@
     uint64_t doubtful_session;
     /* Cloud (fleet slice). */
     double rented, idle_since, absent_since;
+    double runs_since; /* steady: first listed as running, 0: never */
     bool listed, failed;
     double release_retry;
     uint32_t errors; /* in a row, of tasks that ended with an error */
