--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -23,6 +23,7 @@
 #include <string.h>
 
 #define DIRECT_S 3.0     /* a /do with no answer by then is in doubt */
+#define PROBE_S 1.5      /* one without orders asks only whether the worker is there */
 #define PLAN_PACE_S 0.03 /* plans no more often than this */
 #define ROUND_S 0.5
 #define LEDGER_S 5.0
@@ -182,8 +183,10 @@
     if (m && m->direct_busy) {
         report = status == 200 || status == 409 ? pm_cbor_parse(body, size) : NULL;
         pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
-        if (status < 0)
-            m->direct_retry = pm_clock_steady() + 1;
+        if (status < 0) {
+            m->unreached = pm_clock_steady();
+            m->direct_retry = m->unreached + 0.7;
+        }
         if (report) {
             pm_workers_report(n->workers, report, PM_DIRECT, pm_lead_epoch(n->lead),
                               pm_clock_steady(), &fresh);
@@ -202,6 +205,7 @@
 {
     struct pm_buf body = {0};
     struct direct *direct;
+    double timeout;
 
     if (m->direct_busy || !m->endpoint[0] || m->direct_retry > pm_clock_steady() ||
         (!probe && !pm_workers_direct_due(m)) || !pm_lead_confirmed(n->lead, pm_clock_steady()))
@@ -212,10 +216,10 @@
     pm_put_pair_count(&body, "mandate", direct->epoch);
     pm_put_pair_count(&body, "shift", m->session ? m->session : 1);
     pm_put_text(&body, "orders");
-    pm_workers_orders(m, true, direct->epoch, &body);
+    timeout = pm_workers_orders(m, true, direct->epoch, &body) ? DIRECT_S : PROBE_S;
     pm_put_end(&body);
     m->direct_busy = true;
-    pm_http_call(n->http, m->endpoint, "POST", "/do", body.data, body.size, DIRECT_S, 1024 * 1024,
+    pm_http_call(n->http, m->endpoint, "POST", "/do", body.data, body.size, timeout, 1024 * 1024,
                  on_direct, direct);
     pm_buf_free(&body);
 }
@@ -741,7 +745,7 @@
          * our token. A wrong session is refused, with the report all the same. */
         if (!m->reported && m->endpoint[0] && m->listed)
             direct_due(n, m, true);
-        else if (m->state == PM_UP && now - m->heard > MAX(3, 1.5 * n->settings->report_s))
+        else if (m->state == PM_UP && now - m->heard > 1.35 * n->settings->report_s + 0.3)
             direct_due(n, m, true); /* silent: perhaps it reaches another controller only */
     }
     if (doubtful && n->leading && now - n->raised_at > 6) {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -18,7 +18,7 @@
 #define CALL_S 5.0
 #define REFUSED_S 6.0 /* no room of a kind: not asked for again within this */
 #define OUTAGE_KEEP_S 120
-#define SILENT_S 8.0   /* a machine that is silent for longer may be given up */
+#define SILENT_S 5.0   /* a machine that is silent for longer may be given up */
 #define LEAST_AGE_S 60 /* a machine costs that much at least */
 
 struct kind { /* per type, zone and spot or not */
@@ -738,14 +738,15 @@
 
 /* ---- the round ---- */
 
-/* A machine that is silent while others of its zone are heard has died, hangs or is cut off. Its
- * release, confirmed, proves its tasks gone long before its lease would, and they start elsewhere;
- * of a machine that was only cut off, little more than the blink of a restart is lost. Where most
- * of a zone are silent at once it is the network, and waiting is better. */
+/* A machine that is silent, and was asked in vain, while others of its zone are heard has died,
+ * hangs or is cut off. Its release, confirmed, proves its tasks gone long before its lease would,
+ * and they start elsewhere; of a machine that was only cut off, little more than the blink of a
+ * restart is lost. Where most of a zone are silent at once it is the network, and waiting is
+ * better. */
 static void give_up_silent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
-    double limit = MAX(SILENT_S, 2.5 * f->books->settings->report_s + 3);
+    double limit = MAX(SILENT_S, 1.6 * f->books->settings->report_s + 1.6);
     struct pm_machine *silent[SILENT_MAX];
     int n = 0, heard[PM_ZONES_MAX] = {0}, missed[PM_ZONES_MAX] = {0};
 
@@ -763,7 +764,8 @@
             continue;
         }
         missed[m->zone]++;
-        if ((m->lent || m->places->len) && now - since > (m->lent ? limit * 0.6 : limit)) {
+        if ((m->lent || (m->places->len && m->unreached > m->heard)) &&
+            now - since > (m->lent ? limit * 0.6 : limit)) {
             if (n == SILENT_MAX)
                 return;
             silent[n++] = m;
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -53,6 +53,7 @@
     /* Direct commands. */
     bool direct_busy, direct_launches; /* a /do is open; it carries launches */
     double direct_retry;
+    double unreached; /* steady: a /do to it last failed */
     uint64_t doubtful; /* epoch of a /do with launches that got no answer, 0: none */
     uint64_t doubtful_session;
     /* Cloud (fleet slice). */
