--- /dev/null
+++ b/src/blocks/tests/test_blocks.c
@@ -0,0 +1,330 @@
+/* A block is leased with a job, its holder may place, and a holder that is not heard of loses it in the
+ * transaction that raises the epoch. Two controllers and a state service in this process. */
+#include "../../store/tests/fake_state.h"
+#include "base/clock.h"
+#include "blocks/blocks.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+struct side {
+    struct pm_settings settings;
+    struct pm_operator op;
+    struct pm_books books;
+    struct pm_http_client *http;
+    struct pm_http_server *back;
+    struct pm_store *store;
+    struct pm_jobs *jobs;
+    struct pm_workers *workers;
+    struct pm_plan *plan;
+    struct pm_lead *lead;
+    struct pm_blocks *blocks;
+    uint64_t took;
+    int granted, back_jobs;
+};
+
+static struct ev_loop *loop;
+static struct fake_state *state;
+
+static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+{
+    struct side *s = arg;
+
+    pm_lead_put(s->lead, key, value, stamp);
+    pm_blocks_put(s->blocks, key, value, stamp);
+    pm_jobs_put(s->jobs, key, value, stamp);
+}
+
+static void on_drop(void *arg, const char *key, uint64_t stamp)
+{
+    struct side *s = arg;
+
+    pm_lead_drop(s->lead, key, stamp);
+    pm_blocks_drop(s->blocks, key, stamp);
+    pm_jobs_drop(s->jobs, key, stamp);
+}
+
+static void on_begin(void *arg)
+{
+    struct side *s = arg;
+
+    pm_lead_relist(s->lead);
+    pm_blocks_relist(s->blocks);
+}
+
+static void on_nothing(void *arg)
+{
+    (void)arg;
+}
+
+static void on_caught_up(void *arg, uint64_t edition)
+{
+    (void)edition;
+    pm_blocks_caught_up(((struct side *)arg)->blocks);
+}
+
+static void on_took(void *arg, uint64_t epoch)
+{
+    struct side *s = arg;
+
+    s->took = epoch;
+    pm_blocks_take(s->blocks, pm_clock_steady());
+}
+
+static void on_raised(void *arg, uint64_t epoch)
+{
+    (void)arg;
+    (void)epoch;
+}
+
+static void on_job_back(void *arg, struct pm_job *job)
+{
+    (void)job;
+    ((struct side *)arg)->back_jobs++;
+}
+
+static void on_bad(void *arg, struct pm_machine *m)
+{
+    (void)arg;
+    (void)m;
+}
+
+static void on_mine(void *arg, bool granted)
+{
+    ((struct side *)arg)->granted = granted;
+}
+
+static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)end;
+    (void)saved;
+    (void)now;
+}
+
+static void on_ran(void *arg, struct pm_place *place, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)now;
+}
+
+static void on_peer(void *arg, struct pm_http_request *req)
+{
+    struct side *s = arg;
+
+    if (!strcmp(req->path, "/block"))
+        pm_blocks_peer(s->blocks, req);
+    else
+        pm_lead_peer(s->lead, req);
+}
+
+static void prepare(struct side *s, const char *name, int port, const char *peer, int peer_port)
+{
+    memset(s, 0, sizeof *s);
+    pm_operator_defaults(&s->op);
+    s->settings.size = 2;
+    s->settings.peers = 1;
+    s->settings.txn_ops = 12;
+    s->settings.value_kb = 16;
+    s->settings.report_s = 1000; /* the machine of this test reports once */
+    s->settings.zones = 1;
+    strcpy(s->settings.zone_name[0], "a");
+    s->settings.teams = 1;
+    strcpy(s->settings.team[0].name, "vision");
+    s->settings.team[0].cpus_max = s->settings.team[0].gpus_max = 1e12;
+    g_strlcpy(s->settings.name, name, PM_NAME_MAX);
+    snprintf(s->settings.peer_listen, 64, "127.0.0.1:%d", port);
+    g_strlcpy(s->settings.peer[0].name, peer, PM_NAME_MAX);
+    snprintf(s->settings.peer[0].addr, 64, "127.0.0.1:%d", peer_port);
+    s->books.settings = &s->settings;
+    s->books.classes = pm_names_new();
+    s->books.images = pm_names_new();
+    s->books.types = pm_names_new();
+    s->books.machines = pm_names_new();
+    pm_names_add(s->books.types, "g8");
+    s->books.type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64};
+    s->books.ntypes = 1;
+}
+
+static void start(struct side *s)
+{
+    s->http = pm_http_client_new(loop, 64);
+    s->jobs = pm_jobs_new(&s->books);
+    s->workers =
+        pm_workers_new(&s->books, s->jobs, &(struct pm_workers_hooks){on_ended, on_ran, s});
+    s->plan = pm_plan_new(&s->books, s->jobs, s->workers, &s->op);
+    s->store = pm_store_new(loop, s->http, fake_state_addr(state), 1000,
+                            &(struct pm_store_feed){on_put, on_drop, on_begin, on_nothing,
+                                                    on_caught_up, s});
+    s->lead = pm_lead_new(loop, s->store, s->http, &s->settings, &s->op,
+                          &(struct pm_lead_hooks){on_took, on_nothing, on_raised, on_nothing, s});
+    s->blocks = pm_blocks_new(&s->books, s->jobs, s->workers, s->plan, s->store, s->http, s->lead,
+                              &s->op,
+                              &(struct pm_blocks_hooks){on_nothing, on_job_back, on_bad, on_mine,
+                                                        s});
+    s->back = pm_http_server_new(loop, s->settings.peer_listen, 16, on_peer, s);
+    assert_non_null(s->back);
+}
+
+static bool has_taken(void *arg)
+{
+    return ((struct side *)arg)->took > 0;
+}
+
+static void report(struct side *s, uint64_t tally)
+{
+    struct pm_buf buf = {0};
+    cbor_item_t *item;
+    bool fresh;
+
+    pm_put_map(&buf);
+    pm_put_pair_text(&buf, "host", "i-000001");
+    pm_put_pair_text(&buf, "endpoint", "127.0.0.1:9");
+    pm_put_pair_text(&buf, "model", "g8");
+    pm_put_pair_text(&buf, "room", "a");
+    pm_put_pair_flag(&buf, "borrowed", true);
+    pm_put_pair_count(&buf, "shift", 1);
+    pm_put_pair_count(&buf, "tally", tally);
+    pm_put_pair_count(&buf, "mandate", pm_lead_epoch(s->lead));
+    pm_put_end(&buf);
+    item = pm_cbor_parse(buf.data, buf.size);
+    assert_non_null(pm_workers_report(s->workers, item, PM_REPORT, pm_lead_epoch(s->lead),
+                                      pm_clock_steady(), &fresh));
+    pm_cbor_free(item);
+    pm_buf_free(&buf);
+}
+
+static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    (void)edition;
+    (void)failed;
+    *(int *)arg = status;
+}
+
+static bool has_job(void *arg)
+{
+    return pm_jobs_find(((struct side *)arg)->jobs, "job-1") != NULL;
+}
+
+static void write_job(struct side *s)
+{
+    struct pm_spec spec = {.zone = -1,
+                           .types = ~(uint64_t)0,
+                           .entries = 2,
+                           .cpus = 4,
+                           .ram_gb = 4,
+                           .spot = true,
+                           .priority = PM_NORMAL,
+                           .due_s = -1};
+    static int status;
+    struct pm_txn txn = {0};
+
+    spec.class_index = pm_names_add(s->books.classes, "train");
+    spec.image = pm_names_add(s->books.images, "img");
+    pm_txn_put(&txn, "p/j/job-1");
+    pm_jobs_write(&s->books, &spec, 2, PM_LIVE, true, &txn.writes);
+    pm_txn_put_end(&txn, 0);
+    pm_store_commit(s->store, &txn, on_written, &status);
+    assert_true(fake_run_until(loop, has_job, s));
+}
+
+static struct side leader, holder;
+
+/* What the leader's planner and loop do, round by round. */
+static void round_of_leader(void)
+{
+    double now = pm_clock_steady();
+
+    pm_plan_begin(leader.plan, now, 1e6 + now);
+    pm_blocks_assign(leader.blocks, now);
+    pm_blocks_allot(leader.blocks, now);
+    pm_blocks_run(leader.blocks, now);
+}
+
+static bool is_granted(void *arg)
+{
+    (void)arg;
+    round_of_leader();
+    return holder.granted && pm_workers_find(holder.workers, "i-000001") &&
+           !pm_jobs_find(holder.jobs, "job-1")->away;
+}
+
+static bool is_confirmed(void *arg)
+{
+    round_of_leader();
+    return pm_lead_confirmed(((struct side *)arg)->lead, pm_clock_steady());
+}
+
+static bool is_lost(void *arg)
+{
+    (void)arg;
+    round_of_leader();
+    return leader.back_jobs > 0 && !holder.granted;
+}
+
+static void leases_and_takes_back(void **arg)
+{
+    int a = fake_free_port(), b = fake_free_port();
+    struct pm_machine *m;
+    uint64_t epoch;
+
+    (void)arg;
+    loop = ev_loop_new(EVFLAG_AUTO);
+    state = fake_state_new(loop);
+    prepare(&leader, "n0", a, "n1", b);
+    prepare(&holder, "n1", b, "n0", a);
+    start(&leader);
+    assert_true(fake_run_until(loop, has_taken, &leader));
+    start(&holder);
+    report(&leader, 1);
+    write_job(&leader);
+    assert_true(fake_run_until(loop, is_granted, NULL));
+    /* The job and its width came with the machine; the leader counts it as away. */
+    assert_int_equal(pm_jobs_find(holder.jobs, "job-1")->width, 2);
+    assert_true(pm_jobs_find(leader.jobs, "job-1")->away);
+    m = pm_workers_find(leader.workers, "i-000001");
+    assert_int_equal(m->lent, 1);
+    assert_string_equal(pm_blocks_holder(leader.blocks, "i-000001"), "n1");
+    assert_string_equal(pm_blocks_holder(holder.blocks, "i-000001"), "n1");
+    /* A holder answers workers only with the epoch and its block confirmed. */
+    pm_lead_hold(holder.lead, "p/b/n1", pm_blocks_mine(holder.blocks));
+    assert_true(fake_run_until(loop, is_confirmed, &holder));
+    epoch = pm_lead_epoch(leader.lead);
+    assert_int_equal(pm_lead_epoch(holder.lead), epoch);
+
+    /* Not heard of any more: the block is gone, and so is the epoch that its commands carry. */
+    pm_http_server_free(holder.back);
+    assert_true(fake_run_until(loop, is_lost, NULL));
+    assert_true(pm_lead_epoch(leader.lead) > epoch);
+    assert_int_equal(fake_state_stamp(state, "p/b/n1"), 0);
+    assert_false(pm_jobs_find(leader.jobs, "job-1")->away);
+    assert_int_equal(m->lent, 0);
+    /* Its lease counts from when a majority knows the new epoch, and not before. */
+    assert_true(m->since_epoch == pm_lead_epoch(leader.lead));
+    assert_false(pm_workers_lapsed(m, pm_lead_floor(leader.lead, m->since_epoch), 0.001,
+                                   pm_clock_steady() + 1000));
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(leases_and_takes_back),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
+
+/* The controllers of a test live until the process ends, as those of a daemon do. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
