--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -155,7 +155,6 @@
     *out = (struct pm_operator){
         .window_h = 24,
         .min_runtime_s = 1800,
-        .block_lease_s = 20,
         .leader_ttl_s = 2.5,
         .confirm_s = 2.0,
         .admit_min = 8,
@@ -169,8 +168,8 @@
 
 /* Every key is optional: a pointer that stays NULL leaves the default. */
 struct yaml_form {
-    double *window_h, *min_runtime_s, *block_lease_s, *leader_ttl_s, *confirm_s, *idle_return_s,
-        *warm_share, *replica_due_s, *backlog_s;
+    double *window_h, *min_runtime_s, *leader_ttl_s, *confirm_s, *idle_return_s, *warm_share,
+        *replica_due_s, *backlog_s;
     unsigned *admit_min, *admit_max;
 };
 
@@ -179,11 +178,17 @@
 #define YAML_COUNT(key)                                                                            \
     CYAML_FIELD_UINT_PTR(#key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct yaml_form, key)
 
-static const cyaml_schema_field_t yaml_fields[] = {
-    YAML_NUMBER(window_h),     YAML_NUMBER(min_runtime_s), YAML_NUMBER(block_lease_s),
-    YAML_NUMBER(leader_ttl_s), YAML_NUMBER(confirm_s),     YAML_NUMBER(idle_return_s),
-    YAML_NUMBER(warm_share),   YAML_NUMBER(replica_due_s), YAML_NUMBER(backlog_s),
-    YAML_COUNT(admit_min),     YAML_COUNT(admit_max),      CYAML_FIELD_END};
+static const cyaml_schema_field_t yaml_fields[] = {YAML_NUMBER(window_h),
+                                                   YAML_NUMBER(min_runtime_s),
+                                                   YAML_NUMBER(leader_ttl_s),
+                                                   YAML_NUMBER(confirm_s),
+                                                   YAML_NUMBER(idle_return_s),
+                                                   YAML_NUMBER(warm_share),
+                                                   YAML_NUMBER(replica_due_s),
+                                                   YAML_NUMBER(backlog_s),
+                                                   YAML_COUNT(admit_min),
+                                                   YAML_COUNT(admit_max),
+                                                   CYAML_FIELD_END};
 
 static const cyaml_schema_value_t yaml_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct yaml_form, yaml_fields)};
@@ -219,7 +224,6 @@
     take(&out->window_h, form->window_h, "window_h", 0.01, 8784, err, err_size, &failed);
     take(&out->min_runtime_s, form->min_runtime_s, "min_runtime_s", 0, 28800, err, err_size,
          &failed);
-    take(&out->block_lease_s, form->block_lease_s, "block_lease_s", 2, 600, err, err_size, &failed);
     take(&out->leader_ttl_s, form->leader_ttl_s, "leader_ttl_s", 0.5, 60, err, err_size, &failed);
     take(&out->confirm_s, form->confirm_s, "confirm_s", 0.2, 60, err, err_size, &failed);
     take(&out->idle_return_s, form->idle_return_s, "idle_return_s", 0, 86400, err, err_size,
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -4,8 +4,13 @@
 
 #include <stddef.h>
 
-enum { PM_NAME_MAX = 128, PM_PEERS_MAX = 8, PM_TEAMS_MAX = 64, PM_ZONES_MAX = 16,
-       PM_AIMS_MAX = 64 };
+enum {
+    PM_NAME_MAX = 128,
+    PM_PEERS_MAX = 8,
+    PM_TEAMS_MAX = 64,
+    PM_ZONES_MAX = 16,
+    PM_AIMS_MAX = 64
+};
 
 struct pm_peer_setting {
     char name[PM_NAME_MAX];
@@ -49,17 +54,16 @@
 
 /* The operators' settings; every value has a default (see docs/operations.md). */
 struct pm_operator {
-    double window_h;        /* span over which a team's occupied time is summed */
-    double min_runtime_s;   /* default protection of a charged task */
-    double block_lease_s;   /* how long a block of machines is leased */
-    double leader_ttl_s;    /* lease of the leader's key at the state service */
-    double confirm_s;       /* how old a confirmation of the epoch may be */
-    unsigned admit_min;     /* bounds of the limit on users' requests in progress */
+    double window_h;      /* span over which a team's occupied time is summed */
+    double min_runtime_s; /* default protection of a charged task */
+    double leader_ttl_s;  /* lease of the leader's key at the state service */
+    double confirm_s;     /* how old a confirmation of the epoch may be */
+    unsigned admit_min;   /* bounds of the limit on users' requests in progress */
     unsigned admit_max;
-    double idle_return_s;   /* an idle machine is returned after this long */
-    double replica_due_s;   /* a service's replica that runs within this is not missed yet */
-    double backlog_s;       /* array work that is late anyway is worked off within this */
-    double warm_share;      /* spare room kept for services, as a share of what they use */
+    double idle_return_s; /* an idle machine is returned after this long */
+    double replica_due_s; /* a service's replica that runs within this is not missed yet */
+    double backlog_s;     /* array work that is late anyway is worked off within this */
+    double warm_share;    /* spare room kept for services, as a share of what they use */
 };
 
 /* 0, or -1 with a message that names the field and its path. */
--- a/src/base/tests/test_base.c
+++ b/src/base/tests/test_base.c
@@ -148,8 +148,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(refuses_hostile_cbor),     cmocka_unit_test(reads_what_it_writes),
-        cmocka_unit_test(reads_platform_settings),  cmocka_unit_test(names_the_field_at_fault),
+        cmocka_unit_test(refuses_hostile_cbor),    cmocka_unit_test(reads_what_it_writes),
+        cmocka_unit_test(reads_platform_settings), cmocka_unit_test(names_the_field_at_fault),
         cmocka_unit_test(reads_operator_settings),
     };
 
--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -36,7 +36,7 @@
     char key[PM_NAME_MAX + 8], boot[24];
     /* As the state service has it. */
     uint64_t stamp, serial_seen;
-    uint64_t wrote; /* stamp of our own last write: the watch may not have told it yet */
+    uint64_t wrote;   /* stamp of our own last write: the watch may not have told it yet */
     GArray *machines; /* of int: machine indices */
     GArray *jobs;     /* of struct seen_job */
     char boot_seen[24];
@@ -179,7 +179,8 @@
     struct pm_machine *m;
     uint64_t session = 0;
 
-    if (pm_cbor_text(pm_cbor_get(host, "host"), name, sizeof name) || pm_workers_find(b->workers, name))
+    if (pm_cbor_text(pm_cbor_get(host, "host"), name, sizeof name) ||
+        pm_workers_find(b->workers, name))
         return;
     m = pm_workers_add(b->workers, name);
     m->state = PM_UP;
@@ -319,8 +320,8 @@
         g_strlcpy(k->boot, k->boot_seen, sizeof k->boot);
         for (guint j = 0; j < k->machines->len; j++) {
             struct entry entry = {.machine = g_array_index(k->machines, int, j), .state = HELD};
-            struct pm_machine *m = pm_workers_add(
-                b->workers, pm_names_text(b->books->machines, entry.machine));
+            struct pm_machine *m =
+                pm_workers_add(b->workers, pm_names_text(b->books->machines, entry.machine));
             m->lent = i + 1;
             m->state = PM_UP;
             m->heard = now;
@@ -509,8 +510,7 @@
     for (guint i = 0; i < all->len && n < job->width; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double room[3];
-        if (!m || taken[i] ||
-            !pm_plan_whole(b->plan, m, job, pm_lead_epoch(b->lead), now))
+        if (!m || taken[i] || !pm_plan_whole(b->plan, m, job, pm_lead_epoch(b->lead), now))
             continue;
         room[0] = m->cpus;
         room[1] = m->gpus;
@@ -604,8 +604,7 @@
         struct entry *e = &g_array_index(s->block->entries, struct entry, i);
         const struct pm_machine *m = machine_at(b, e->machine);
         uint32_t n;
-        if (!m || e->state > HELD ||
-            !pm_plan_allows(b->books, s->job, m->type, m->zone, m->spot))
+        if (!m || e->state > HELD || !pm_plan_allows(b->books, s->job, m->type, m->zone, m->spot))
             continue;
         n = MIN(fits(room[e->machine], s->job->spec), s->waiting);
         take_off(room[e->machine], s->job->spec, n);
@@ -618,8 +617,8 @@
                     double now)
 {
     while (s->waiting && alive(s->block, now) && has_space(b, s->block)) {
-        struct pm_machine *m = pm_plan_whole_machine(b->plan, s->job, s->waiting,
-                                                     pm_lead_epoch(b->lead), now);
+        struct pm_machine *m =
+            pm_plan_whole_machine(b->plan, s->job, s->waiting, pm_lead_epoch(b->lead), now);
         struct entry e = {.state = ADDING};
         uint32_t n;
         if (!m)
@@ -925,7 +924,8 @@
 {
     Pm__BlockCall call = PM__BLOCK_CALL__INIT;
     struct flight *f = g_new0(struct flight, 1);
-    char **leaving = g_new0(char *, k->entries->len + 1), **stop = g_new0(char *, k->entries->len + 1);
+    char **leaving = g_new0(char *, k->entries->len + 1),
+         **stop = g_new0(char *, k->entries->len + 1);
     unsigned char *data;
     size_t size;
 
--- a/src/blocks/blocks.h
+++ b/src/blocks/blocks.h
@@ -1,13 +1,13 @@
 /* Leasing machine blocks, with the jobs to place in them, to the other controllers.
  *
- * Key:  p/b/CONTROLLER  {boot, serial, hosts, jobs}: written by the leader only, on the condition of
- *                       the epoch's key. Its holder writes every placement on the condition of this
- *                       key's stamp too, so the leader takes a block back by one compare-and-set.
+ * Key:  p/b/CONTROLLER  {boot, serial, hosts, jobs}: written by the leader only, on the condition
+ * of the epoch's key. Its holder writes every placement on the condition of this key's stamp too,
+ * so the leader takes a block back by one compare-and-set.
  *
- * The leader keeps services, gangs and whatever spans blocks to itself, and leases whole machines to
- * the holders of array jobs. A machine comes back when its holder says that it is clean; a holder
- * that is not heard of loses its block, and the epoch is raised in the same transaction, so that
- * whatever it still had under way dies (safety invariants 1, 3 and 5). */
+ * The leader keeps services, gangs and whatever spans blocks to itself, and leases whole machines
+ * to the holders of array jobs. A machine comes back when its holder says that it is clean; a
+ * holder that is not heard of loses its block, and the epoch is raised in the same transaction, so
+ * that whatever it still had under way dies (safety invariants 1, 3 and 5). */
 #ifndef PM_BLOCKS_BLOCKS_H
 #define PM_BLOCKS_BLOCKS_H
 
@@ -19,9 +19,9 @@
 struct pm_blocks;
 
 struct pm_blocks_hooks {
-    void (*changed)(void *arg);                          /* plan again */
-    void (*back)(void *arg, struct pm_job *job);         /* a job came back with a lost block */
-    void (*bad)(void *arg, struct pm_machine *machine);  /* its holder says that tasks fail there */
+    void (*changed)(void *arg);                         /* plan again */
+    void (*back)(void *arg, struct pm_job *job);        /* a job came back with a lost block */
+    void (*bad)(void *arg, struct pm_machine *machine); /* its holder says that tasks fail there */
     /* Holder: this controller's block as it now is; `granted` false: none. */
     void (*mine)(void *arg, bool granted);
     void *arg;
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -1,5 +1,5 @@
-/* A block is leased with a job, its holder may place, and a holder that is not heard of loses it in the
- * transaction that raises the epoch. Two controllers and a state service in this process. */
+/* A block is leased with a job, its holder may place, and a holder that is not heard of loses it in
+ * the transaction that raises the epoch. Two controllers and a state service in this process. */
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
 #include "blocks/blocks.h"
@@ -161,15 +161,14 @@
     s->workers =
         pm_workers_new(&s->books, s->jobs, &(struct pm_workers_hooks){on_ended, on_ran, s});
     s->plan = pm_plan_new(&s->books, s->jobs, s->workers, &s->op);
-    s->store = pm_store_new(loop, s->http, fake_state_addr(state), 1000,
-                            &(struct pm_store_feed){on_put, on_drop, on_begin, on_nothing,
-                                                    on_caught_up, s});
+    s->store = pm_store_new(
+        loop, s->http, fake_state_addr(state), 1000,
+        &(struct pm_store_feed){on_put, on_drop, on_begin, on_nothing, on_caught_up, s});
     s->lead = pm_lead_new(loop, s->store, s->http, &s->settings, &s->op,
                           &(struct pm_lead_hooks){on_took, on_nothing, on_raised, on_nothing, s});
-    s->blocks = pm_blocks_new(&s->books, s->jobs, s->workers, s->plan, s->store, s->http, s->lead,
-                              &s->op,
-                              &(struct pm_blocks_hooks){on_nothing, on_job_back, on_bad, on_mine,
-                                                        s});
+    s->blocks =
+        pm_blocks_new(&s->books, s->jobs, s->workers, s->plan, s->store, s->http, s->lead, &s->op,
+                      &(struct pm_blocks_hooks){on_nothing, on_job_back, on_bad, on_mine, s});
     s->back = pm_http_server_new(loop, s->settings.peer_listen, 16, on_peer, s);
     assert_non_null(s->back);
 }
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -179,8 +179,8 @@
     char key[256];
 
     for (size_t i = 0; i < pm_cbor_length(failed); i++)
-        if (!pm_cbor_text(pm_cbor_at(failed, i), key, sizeof key) &&
-            !strncmp(key, "p/j/", 4) && !strcmp(key + 4, item->id))
+        if (!pm_cbor_text(pm_cbor_at(failed, i), key, sizeof key) && !strncmp(key, "p/j/", 4) &&
+            !strcmp(key + 4, item->id))
             return true;
     return false;
 }
@@ -215,8 +215,7 @@
     }
 }
 
-static bool add_write(struct pm_intake *in, struct flight *f, struct pm_txn *txn,
-                      struct item *item)
+static bool add_write(struct pm_intake *in, struct flight *f, struct pm_txn *txn, struct item *item)
 {
     const struct pm_job *job = pm_jobs_find(in->jobs, item->id);
     char key[64];
@@ -405,8 +404,7 @@
     }
     /* The state service refusing everybody is no reason to turn users away from every node; being
      * out of its reach is one to send them elsewhere. */
-    ready = pm_store_ready(in->store) &&
-            (silent < SERVED_S || pm_store_refusing(in->store));
+    ready = pm_store_ready(in->store) && (silent < SERVED_S || pm_store_refusing(in->store));
     if (silent > 1 && now - in->probed > 1) {
         in->probed = now;
         pm_store_fresh(in->store, on_probed, in);
@@ -414,9 +412,8 @@
     pm_http_reply(req, ready ? 200 : 503, NULL, 0, ready ? 0 : 1);
 }
 
-struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store,
-                                struct pm_jobs *jobs, struct pm_books *books,
-                                const struct pm_operator *op)
+struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store, struct pm_jobs *jobs,
+                                struct pm_books *books, const struct pm_operator *op)
 {
     struct pm_intake *in = g_new0(struct pm_intake, 1);
 
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -24,9 +24,8 @@
 
 /* ---- the requests ---- */
 
-struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store,
-                                struct pm_jobs *jobs, struct pm_books *books,
-                                const struct pm_operator *op);
+struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store, struct pm_jobs *jobs,
+                                struct pm_books *books, const struct pm_operator *op);
 void pm_intake_free(struct pm_intake *intake);
 /* Takes a request whose path is /work or below, and answers it now or later. */
 void pm_intake_request(struct pm_intake *intake, struct pm_http_request *req);
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -194,8 +194,7 @@
 {
     if (!job->spec || job->nplaced)
         return false;
-    return job->state != PM_LIVE ||
-           (job->spec->form != PM_SERVICE && job->ndone == job->entries);
+    return job->state != PM_LIVE || (job->spec->form != PM_SERVICE && job->ndone == job->entries);
 }
 
 static int chunks_written(const struct pm_job *job, bool *busy)
@@ -338,9 +337,9 @@
             GPtrArray *active = pm_jobs_active(c->jobs);
             for (guint i = 0; !lazy && i < active->len; i++) {
                 struct pm_job *job = g_ptr_array_index(active, i);
-                for (int k = 0; job->spec && !job->away && !over(job) && !lazy && k < job->nchunks; k++)
-                    lazy = job->chunk[k] &&
-                           chunk_rank(job, job->chunk[k], now, &ignored) == 2;
+                for (int k = 0; job->spec && !job->away && !over(job) && !lazy && k < job->nchunks;
+                     k++)
+                    lazy = job->chunk[k] && chunk_rank(job, job->chunk[k], now, &ignored) == 2;
             }
             if (lazy && !c->lazy_since)
                 c->lazy_since = now;
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -178,8 +178,8 @@
     if (!body || !cbor_isa_map(body))
         return -1;
     if (read_name(body, "ledger", names->class_name, why) ||
-        read_name(body, "desk", names->team, why) ||
-        read_name(body, "bundle", names->image, why) || read_name(body, "form", text, why))
+        read_name(body, "desk", names->team, why) || read_name(body, "bundle", names->image, why) ||
+        read_name(body, "form", text, why))
         return -1;
     *why = "form";
     if ((found = name_index(form_names, 3, text)) < 0)
@@ -619,8 +619,8 @@
 void pm_job_reset_work(struct pm_job *job)
 {
     job->ndone = job->nplaced = job->last_try = job->hint = 0;
-    job->final_in_flight = job->stopping = job->tried = false;
-    job->retry_at = job->first_wait = job->gang_tried = job->cancelled_seen = 0;
+    job->final_in_flight = job->tried = false;
+    job->retry_at = 0;
     for (int k = 0; k < job->nchunks; k++) {
         struct pm_chunk *chunk = job->chunk[k];
         if (!chunk)
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -43,7 +43,7 @@
     uint64_t types; /* bit i: allowed on type i */
     bool same_place, spread, spot;
     double expected_s, bookmark_s, filing_s, due_s; /* due_s below 0: no deadline */
-    double submitted; /* time of day */
+    double submitted;                               /* time of day */
 };
 
 /* A task's place as the state service knows it. */
@@ -72,10 +72,9 @@
     int machine_index;
     uint32_t index, attempt, session;
     enum pm_place_state state;
-    bool stop; /* to be killed */
+    bool stop;      /* to be killed */
     bool stop_sent; /* a /do with the kill was answered */
-    bool seen; /* in the message being read */
-    bool late; /* suspected of running on a bad machine */
+    bool seen;      /* in the message being read */
     double leave_s;
     double since;     /* steady: placed, or found again */
     double ran_from;  /* steady: first seen running, 0: not yet */
@@ -89,7 +88,7 @@
     struct pm_place *place; /* whatever is not proven gone */
     uint16_t errors;
     bool done;
-    bool resumed; /* ran before: its next run may be shorter than a whole one */
+    bool resumed;      /* ran before: its next run may be shorter than a whole one */
     double not_before; /* steady: the next try, after errors */
 };
 
@@ -123,9 +122,7 @@
     double ran_sum; /* run times seen of this job's tasks: its owner's estimate may be far off */
     uint32_t ran_n;
     uint32_t width; /* tasks at once that its block's lease allows */
-    bool stopping; /* gang: all of the attempt must go before the next one */
-    double retry_at, first_wait, gang_tried;
-    double cancelled_seen;
+    double retry_at;
 };
 
 struct pm_jobs;
@@ -155,7 +152,7 @@
 
 /* ---- the leader's working state ---- */
 
-struct pm_task *pm_job_task(struct pm_job *job, uint32_t index); /* made when missing */
+struct pm_task *pm_job_task(struct pm_job *job, uint32_t index);             /* made when missing */
 const struct pm_task *pm_job_peek(const struct pm_job *job, uint32_t index); /* NULL: untouched */
 void pm_job_touch(struct pm_job *job, uint32_t index); /* its chunk needs writing */
 /* Whether jobs are, until told otherwise, another controller's to place: for all, and for those to
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -1,6 +1,6 @@
-/* Safety invariants 1, 2 and 6, against a state service in this process: a placement is durable before
- * it may be launched, on the condition of the epoch and of the job; accepted and cancelled are durable
- * before they are answered. */
+/* Safety invariants 1, 2 and 6, against a state service in this process: a placement is durable
+ * before it may be launched, on the condition of the epoch and of the job; accepted and cancelled
+ * are durable before they are answered. */
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
 #include "intake/intake.h"
@@ -128,12 +128,12 @@
     http = pm_http_client_new(loop, 64);
     jobs = pm_jobs_new(&books);
     workers = pm_workers_new(&books, jobs, &(struct pm_workers_hooks){on_ended, on_ran, NULL});
-    store = pm_store_new(loop, http, fake_state_addr(state), 1000,
-                         &(struct pm_store_feed){on_put, on_drop, on_nothing, on_nothing,
-                                                 on_caught_up, NULL});
-    commit = pm_commit_new(&books, jobs, store,
-                           &(struct pm_commit_hooks){on_durable, on_commit_confirmed, on_doubt,
-                                                     NULL});
+    store = pm_store_new(
+        loop, http, fake_state_addr(state), 1000,
+        &(struct pm_store_feed){on_put, on_drop, on_nothing, on_nothing, on_caught_up, NULL});
+    commit =
+        pm_commit_new(&books, jobs, store,
+                      &(struct pm_commit_hooks){on_durable, on_commit_confirmed, on_doubt, NULL});
     intake = pm_intake_new(loop, store, jobs, &books, &op);
     do {
         snprintf(front_addr, sizeof front_addr, "127.0.0.1:%d", fake_free_port());
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define RESIGNED_S 15.0 /* who resigned leaves the lead to the others for so long */
-#define PEER_S 1.0 /* a peer's answer counts only within this */
+#define PEER_S 1.0      /* a peer's answer counts only within this */
 
 struct pm_lead {
     struct ev_loop *loop;
@@ -23,7 +23,6 @@
     ev_timer tick;
     /* From the replica. */
     uint64_t epoch, epoch_stamp;
-    char leader[PM_NAME_MAX], leader_boot[24];
     uint64_t lead_stamp; /* 0: nobody holds p/lead */
     char holder[PM_NAME_MAX], holder_boot[24];
     uint64_t heard; /* the highest epoch a peer spoke of */
@@ -236,8 +235,9 @@
 
 /* ---- confirming it ---- */
 
-/* A transaction failed on our stamp, and the replica has caught up with that: it is another's epoch,
- * or our own that was raised by a transaction whose answer we never saw (pm_lead_put adopts it). */
+/* A transaction failed on our stamp, and the replica has caught up with that: it is another's
+ * epoch, or our own that was raised by a transaction whose answer we never saw (pm_lead_put adopts
+ * it). */
 static void on_judged(void *arg, bool ok)
 {
     struct pm_lead *l = arg;
@@ -321,8 +321,8 @@
         }
     }
     /* In an outage of the state service, a majority that knows no higher epoch confirms ours. */
-    if (tell && acts(l) && tell->ready && tell->known <= acting(l) &&
-        ask->round == l->ask_round && l->ask_epoch == acting(l) && ++l->ask_yes >= majority(l) && pm_store_refusing(l->store))
+    if (tell && acts(l) && tell->ready && tell->known <= acting(l) && ask->round == l->ask_round &&
+        l->ask_epoch == acting(l) && ++l->ask_yes >= majority(l) && pm_store_refusing(l->store))
         l->confirmed = MAX(l->confirmed, ask->sent);
     if (tell)
         pm__peer_tell__free_unpacked(tell, NULL);
@@ -430,8 +430,6 @@
             return;
         l->epoch = epoch;
         l->epoch_stamp = stamp;
-        g_strlcpy(l->leader, leader, sizeof l->leader);
-        g_strlcpy(l->leader_boot, boot, sizeof l->leader_boot);
         if (l->leads && epoch > l->mine && strcmp(boot, l->boot)) {
             step_down(l, "another one leads");
         } else if (l->leads && epoch > l->mine) {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -43,11 +43,11 @@
 bool pm_lead_confirmed(const struct pm_lead *lead, double now);
 /* A conditional transaction succeeded that was sent at `sent`: a confirmation. */
 void pm_lead_confirm(struct pm_lead *lead, double sent);
-/* Raises the epoch while leading, so that commands under way with the old one die. With `key`, drops
- * that key in the same transaction, on the condition of its stamp. */
+/* Raises the epoch while leading, so that commands under way with the old one die. With `key`,
+ * drops that key in the same transaction, on the condition of its stamp. */
 void pm_lead_raise(struct pm_lead *lead, const char *key, uint64_t stamp);
-/* Not leading, but holding a block: the key and stamp that stand for it, stamp 0: none. The epoch is
- * then confirmed together with that stamp. */
+/* Not leading, but holding a block: the key and stamp that stand for it, stamp 0: none. The epoch
+ * is then confirmed together with that stamp. */
 void pm_lead_hold(struct pm_lead *lead, const char *key, uint64_t stamp);
 /* The name of this process, unlike that of any other that has run or will run. */
 const char *pm_lead_boot(const struct pm_lead *lead);
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -1,5 +1,5 @@
-/* The epoch, its confirmation and the replica, against a state service in this process. Nothing here
- * depends on how fast it runs: every step waits for what it expects. */
+/* The epoch, its confirmation and the replica, against a state service in this process. Nothing
+ * here depends on how fast it runs: every step waits for what it expects. */
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
 #include "leadership/leadership.h"
@@ -103,9 +103,9 @@
 static void start(struct controller *c)
 {
     c->http = pm_http_client_new(loop, 64);
-    c->store = pm_store_new(loop, c->http, fake_state_addr(state), 1000,
-                            &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed,
-                                                    on_caught_up, c});
+    c->store = pm_store_new(
+        loop, c->http, fake_state_addr(state), 1000,
+        &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed, on_caught_up, c});
     c->lead = pm_lead_new(loop, c->store, c->http, &c->settings, &c->op,
                           &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_confirmed, c});
     c->back = pm_http_server_new(loop, c->settings.peer_listen, 16, on_peer, c);
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -8,9 +8,9 @@
 
 enum { DRAINING_MAX = 3, BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
-#define CROWDED 0.25 /* of a machine: see crowded() */
-#define YOUNG_S 35.0 /* a replica is not moved within this of its start */
-#define LATE_S 1.0 /* where no objective says how soon a class is to start */
+#define CROWDED 0.25      /* of a machine: see crowded() */
+#define YOUNG_S 35.0      /* a replica is not moved within this of its start */
+#define LATE_S 1.0        /* where no objective says how soon a class is to start */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
@@ -27,8 +27,8 @@
     long bucket; /* the bucket in force, counted in time of day */
     double charged_at;
     double cpus[PM_TEAMS_MAX], gpus[PM_TEAMS_MAX]; /* in use, or leased out: for the limits */
-    double actual[PM_TEAMS_MAX]; /* processors in use: for the guarantees */
-    double yielding[PM_TEAMS_MAX]; /* processors of tasks that are being stopped */
+    double actual[PM_TEAMS_MAX];                   /* processors in use: for the guarantees */
+    double yielding[PM_TEAMS_MAX];                 /* processors of tasks that are being stopped */
     double promised[PM_TEAMS_MAX]; /* processors that are being made free for the team */
     GArray *wants;
     GPtrArray *queue;
@@ -334,8 +334,9 @@
 /* Heard as lately as reports come on a quiet day: a machine that misses one may be dead. */
 static bool usable(const struct pm_plan *p, const struct pm_machine *m, double now)
 {
-    return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining && !m->recall_at && m->errors < 3 &&
-           m->strays->len == 0 && now - m->heard < 1.6 * p->books->settings->report_s + 1;
+    return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining &&
+           !m->recall_at && m->errors < 3 && m->strays->len == 0 &&
+           now - m->heard < 1.6 * p->books->settings->report_s + 1;
 }
 
 static bool has_room(const struct pm_machine *m, const struct pm_spec *spec)
@@ -432,14 +433,12 @@
     double waited = p->day - job->spec->submitted;
 
     return waited > promise(p, job) &&
-           waited + 1.5 * job->spec->image_gb / MAX(t->pull_gb_per_s, EPS) <
-               p->op->replica_due_s;
+           waited + 1.5 * job->spec->image_gb / MAX(t->pull_gb_per_s, EPS) < p->op->replica_due_s;
 }
 
 /* Whether the task would take of the last part of the machine, which is left for services that can
  * still start in time, and keeps the loss small should the machine end. */
-static bool crowded(const struct pm_plan *p, const struct pm_machine *m,
-                    const struct pm_spec *spec)
+static bool crowded(const struct pm_plan *p, const struct pm_machine *m, const struct pm_spec *spec)
 {
     return yielding_room(m) - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS;
 }
@@ -459,8 +458,8 @@
     return false;
 }
 
-/* On a cold start a replica, late already, rather waits for a machine that boots than crowds the first
- * ones that are up: they would take all, and most machines would never hold most images. */
+/* On a cold start a replica, late already, rather waits for a machine that boots than crowds the
+ * first ones that are up: they would take all, and most machines would never hold most images. */
 static bool rather_waits(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
                          double now)
 {
@@ -513,8 +512,7 @@
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double value;
-        if (!m || !usable(p, m, now) ||
-            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+        if (!m || !usable(p, m, now) || !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
             !has_room(m, job->spec) || !zone_ok(job, at, m->zone))
             continue;
         value = score(p, m, job);
@@ -526,8 +524,8 @@
     return best;
 }
 
-/* A production task that would have to fetch its image here, though elsewhere a machine holds it and
- * only lower work has to yield: that one starts it within the second. */
+/* A production task that would have to fetch its image here, though elsewhere a machine holds it
+ * and only lower work has to yield: that one starts it within the second. */
 static bool better_cleared(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
                            const struct spread *at, double now)
 {
@@ -717,8 +715,7 @@
     if (mine->priority >= PM_URGENT)
         return true;
     is_protected = now - place->since < p->op->min_runtime_s;
-    return !is_protected && theirs->bookmark_s > 0 &&
-           p->ratio[mine->team] < p->ratio[theirs->team];
+    return !is_protected && theirs->bookmark_s > 0 && p->ratio[mine->team] < p->ratio[theirs->team];
 }
 
 /* What is lost when the task is stopped now, in seconds of its work. */
@@ -784,8 +781,9 @@
                 }
             }
             qsort(victims, (size_t)n, sizeof victims[0], by_loss);
-            for (int v = 0; v < n && (cpus + EPS < job->spec->cpus || gpus + EPS < job->spec->gpus ||
-                                      ram + EPS < job->spec->ram_gb);
+            for (int v = 0;
+                 v < n && (cpus + EPS < job->spec->cpus || gpus + EPS < job->spec->gpus ||
+                           ram + EPS < job->spec->ram_gb);
                  v++) {
                 const struct pm_spec *spec = victims[v].place->job->spec;
                 cpus += spec->cpus;
@@ -795,10 +793,9 @@
                 if (round == 1) {
                     pm_info("plan.preempt", "%s/%u on %s for %s", victims[v].place->job->id,
                             victims[v].place->index, m->name, job->id);
-                    pm_workers_stop(victims[v].place,
-                                    leave_for(victims[v].place,
-                                              job->spec->priority == PM_PRODUCTION),
-                                    now);
+                    pm_workers_stop(
+                        victims[v].place,
+                        leave_for(victims[v].place, job->spec->priority == PM_PRODUCTION), now);
                     p->yielding[spec->team] += spec->cpus;
                     p->steps++;
                 }
@@ -866,8 +863,8 @@
     for (guint j = 0; j < m->places->len; j++) {
         struct pm_place *place = g_ptr_array_index(m->places, j);
         const struct pm_spec *spec = place->job->spec;
-        double remains = pm_plan_expected(p, place->job) -
-                         (place->ran_from ? now - place->ran_from : 0);
+        double remains =
+            pm_plan_expected(p, place->job) - (place->ran_from ? now - place->ran_from : 0);
         if (place->stop || place->state == PM_ENDED || place->state == PM_INTENT)
             continue;
         /* The notice may be off by half. */
@@ -890,8 +887,7 @@
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         if (job->spec && !job->away && job->spec->form == PM_GANG && job->nplaced &&
-            job->state == PM_LIVE &&
-            !job->ndone && job->nplaced < job->entries)
+            job->state == PM_LIVE && !job->ndone && job->nplaced < job->entries)
             stop_gang(p, job, 0, now);
     }
     for (guint i = 0; i < all->len; i++) {
@@ -1005,7 +1001,8 @@
         while (sum > all[i].due * pool) {
             guint largest = i;
             for (guint k = 0; k <= i; k++)
-                if (!all[k].job->late && (all[largest].job->late || all[k].work > all[largest].work))
+                if (!all[k].job->late &&
+                    (all[largest].job->late || all[k].work > all[largest].work))
                     largest = k;
             if (all[largest].job->late)
                 break;
@@ -1134,8 +1131,8 @@
 
 /* ---- emptying machines ---- */
 
-/* Whether all that runs on the machine are array tasks and replicas that may move: a start counts only if nothing
- * stops it for a while, so young ones stay. */
+/* Whether all that runs on the machine are array tasks and replicas that may move: a start counts
+ * only if nothing stops it for a while, so young ones stay. */
 static bool movable(const struct pm_machine *m, double now)
 {
     for (guint j = 0; j < m->places->len; j++) {
@@ -1253,14 +1250,13 @@
             continue;
         used = p->books->type[m->type].cpus - yielding_room(m);
         value = p->books->type[m->type].price * (1 - used / MAX(p->books->type[m->type].cpus, EPS));
-        if (value <= worst_value ||
-            spare - p->books->type[m->type].cpus < MAX(p->reserve, EPS))
+        if (value <= worst_value || spare - p->books->type[m->type].cpus < MAX(p->reserve, EPS))
             continue;
         left = g_memdup2(room, sizeof(double[2]) * (all->len + 1));
         for (guint j = 0; j < m->places->len && fits; j++)
-            fits = ((struct pm_place *)g_ptr_array_index(m->places, j))->job->spec->form ==
-                       PM_ARRAY ||
-                   takes(p, m, g_ptr_array_index(m->places, j), left, now);
+            fits =
+                ((struct pm_place *)g_ptr_array_index(m->places, j))->job->spec->form == PM_ARRAY ||
+                takes(p, m, g_ptr_array_index(m->places, j), left, now);
         g_free(left);
         if (!fits)
             continue;
@@ -1308,7 +1304,8 @@
     pm_jobs_count(job, &done, &placed);
     if (left <= 0 || spec->cpus <= 0)
         return 0;
-    n = (uint32_t)MIN(floor((left + EPS) / spec->cpus), job->entries - MIN(done + placed, job->entries));
+    n = (uint32_t)MIN(floor((left + EPS) / spec->cpus),
+                      job->entries - MIN(done + placed, job->entries));
     p->actual[spec->team] += n * spec->cpus;
     return n;
 }
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -26,8 +26,8 @@
 void pm_plan_rank(struct pm_plan *plan, GPtrArray *jobs);
 void pm_plan_add_want(struct pm_plan *plan, struct pm_job *job, uint32_t tasks);
 /* Whether the machine is empty, and may be leased out whole for the job. */
-bool pm_plan_whole(struct pm_plan *plan, const struct pm_machine *machine,
-                   const struct pm_job *job, uint64_t epoch, double now);
+bool pm_plan_whole(struct pm_plan *plan, const struct pm_machine *machine, const struct pm_job *job,
+                   uint64_t epoch, double now);
 /* An empty machine that can be leased out for the job, NULL: none. */
 struct pm_machine *pm_plan_whole_machine(struct pm_plan *plan, const struct pm_job *job,
                                          uint32_t tasks, uint64_t epoch, double now);
@@ -65,8 +65,8 @@
 /* Processors on the ordinary machines that services could have at once. */
 double pm_plan_spare(struct pm_plan *plan, double now);
 
-/* Whether placements can be written now. While they can't, nothing is stopped in order to run it, or
- * something else, elsewhere. */
+/* Whether placements can be written now. While they can't, nothing is stopped in order to run it,
+ * or something else, elsewhere. */
 void pm_plan_set_writable(struct pm_plan *plan, bool writable);
 
 /* Processors of the services on the ordinary machine that runs most of them. */
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -59,7 +59,8 @@
     w->books.types = pm_names_new();
     w->books.machines = pm_names_new();
     w->jobs = pm_jobs_new(&w->books);
-    w->workers = pm_workers_new(&w->books, w->jobs, &(struct pm_workers_hooks){on_ended, on_ran, w});
+    w->workers =
+        pm_workers_new(&w->books, w->jobs, &(struct pm_workers_hooks){on_ended, on_ran, w});
     w->plan = pm_plan_new(&w->books, w->jobs, w->workers, &w->op);
     w->epoch = 1;
     w->stamp = 1;
@@ -191,7 +192,8 @@
     feed_job(w, words[1], &spec, PM_CANCELLED);
 }
 
-/* report|direct HOST shift.tally mandate=N type=T zone=Z spot=0|1 [recall=S] [ENTRY:TRY:STATUS]... */
+/* report|direct HOST shift.tally mandate=N type=T zone=Z spot=0|1 [recall=S] [ENTRY:TRY:STATUS]...
+ */
 static void do_message(struct world *w, char **words, enum pm_message kind)
 {
     struct pm_buf buf = {0};
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -7,7 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define CALL_S 2.0       /* a request with no answer by then counts as lost */
+#define CALL_S 2.0 /* a request with no answer by then counts as lost */
 #define WATCH_WAIT_MS 5000
 #define WATCH_PACE_S 0.03 /* watches opened count as requests: no more than this often */
 #define FRESH_PACE_S 0.03
@@ -465,7 +465,8 @@
     cbor_item_t *answer = status == 200 && size ? pm_cbor_parse(body, size) : NULL;
 
     note(hold->store, status);
-    if (status == 200 && !hold->tenure && pm_cbor_count(pm_cbor_get(answer, "tenure"), &hold->tenure))
+    if (status == 200 && !hold->tenure &&
+        pm_cbor_count(pm_cbor_get(answer, "tenure"), &hold->tenure))
         status = PM_HTTP_LOST;
     pm_cbor_free(answer);
     hold->done(hold->arg, status, hold->tenure);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -32,7 +32,7 @@
 void pm_store_free(struct pm_store *store);
 /* Throws the replica away and lists again. */
 void pm_store_relist(struct pm_store *store);
-bool pm_store_ready(const struct pm_store *store);      /* listed once, and following */
+bool pm_store_ready(const struct pm_store *store);       /* listed once, and following */
 uint64_t pm_store_edition(const struct pm_store *store); /* caught up to here */
 
 /* Whether the last answer was a 503, and the steady time of the last other one. */
--- a/src/store/tests/fake_state.h
+++ b/src/store/tests/fake_state.h
@@ -21,7 +21,8 @@
 void fake_state_lapse(struct fake_state *state);
 int fake_state_txns(const struct fake_state *state);
 
-/* A free loopback port, and running the loop until `done` says so (false: never within a minute). */
+/* A free loopback port, and running the loop until `done` says so (false: never within a minute).
+ */
 int fake_free_port(void);
 bool fake_run_until(struct ev_loop *loop, bool (*done)(void *arg), void *arg);
 
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -14,8 +14,15 @@
     PM_RELEASING /* being returned: never used again */
 };
 
-enum pm_end { PM_END_NONE, PM_END_DONE, PM_END_STOPPED, PM_END_ERROR, PM_END_REFUSED,
-              PM_END_GANG, PM_END_GONE };
+enum pm_end {
+    PM_END_NONE,
+    PM_END_DONE,
+    PM_END_STOPPED,
+    PM_END_ERROR,
+    PM_END_REFUSED,
+    PM_END_GANG,
+    PM_END_GONE
+};
 
 enum { PM_CACHE_MAX = 32 };
 
@@ -25,7 +32,7 @@
     int index, type, zone;
     bool spot;
     enum pm_machine_state state;
-    GPtrArray *places; /* of struct pm_place, owned */
+    GPtrArray *places;         /* of struct pm_place, owned */
     double cpus, gpus, ram_gb; /* free */
     /* From the worker. */
     uint64_t session, tally, mandate;
@@ -41,19 +48,19 @@
     GArray *ended;  /* of struct pm_entry: ended there, to be forgotten */
     GArray *strays; /* of struct pm_entry: there, but not by our books: to be killed */
     /* Blocks. */
-    int lent;           /* leader: 1 + the peer that holds it, 0: nobody */
+    int lent;                         /* leader: 1 + the peer that holds it, 0: nobody */
     double silent_told, silent_since; /* leader: its holder says that it does not hear it */
     bool leaving, left; /* holder: called back; given back, though the block still lists it */
     bool draining;      /* being emptied, to go back */
     /* Leases. */
-    double floor;         /* steady: since when no other controller can have answered it, 0: unknown */
+    double floor; /* steady: since when no other controller can have answered it, 0: unknown */
     uint64_t since_epoch; /* the epoch that took it back from a holder, 0: none did */
     double session_heard; /* steady: first message of its session, which cannot have begun later */
-    double answered; /* steady: when this leader last answered a report of it with 200 */
+    double answered;      /* steady: when this leader last answered a report of it with 200 */
     /* Direct commands. */
     bool direct_busy, direct_launches; /* a /do is open; it carries launches */
     double direct_retry;
-    double unreached; /* steady: a /do to it last failed */
+    double unreached;  /* steady: a /do to it last failed */
     uint64_t doubtful; /* epoch of a /do with launches that got no answer, 0: none */
     uint64_t doubtful_session;
     /* Cloud (fleet slice). */
@@ -108,8 +115,7 @@
 /* Takes in a worker's report. Returns NULL when malformed. `fresh` tells whether it was newer than
  * what we had. `epoch` is the one in force. */
 struct pm_machine *pm_workers_report(struct pm_workers *workers, const cbor_item_t *report,
-                                     enum pm_message kind, uint64_t epoch, double now,
-                                     bool *fresh);
+                                     enum pm_message kind, uint64_t epoch, double now, bool *fresh);
 /* Writes the orders due for a machine as a CBOR list. With `direct`, launches and kills only; the
  * places told to launch are marked. Returns how many orders. */
 int pm_workers_orders(struct pm_machine *machine, bool direct, uint64_t epoch, struct pm_buf *out);
@@ -119,8 +125,8 @@
 void pm_workers_direct_done(struct pm_machine *machine, uint64_t epoch, int status);
 /* Everything on the machine is gone, its session over: the lease lapsed, or it was released. */
 void pm_workers_gone(struct pm_workers *workers, struct pm_machine *machine, double now);
-/* Whether the lease of what is on the machine has lapsed for certain. `floor` is the steady time since
- * when no other controller can have answered it, INFINITY if that is not known. */
+/* Whether the lease of what is on the machine has lapsed for certain. `floor` is the steady time
+ * since when no other controller can have answered it, INFINITY if that is not known. */
 bool pm_workers_lapsed(const struct pm_machine *machine, double floor, double lease_s, double now);
 void pm_workers_stop(struct pm_place *place, double leave_s, double now);
 
