--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -372,6 +372,8 @@
         m->zone = call->rent.zone;
         m->spot = call->rent.spot;
         m->rented = call->sent;
+        pm_debug("fleet.machine", "%s is a %s%s", m->name,
+                 pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "");
     }
     pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->booking, got, call->rent.count,
             pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "",
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -422,8 +422,10 @@
     m->heard = now;
     m->reported = true;
     m->absent_since = 0;
-    if (m->state == PM_BOOTING)
+    if (m->state == PM_BOOTING) {
         m->state = PM_UP;
+        pm_debug("workers.up", "%s", m->name);
+    }
     if (m->doubtful && (mandate > m->doubtful || session > m->doubtful_session))
         m->doubtful = 0;
     m->recall_at = pm_cbor_number(pm_cbor_get(report, "recall_s"), &recall) ? 0 : now + recall;
