Clear room for urgent gangs whole; preemption counts memory and accelerators too

Cause: a gang never had anything stopped for it, so an urgent one could wait behind normal work; and what was spoken for in one plan was counted in processors only.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -116,6 +116,7 @@
     uint32_t ndone, nplaced, last_try;
     uint32_t hint; /* no task below it waits */
     bool final_in_flight, listed;
+    double claims_until; /* gang: room is being cleared for it (placement) */
     bool away;      /* another controller places it */
     bool late;      /* its deadline is given up for now (placement) */
     bool tried;     /* a chunk was written, or is being written, from here */
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -8,6 +8,7 @@
 
 enum { DRAINING_MAX = 3, BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
+#define CLAIM_S 8.0       /* room cleared for a gang is kept for it so long */
 #define CROWDED 0.25      /* of a machine: see crowded() */
 #define YOUNG_S 35.0      /* a replica is not moved within this of its start */
 #define LATE_S 1.0        /* where no objective says how soon a class is to start */
@@ -502,6 +503,14 @@
     return sum;
 }
 
+/* Whether the machine's room is being cleared for a gang that comes before the job. */
+static bool claimed_by_other(const struct pm_machine *m, const struct pm_job *job, double now)
+{
+    return m->claim && m->claim != job && m->claim->state == PM_LIVE && m->claim->spec &&
+           !m->claim->nplaced && now < m->claim->claims_until &&
+           job->spec->priority <= m->claim->spec->priority;
+}
+
 static struct pm_machine *best_machine(struct pm_plan *p, const struct pm_job *job,
                                        const struct spread *at, double now)
 {
@@ -513,7 +522,7 @@
         struct pm_machine *m = g_ptr_array_index(all, i);
         double value;
         if (!m || !usable(p, m, now) || !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
-            !has_room(m, job->spec) || !zone_ok(job, at, m->zone))
+            !has_room(m, job->spec) || !zone_ok(job, at, m->zone) || claimed_by_other(m, job, now))
             continue;
         value = score(p, m, job);
         if (value > best_score) {
@@ -632,7 +641,8 @@
             double value;
             if (!m || !usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
                 !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
-                !has_room(m, job->spec) || !zone_ok(job, &at, m->zone))
+                !has_room(m, job->spec) || !zone_ok(job, &at, m->zone) ||
+                claimed_by_other(m, job, now))
                 continue;
             value = score(p, m, job);
             if (value > best) {
@@ -746,86 +756,138 @@
     return x->loss < y->loss ? -1 : x->loss > y->loss;
 }
 
-/* Stops the least on one machine for one task of `job`. A machine where enough is being stopped
- * already serves without more. */
-static bool preempt_for(struct pm_plan *p, struct pm_job *job, double *promised, double now)
+/* Room on each machine that is spoken for: processors, accelerators, memory. */
+typedef double spoken[3];
+
+enum { VICTIMS_MAX = 64 };
+
+/* Whether one more task of the job finds room on the machine once the first `*n` of `victims` are
+ * stopped, besides what is being stopped already; `cost` is what that loses. */
+static bool can_clear(struct pm_plan *p, const struct pm_job *job, const struct pm_machine *m,
+                      const spoken *spoken_for, struct victim victims[VICTIMS_MAX], int *n,
+                      double *cost, double now)
+{
+    const struct pm_spec *need = job->spec;
+    double room[3] = {m->cpus, m->gpus, m->ram_gb};
+    int found = 0;
+
+    *cost = has_image(m, need->image) ? 0 : 1e4;
+    for (guint j = 0; j < m->places->len && found < VICTIMS_MAX; j++) {
+        struct pm_place *place = g_ptr_array_index(m->places, j);
+        const struct pm_spec *spec = place->job->spec;
+        if (place->stop && place->state != PM_ENDED) {
+            room[0] += spec->cpus;
+            room[1] += spec->gpus;
+            room[2] += spec->ram_gb;
+        } else if (may_preempt(p, job, place, now)) {
+            victims[found++] = (struct victim){place, loss(place, now)};
+        }
+    }
+    qsort(victims, (size_t)found, sizeof victims[0], by_loss);
+    for (int k = 0; k < 3; k++)
+        room[k] -= spoken_for[m->index][k];
+    for (*n = 0;
+         room[0] + EPS < need->cpus || room[1] + EPS < need->gpus || room[2] + EPS < need->ram_gb;
+         (*n)++) {
+        const struct pm_spec *spec;
+        if (*n == found)
+            return false;
+        spec = victims[*n].place->job->spec;
+        room[0] += spec->cpus;
+        room[1] += spec->gpus;
+        room[2] += spec->ram_gb;
+        *cost += 1 + victims[*n].loss * spec->cpus;
+    }
+    return true;
+}
+
+/* Makes room for one task of the job where that loses least, and speaks for it; a machine where
+ * enough is being stopped already serves without more. With `dry`, only the latter. */
+static struct pm_machine *clear_one(struct pm_plan *p, struct pm_job *job, spoken *spoken_for,
+                                    struct spread *at, int only_zone, bool dry, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    struct spread at;
     struct pm_machine *best = NULL;
-    double best_loss = INFINITY;
-    struct victim victims[64];
+    double cost, best_cost = INFINITY;
+    struct victim victims[VICTIMS_MAX];
     int n;
 
-    count_zones(p, job, &at);
-    for (int round = 0; round < 2; round++) {
-        for (guint i = 0; i < all->len; i++) {
-            struct pm_machine *m = g_ptr_array_index(all, i);
-            double cpus, gpus, ram, cost = m && has_image(m, job->spec->image) ? 0 : 1e4;
-            if (!m || !usable(p, m, now) ||
-                !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
-                !zone_ok(job, &at, m->zone) || (round == 1 && m != best))
-                continue;
-            cpus = m->cpus - promised[m->index];
-            gpus = m->gpus;
-            ram = m->ram_gb;
-            n = 0;
-            for (guint j = 0; j < m->places->len && n < 64; j++) {
-                struct pm_place *place = g_ptr_array_index(m->places, j);
-                if (place->stop && place->state != PM_ENDED) {
-                    cpus += place->job->spec->cpus;
-                    gpus += place->job->spec->gpus;
-                    ram += place->job->spec->ram_gb;
-                } else if (may_preempt(p, job, place, now)) {
-                    victims[n++] = (struct victim){place, loss(place, now)};
-                }
-            }
-            qsort(victims, (size_t)n, sizeof victims[0], by_loss);
-            for (int v = 0;
-                 v < n && (cpus + EPS < job->spec->cpus || gpus + EPS < job->spec->gpus ||
-                           ram + EPS < job->spec->ram_gb);
-                 v++) {
-                const struct pm_spec *spec = victims[v].place->job->spec;
-                cpus += spec->cpus;
-                gpus += spec->gpus;
-                ram += spec->ram_gb;
-                cost += 1 + victims[v].loss * spec->cpus;
-                if (round == 1) {
-                    pm_info("plan.preempt", "%s/%u on %s for %s", victims[v].place->job->id,
-                            victims[v].place->index, m->name, job->id);
-                    pm_workers_stop(
-                        victims[v].place,
-                        leave_for(victims[v].place, job->spec->priority == PM_PRODUCTION), now);
-                    p->yielding[spec->team] += spec->cpus;
-                    p->steps++;
-                }
-            }
-            if (round == 0 && cpus + EPS >= job->spec->cpus && gpus + EPS >= job->spec->gpus &&
-                ram + EPS >= job->spec->ram_gb && cost < best_loss) {
-                best_loss = cost;
-                best = m;
-            }
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || !usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
+            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+            !zone_ok(job, at, m->zone) || claimed_by_other(m, job, now) ||
+            !can_clear(p, job, m, spoken_for, victims, &n, &cost, now) || cost >= best_cost)
+            continue;
+        best = m;
+        best_cost = cost;
+    }
+    if (!best)
+        return NULL;
+    if (!dry) {
+        can_clear(p, job, best, spoken_for, victims, &n, &cost, now);
+        for (int v = 0; v < n; v++) {
+            struct pm_place *place = victims[v].place;
+            pm_info("plan.preempt", "%s/%u on %s for %s", place->job->id, place->index, best->name,
+                    job->id);
+            pm_workers_stop(place, leave_for(place, job->spec->priority == PM_PRODUCTION), now);
+            p->yielding[place->job->spec->team] += place->job->spec->cpus;
+            p->steps++;
         }
-        if (!best)
-            return false;
+        p->promised[job->spec->team] += job->spec->cpus;
+    }
+    spoken_for[best->index][0] += job->spec->cpus;
+    spoken_for[best->index][1] += job->spec->gpus;
+    spoken_for[best->index][2] += job->spec->ram_gb;
+    at->zone[best->zone]++;
+    at->total++;
+    return best;
+}
+
+/* A gang of high priority gets room for all of its tasks or for none, and claims it until it is
+ * there: a part of a gang's room would be of use to nobody. */
+static void clear_gang(struct pm_plan *p, struct pm_job *job, spoken *spoken_for, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    size_t size = sizeof(spoken) * (all->len + 1);
+    int zones = job->spec->same_place ? p->books->settings->zones : 1;
+
+    if (job->spec->priority < PM_URGENT || now < job->claims_until)
+        return;
+    for (int zone = 0; zone < zones; zone++) {
+        int only = job->spec->same_place ? zone : -1;
+        spoken *trial = g_memdup2(spoken_for, size);
+        struct spread at = {0};
+        uint32_t n = 0;
+        while (n < job->entries && clear_one(p, job, trial, &at, only, true, now))
+            n++;
+        g_free(trial);
+        if (n < job->entries)
+            continue;
+        memset(&at, 0, sizeof at);
+        job->claims_until = now + CLAIM_S;
+        for (n = 0; n < job->entries; n++) {
+            struct pm_machine *m = clear_one(p, job, spoken_for, &at, only, false, now);
+            if (!m)
+                break;
+            m->claim = job;
+        }
+        return;
     }
-    promised[best->index] += job->spec->cpus;
-    p->promised[job->spec->team] += job->spec->cpus;
-    return true;
 }
 
 void pm_plan_preempt(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    double *promised;
+    spoken *spoken_for;
 
     if (!p->writable)
         return;
-    promised = g_new0(double, all->len + 1);
-
+    spoken_for = g_malloc0(sizeof(spoken) * (all->len + 1));
     for (guint i = 0; i < p->wants->len && p->steps < STEPS_MAX; i++) {
         struct pm_want *want = &g_array_index(p->wants, struct pm_want, i);
         struct pm_job *job = want->job;
+        struct spread at;
         uint32_t made = 0;
         /* A replica that rather waits than crowds a machine (rather_waits) would not take the room:
          * what was stopped for it would take it again, and so on without end. */
@@ -833,12 +895,15 @@
             continue;
         if (job->away)
             continue; /* the leader calls machines back for it */
-        if (job->spec->form == PM_GANG)
-            continue; /* gangs wait for room that others leave, or that is rented */
-        while (made < MIN(want->tasks, 16) && preempt_for(p, job, promised, now))
+        if (job->spec->form == PM_GANG) {
+            clear_gang(p, job, spoken_for, now);
+            continue;
+        }
+        count_zones(p, job, &at);
+        while (made < MIN(want->tasks, 16) && clear_one(p, job, spoken_for, &at, -1, false, now))
             made++;
     }
-    g_free(promised);
+    g_free(spoken_for);
 }
 
 /* ---- notices, gangs that lost a task, cancelled jobs ---- */
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -47,6 +47,7 @@
     } cached[PM_CACHE_MAX];
     GArray *ended;  /* of struct pm_entry: ended there, to be forgotten */
     GArray *strays; /* of struct pm_entry: there, but not by our books: to be killed */
+    const struct pm_job *claim; /* a gang whose room is being cleared here (placement) */
     /* Blocks. */
     int lent;                         /* leader: 1 + the peer that holds it, 0: nobody */
     double silent_told, silent_since; /* leader: its holder says that it does not hear it */
