Ordinary machines for array work only for what is expected, spot ones for more

Cause: a fifth of the money bought array work on ordinary machines at four times what it is worth, for the same caution as on spot machines.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 
 #include <ev.h>
+#include <limits.h>
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
@@ -614,17 +615,22 @@
     return work;
 }
 
+/* Estimates are off by half: spot machines are taken for more work than is expected, ordinary ones,
+ * several times as dear, for that share of it. */
+#define DEAR 0.7
+
 /* How many more of a job's tasks ought to get machines of their own, so that it ends in time: the
  * rest follows on the machines that there are. A job whose time cannot be kept by renting counts as
  * backlog, to be worked off within a while. */
-static int more_tasks(const struct sizing *s, struct flow *flow, const struct pm_want *want)
+static int more_tasks(const struct sizing *s, struct flow *flow, const struct pm_want *want,
+                      double caution)
 {
     const struct pm_spec *spec = want->job->spec;
     double each = task_seconds(s->f, want->job), boot = INFINITY, left, need;
 
     if (!in_flow(want->job))
         return (int)want->tasks;
-    flow->work += want->tasks * each * spec->cpus;
+    flow->work += want->tasks * each * caution * spec->cpus;
     for (int type = 0; type < s->f->books->ntypes; type++)
         if (spec->types >> type & 1)
             boot = MIN(boot, s->f->books->type[type].ready_s * 1.1 + 2);
@@ -652,11 +658,11 @@
            spec->submitted + spec->due_s - s->day < pm_plan_expected(s->f->plan, job);
 }
 
-/* With `used_up`, machines that are up are left out: the planner found no room on them. */
-static void fill(struct sizing *s, const struct pm_job *job, int tasks, bool used_up)
+/* Of the tasks, the first `dear` may have ordinary machines, the rest spot ones only. With `used_up`, machines that are up are left out: the planner found no room on them. */
+static void fill(struct sizing *s, const struct pm_job *job, int tasks, int dear, bool used_up)
 {
     struct pm_rent rent;
-    bool spot_only = too_late(s, job);
+    bool late = too_late(s, job), spot_only = late;
     int zone = job->spec->same_place && job->spec->form == PM_GANG ? -2 : -1;
 
     while (tasks > 0) {
@@ -667,8 +673,10 @@
                 held = bin_takes(s, &s->bin[i], job);
         if (held) {
             tasks--;
+            dear--;
             continue;
         }
+        spot_only = late || dear <= 0;
         if (s->bins >= BINS_MAX ||
             !cheapest(s, job, tasks, zone >= 0 ? zone : -1, spot_only, &rent))
             return;
@@ -686,7 +694,7 @@
     GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
     double day = ev_time(), service_cpus = 0, spare = 0;
     struct pm_job *typical = NULL;
-    struct flow flow;
+    struct flow flow, dear_flow;
 
     *s = (struct sizing){.f = f, .out = out, .max = max, .now = now, .day = day};
     for (guint i = 0; i < all->len && s->bins < BINS_MAX; i++) {
@@ -704,9 +712,11 @@
     }
     flow.work = running_work(f, now);
     flow.pool = pm_plan_pool(f->plan, now);
+    dear_flow = (struct flow){flow.work * DEAR, flow.pool};
     for (guint i = 0; i < wants->len; i++) {
         const struct pm_want *want = &g_array_index(wants, struct pm_want, i);
-        fill(s, want->job, more_tasks(s, &flow, want), true);
+        int cheap = more_tasks(s, &flow, want, 1), dear = more_tasks(s, &dear_flow, want, DEAR);
+        fill(s, want->job, MAX(cheap, dear), dear, true);
     }
     /* A reserve on ordinary machines, so that a new service finds room at once. */
     for (guint i = 0; i < active->len; i++) {
@@ -725,7 +735,7 @@
         for (int i = 0; i < s->bins; i++)
             if (!s->bin[i].spot && !s->bin[i].up && s->bin[i].cpus > 0)
                 spare += s->bin[i].cpus;
-        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), true);
+        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), INT_MAX, true);
     }
     pm_plan_set_reserve(f->plan, f->spare_want);
     return s->n;
