The admission limit does not take a long overload for usual

Found by its own test: the floor of the measured times followed a slow spell within some hundred requests, and the limit grew again in the middle of it.

--- a/src/intake/limit.c
+++ b/src/intake/limit.c
@@ -49,7 +49,7 @@
     if (l->usual <= 0 || seconds < l->usual)
         l->usual = seconds;
     else
-        l->usual += (seconds - l->usual) * 0.002;
+        l->usual += (seconds - l->usual) * 0.0001; /* a long overload is not usual */
     /* Below a tenth of a second nobody waits noticeably: no reason to turn anybody away. */
     if (l->recent > MAX(0.1, 4 * l->usual))
         l->limit = MAX(l->least, l->limit * 0.98);
