Who was told of a higher epoch is no part of a majority for its own

Found by reading: a leader that the state service refuses alone, told by its successor of the new epoch, still counted itself when a controller that had not heard yet vouched for the old one; so it could answer workers after the successor had begun to judge leases. The new test fails without the change.

--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define RESIGNED_S 15.0 /* who resigned leaves the lead to the others for so long */
-#define SERVED_S 6.0   /* a quiet watch answers within this */
+#define SERVED_S 6.0    /* a quiet watch answers within this */
 #define PEER_S 1.0      /* a peer's answer counts only within this */
 
 struct pm_lead {
@@ -324,9 +324,11 @@
                 l->first_ack_at = l->ack_at;
         }
     }
-    /* In an outage of the state service, a majority that knows no higher epoch confirms ours. */
-    if (tell && acts(l) && tell->ready && tell->known <= acting(l) && ask->round == l->ask_round &&
-        l->ask_epoch == acting(l) && ++l->ask_yes >= majority(l) && pm_store_refusing(l->store))
+    /* In an outage of the state service, a majority that knows no higher epoch confirms ours. We
+     * are one of it: what we were told of counts as much as what the others were. */
+    if (tell && acts(l) && l->heard <= acting(l) && tell->ready && tell->known <= acting(l) &&
+        ask->round == l->ask_round && l->ask_epoch == acting(l) && ++l->ask_yes >= majority(l) &&
+        pm_store_refusing(l->store))
         l->confirmed = MAX(l->confirmed, ask->sent);
     if (tell)
         pm__peer_tell__free_unpacked(tell, NULL);
@@ -375,8 +377,8 @@
     tell.from = (char *)l->settings->name;
     tell.known = MAX(l->epoch, l->heard);
     tell.ready = pm_store_ready(l->store);
-    tell.served = !pm_store_refusing(l->store) &&
-                  pm_clock_steady() - pm_store_served(l->store) < SERVED_S;
+    tell.served =
+        !pm_store_refusing(l->store) && pm_clock_steady() - pm_store_served(l->store) < SERVED_S;
     if (pm__peer_tell__get_packed_size(&tell) <= sizeof data)
         size = pm__peer_tell__pack(&tell, data);
     pm_http_reply(req, 200, data, size, 0);
@@ -398,7 +400,8 @@
     if (acts(l) && !l->check_busy && !l->raising &&
         now - MAX(l->confirmed, l->checked) > l->op->confirm_s / 3)
         check(l, now);
-    /* Who neither leads nor holds a block asks as well, to tell an outage from being refused alone. */
+    /* Who neither leads nor holds a block asks as well, to tell an outage from being refused alone.
+     */
     if (!acts(l) && pm_store_refusing(l->store) && now - l->asked > 1)
         ask_peers(l, now);
     if (acts(l) && ((l->leads && !l->ack_at) || pm_store_refusing(l->store)) &&
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -3,6 +3,7 @@
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
 #include "leadership/leadership.h"
+#include "peer.pb-c.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -202,6 +203,49 @@
     return pm_clock_steady() > *(double *)arg;
 }
 
+static void on_told(void *arg, int status, const unsigned char *body, size_t size)
+{
+    (void)body;
+    (void)size;
+    *(int *)arg = status;
+}
+
+static bool is_told(void *arg)
+{
+    return *(int *)arg != 0;
+}
+
+/* A leader that the state service refuses, and that a successor has told of its epoch, is no part
+ * of a majority for its own, though another controller has not heard of the successor yet. */
+static void who_knows_a_higher_epoch_confirms_none(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    Pm__PeerAsk message = PM__PEER_ASK__INIT;
+    unsigned char data[64];
+    int told = 0;
+
+    (void)arg;
+    acquaint(all, 3);
+    start(&all[0]);
+    assert_true(fake_run_until(loop, has_taken, &all[0]));
+    start(&all[1]);
+    assert_true(fake_run_until(loop, has_read, &all[1]));
+    assert_true(fake_run_until(loop, knows_floor, &all[0]));
+    fake_state_outage(state, true);
+    message.from = "n2";
+    message.epoch = pm_lead_epoch(all[0].lead) + 1;
+    pm_http_call(all[1].http, all[0].settings.peer_listen, "POST", "/peer", data,
+                 pm__peer_ask__pack(&message, data), 30, 4096, on_told, &told);
+    assert_true(fake_run_until(loop, is_told, &told));
+    assert_int_equal(told, 200);
+    assert_true(fake_run_until(loop, is_unconfirmed, &all[0]));
+    for (int i = 0; i < 40; i++) { /* and so it stays, whatever n1 says */
+        double later = pm_clock_steady() + 0.05;
+        assert_true(fake_run_until(loop, is_later, &later));
+        assert_false(is_confirmed(&all[0]));
+    }
+}
+
 static void an_outage_needs_a_majority(void **arg)
 {
     struct controller *all = g_new0(struct controller, 3);
@@ -233,6 +277,7 @@
         cmocka_unit_test_setup(one_leads_and_a_successor_has_a_higher_epoch, set_up),
         cmocka_unit_test_setup(a_raise_without_an_answer_is_found_again, set_up),
         cmocka_unit_test_setup(an_outage_needs_a_majority, set_up),
+        cmocka_unit_test_setup(who_knows_a_higher_epoch_confirms_none, set_up),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
