--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -1,5 +1,6 @@
 /* A block is leased with a job, its holder may place, and a holder that is not heard of loses it in
  * the transaction that raises the epoch. Two controllers and a state service in this process. */
+#include "../../jobs/tests/books.h"
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
 #include "blocks/blocks.h"
@@ -100,22 +101,6 @@
     ((struct side *)arg)->granted = granted;
 }
 
-static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
-{
-    (void)arg;
-    (void)place;
-    (void)end;
-    (void)saved;
-    (void)now;
-}
-
-static void on_ran(void *arg, struct pm_place *place, double now)
-{
-    (void)arg;
-    (void)place;
-    (void)now;
-}
-
 static void on_peer(void *arg, struct pm_http_request *req)
 {
     struct side *s = arg;
@@ -132,34 +117,19 @@
     pm_operator_defaults(&s->op);
     s->settings.size = 2;
     s->settings.peers = 1;
-    s->settings.txn_ops = 12;
-    s->settings.value_kb = 16;
+    books_begin(&s->books, &s->settings);
     s->settings.report_s = 1000; /* the machine of this test reports once */
-    s->settings.zones = 1;
-    strcpy(s->settings.zone_name[0], "a");
-    s->settings.teams = 1;
-    strcpy(s->settings.team[0].name, "vision");
-    s->settings.team[0].cpus_max = s->settings.team[0].gpus_max = 1e12;
     g_strlcpy(s->settings.name, name, PM_NAME_MAX);
     snprintf(s->settings.peer_listen, 64, "127.0.0.1:%d", port);
     g_strlcpy(s->settings.peer[0].name, peer, PM_NAME_MAX);
     snprintf(s->settings.peer[0].addr, 64, "127.0.0.1:%d", peer_port);
-    s->books.settings = &s->settings;
-    s->books.classes = pm_names_new();
-    s->books.images = pm_names_new();
-    s->books.types = pm_names_new();
-    s->books.machines = pm_names_new();
-    pm_names_add(s->books.types, "g8");
-    s->books.type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64};
-    s->books.ntypes = 1;
 }
 
 static void start(struct side *s)
 {
     s->http = pm_http_client_new(loop, 64);
     s->jobs = pm_jobs_new(&s->books);
-    s->workers =
-        pm_workers_new(&s->books, s->jobs, &(struct pm_workers_hooks){on_ended, on_ran, s});
+    s->workers = pm_workers_new(&s->books, s->jobs, BOOKS_HOOKS);
     s->plan = pm_plan_new(&s->books, s->jobs, s->workers, &s->op);
     s->store = pm_store_new(
         loop, s->http, fake_state_addr(state), 1000,
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -1,5 +1,6 @@
 /* What is rented for what waits: the cheapest that fits, enough to be in time, and no more than the
  * machines that there are leave undone. */
+#include "../../jobs/tests/books.h"
 #include "fleet/fleet.h"
 
 #include <setjmp.h>
@@ -20,41 +21,13 @@
 static struct pm_fleet *fleet;
 static uint64_t stamp;
 
-static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
-{
-    (void)arg;
-    (void)place;
-    (void)end;
-    (void)saved;
-    (void)now;
-}
-
-static void on_ran(void *arg, struct pm_place *place, double now)
-{
-    (void)arg;
-    (void)place;
-    (void)now;
-}
-
 static int set_up(void **state)
 {
     (void)state;
     memset(&settings, 0, sizeof settings);
-    memset(&books, 0, sizeof books);
     stamp = 0;
     pm_operator_defaults(&op);
-    settings.report_s = 2;
-    settings.teams = 1;
-    strcpy(settings.team[0].name, "vision");
-    settings.team[0].cpus_max = settings.team[0].gpus_max = 1e12;
-    settings.zones = 1;
-    strcpy(settings.zone_name[0], "a");
-    books.settings = &settings;
-    books.classes = pm_names_new();
-    books.images = pm_names_new();
-    books.types = pm_names_new();
-    books.machines = pm_names_new();
-    pm_names_add(books.types, "small");
+    books_begin(&books, &settings);
     pm_names_add(books.types, "large");
     books.type[0] = (struct pm_type){
         .cpus = 8, .ram_gb = 32, .price = 0.4, .spot_price = 0.1, .ready_s = 20, .zones = 1};
@@ -62,7 +35,7 @@
         .cpus = 32, .ram_gb = 128, .price = 2, .spot_price = 0.6, .ready_s = 20, .zones = 1};
     books.ntypes = 2;
     jobs = pm_jobs_new(&books);
-    workers = pm_workers_new(&books, jobs, &(struct pm_workers_hooks){on_ended, on_ran, NULL});
+    workers = pm_workers_new(&books, jobs, BOOKS_HOOKS);
     plan = pm_plan_new(&books, jobs, workers, &op);
     fleet = pm_fleet_new(NULL, &books, jobs, workers, plan, &op, &(struct pm_fleet_hooks){0});
     return 0;
@@ -75,10 +48,7 @@
     pm_plan_free(plan);
     pm_workers_free(workers);
     pm_jobs_free(jobs);
-    pm_names_free(books.classes);
-    pm_names_free(books.images);
-    pm_names_free(books.types);
-    pm_names_free(books.machines);
+    books_end(&books);
     return 0;
 }
 
@@ -205,7 +175,7 @@
     (void)state;
     pm_put_list(&buf);
     pm_put_map(&buf);
-    pm_put_pair_text(&buf, "sku", "g8");
+    pm_put_pair_text(&buf, "sku", "g9");
     pm_put_pair_number(&buf, "cpus", 96);
     pm_put_pair_count(&buf, "accelerators", 8); /* whole numbers are numbers too */
     pm_put_pair_number(&buf, "ram_gb", 768);
--- /dev/null
+++ b/src/jobs/tests/books.h
@@ -0,0 +1,58 @@
+/* A small deployment for tests: one team without limits, one zone, one machine type. */
+#ifndef PM_JOBS_TESTS_BOOKS_H
+#define PM_JOBS_TESTS_BOOKS_H
+
+#include "workers/workers.h"
+
+#include <string.h>
+
+static inline void books_begin(struct pm_books *books, struct pm_settings *settings)
+{
+    memset(books, 0, sizeof *books);
+    settings->txn_ops = 12;
+    settings->value_kb = 16;
+    settings->report_s = 2;
+    settings->teams = 1;
+    strcpy(settings->team[0].name, "vision");
+    settings->team[0].cpus_max = settings->team[0].gpus_max = 1e12;
+    settings->zones = 1;
+    strcpy(settings->zone_name[0], "a");
+    books->settings = settings;
+    books->classes = pm_names_new();
+    books->images = pm_names_new();
+    books->types = pm_names_new();
+    books->machines = pm_names_new();
+    pm_names_add(books->types, "g8");
+    books->type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64};
+    books->ntypes = 1;
+}
+
+static inline void books_end(struct pm_books *books)
+{
+    pm_names_free(books->classes);
+    pm_names_free(books->images);
+    pm_names_free(books->types);
+    pm_names_free(books->machines);
+}
+
+static inline void books_on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved,
+                                  double now)
+{
+    (void)arg;
+    (void)place;
+    (void)end;
+    (void)saved;
+    (void)now;
+}
+
+static inline void books_on_ran(void *arg, struct pm_place *place, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)now;
+}
+
+/* Workers' hooks for tests that look at the books instead. */
+#define BOOKS_HOOKS (&(struct pm_workers_hooks){books_on_ended, books_on_ran, NULL})
+
+#endif
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -3,6 +3,7 @@
  * are durable before they are answered. */
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
+#include "books.h"
 #include "intake/intake.h"
 #include "jobs/commit.h"
 #include "workers/workers.h"
@@ -54,22 +55,6 @@
     (void)edition;
 }
 
-static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
-{
-    (void)arg;
-    (void)place;
-    (void)end;
-    (void)saved;
-    (void)now;
-}
-
-static void on_ran(void *arg, struct pm_place *place, double now)
-{
-    (void)arg;
-    (void)place;
-    (void)now;
-}
-
 static void on_durable(void *arg, struct pm_place *place)
 {
     (void)arg;
@@ -107,27 +92,12 @@
     loop = ev_loop_new(EVFLAG_AUTO);
     state = fake_state_new(loop);
     memset(&settings, 0, sizeof settings);
-    memset(&books, 0, sizeof books);
     durable = doubts = 0;
     pm_operator_defaults(&op);
-    settings.txn_ops = 12;
-    settings.value_kb = 16;
-    settings.teams = 1;
-    strcpy(settings.team[0].name, "vision");
-    settings.team[0].cpus_max = settings.team[0].gpus_max = 1e12;
-    settings.zones = 1;
-    strcpy(settings.zone_name[0], "a");
-    books.settings = &settings;
-    books.classes = pm_names_new();
-    books.images = pm_names_new();
-    books.types = pm_names_new();
-    books.machines = pm_names_new();
-    pm_names_add(books.types, "g8");
-    books.type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64};
-    books.ntypes = 1;
+    books_begin(&books, &settings);
     http = pm_http_client_new(loop, 64);
     jobs = pm_jobs_new(&books);
-    workers = pm_workers_new(&books, jobs, &(struct pm_workers_hooks){on_ended, on_ran, NULL});
+    workers = pm_workers_new(&books, jobs, BOOKS_HOOKS);
     store = pm_store_new(
         loop, http, fake_state_addr(state), 1000,
         &(struct pm_store_feed){on_put, on_drop, on_nothing, on_nothing, on_caught_up, NULL});
--- a/src/jobs/tests/test_jobs.c
+++ b/src/jobs/tests/test_jobs.c
@@ -1,4 +1,5 @@
 /* Submissions are judged as the protocol says, and what is written is read back the same. */
+#include "books.h"
 #include "jobs/jobs.h"
 
 #include <setjmp.h>
@@ -16,21 +17,8 @@
 {
     (void)state;
     memset(&settings, 0, sizeof settings);
-    memset(&books, 0, sizeof books);
-    settings.teams = 1;
-    strcpy(settings.team[0].name, "vision");
+    books_begin(&books, &settings);
     settings.team[0].cpus_max = 32;
-    settings.team[0].gpus_max = 1e12;
-    settings.zones = 1;
-    strcpy(settings.zone_name[0], "a");
-    books.settings = &settings;
-    books.classes = pm_names_new();
-    books.images = pm_names_new();
-    books.types = pm_names_new();
-    books.machines = pm_names_new();
-    pm_names_add(books.types, "g8");
-    books.type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64};
-    books.ntypes = 1;
     jobs = pm_jobs_new(&books);
     return 0;
 }
@@ -39,10 +27,7 @@
 {
     (void)state;
     pm_jobs_free(jobs);
-    pm_names_free(books.classes);
-    pm_names_free(books.images);
-    pm_names_free(books.types);
-    pm_names_free(books.machines);
+    books_end(&books);
     return 0;
 }
 
