--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -208,7 +208,8 @@
 
 int pm_operator_load(struct pm_operator *out, const char *path, char *err, size_t err_size)
 {
-    const cyaml_config_t config = {.log_level = CYAML_LOG_ERROR, .mem_fn = cyaml_mem};
+    const cyaml_config_t config = {
+        .log_fn = cyaml_log, .log_level = CYAML_LOG_ERROR, .mem_fn = cyaml_mem};
     struct yaml_form *form = NULL;
     cyaml_err_t code;
     int failed = 0;
