Tidy: one piece of code where two did the same, and no dead fields

Zone names, machines by index, how many tasks some room holds, whether a boot is counted on, silence, a gang's and an array's choice of machine, and the openings of two tests had been written more than once. Functions, fields and arguments that nothing read are gone; three comments say what the code does.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -150,6 +150,14 @@
     return r->failed ? -1 : 0;
 }
 
+int pm_settings_zone(const struct pm_settings *settings, const char *name)
+{
+    for (int i = 0; i < settings->zones; i++)
+        if (!strcmp(settings->zone_name[i], name))
+            return i;
+    return -1;
+}
+
 void pm_operator_defaults(struct pm_operator *out)
 {
     *out = (struct pm_operator){
--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -27,10 +27,6 @@
     double idle_since;
 };
 
-struct given { /* a job of a block */
-    struct pm_job *job;
-};
-
 struct block {
     const char *name; /* the holder's */
     char key[PM_NAME_MAX + 8], boot[24];
@@ -41,7 +37,8 @@
     GArray *jobs;     /* of struct seen_job */
     char boot_seen[24];
     /* Leader. */
-    GArray *entries, *given;
+    GArray *entries;  /* of struct entry */
+    GPtrArray *given; /* of struct pm_job */
     uint64_t serial;
     bool dirty, in_flight, losing, lost;
     double written, asked, alive, losing_at;
@@ -61,12 +58,10 @@
     struct pm_store *store;
     struct pm_http_client *http;
     struct pm_lead *lead;
-    const struct pm_operator *op;
     struct pm_blocks_hooks hooks;
     int n;
     struct block block[PM_PEERS_MAX + 1]; /* the peers', and last our own */
     uint64_t round;
-    int next;
     bool leading, doubt;
     bool mine_granted;
 };
@@ -92,8 +87,7 @@
 struct pm_blocks *pm_blocks_new(struct pm_books *books, struct pm_jobs *jobs,
                                 struct pm_workers *workers, struct pm_plan *plan,
                                 struct pm_store *store, struct pm_http_client *http,
-                                struct pm_lead *lead, const struct pm_operator *op,
-                                const struct pm_blocks_hooks *hooks)
+                                struct pm_lead *lead, const struct pm_blocks_hooks *hooks)
 {
     struct pm_blocks *b = g_new0(struct pm_blocks, 1);
 
@@ -104,7 +98,6 @@
     b->store = store;
     b->http = http;
     b->lead = lead;
-    b->op = op;
     b->hooks = *hooks;
     b->n = books->settings->peers + 1;
     for (int i = 0; i < b->n; i++) {
@@ -114,7 +107,7 @@
         k->machines = g_array_new(FALSE, FALSE, sizeof(int));
         k->jobs = g_array_new(FALSE, FALSE, sizeof(struct seen_job));
         k->entries = g_array_new(FALSE, FALSE, sizeof(struct entry));
-        k->given = g_array_new(FALSE, FALSE, sizeof(struct given));
+        k->given = g_ptr_array_new();
     }
     return b;
 }
@@ -125,18 +118,11 @@
         g_array_free(b->block[i].machines, TRUE);
         g_array_free(b->block[i].jobs, TRUE);
         g_array_free(b->block[i].entries, TRUE);
-        g_array_free(b->block[i].given, TRUE);
+        g_ptr_array_free(b->block[i].given, TRUE);
     }
     g_free(b);
 }
 
-static struct pm_machine *machine_at(const struct pm_blocks *b, int index)
-{
-    GPtrArray *all = pm_workers_all(b->workers);
-
-    return index >= 0 && index < (int)all->len ? g_ptr_array_index(all, index) : NULL;
-}
-
 const char *pm_blocks_holder(const struct pm_blocks *b, const char *machine)
 {
     int index = pm_names_find(b->books->machines, machine);
@@ -191,9 +177,7 @@
     pm_cbor_count(pm_cbor_get(host, "shift"), &session);
     m->session = session;
     if (!pm_cbor_text(pm_cbor_get(host, "room"), text, sizeof text))
-        for (int z = 0; z < b->books->settings->zones; z++)
-            if (!strcmp(b->books->settings->zone_name[z], text))
-                m->zone = z;
+        m->zone = pm_settings_zone(b->books->settings, text);
     if (!pm_cbor_text(pm_cbor_get(host, "model"), text, sizeof text))
         pm_workers_set_type(b->workers, m, pm_names_find(b->books->types, text));
 }
@@ -299,7 +283,7 @@
 static void forget_block(struct block *k)
 {
     g_array_set_size(k->entries, 0);
-    g_array_set_size(k->given, 0);
+    g_ptr_array_set_size(k->given, 0);
     k->dirty = k->in_flight = k->losing = k->lost = false;
     k->written = k->losing_at = 0;
     k->wrote = 0;
@@ -334,7 +318,7 @@
                 continue;
             job->away = true;
             job->width = seen->width;
-            g_array_append_vals(k->given, &(struct given){job}, 1);
+            g_ptr_array_add(k->given, job);
         }
     }
 }
@@ -379,13 +363,13 @@
         join_jobs(b);
     for (int i = 0; b->leading && i < b->n - 1; i++) {
         struct block *k = &b->block[i];
-        GArray *given;
+        GPtrArray *given;
         if (!k->lost)
             continue;
         /* The holder's last writes are all in the replica: its jobs are found again from it. */
         for (guint j = 0; j < k->entries->len; j++) {
             struct pm_machine *m =
-                machine_at(b, g_array_index(k->entries, struct entry, j).machine);
+                pm_workers_at(b->workers, g_array_index(k->entries, struct entry, j).machine);
             if (!m)
                 continue;
             m->lent = 0;
@@ -395,15 +379,15 @@
             m->since_epoch = pm_lead_epoch(b->lead);
         }
         given = k->given;
-        k->given = g_array_new(FALSE, FALSE, sizeof(struct given));
+        k->given = g_ptr_array_new();
         forget_block(k);
         for (guint j = 0; j < given->len; j++) {
-            struct pm_job *job = g_array_index(given, struct given, j).job;
+            struct pm_job *job = g_ptr_array_index(given, j);
             job->away = false;
             job->width = UINT32_MAX;
             b->hooks.back(b->hooks.arg, job);
         }
-        g_array_free(given, TRUE);
+        g_ptr_array_free(given, TRUE);
         b->hooks.changed(b->hooks.arg);
     }
 }
@@ -443,7 +427,7 @@
     double tasks = 0;
 
     for (guint i = 0; i < k->given->len; i++) {
-        const struct pm_job *job = g_array_index(k->given, struct given, i).job;
+        const struct pm_job *job = g_ptr_array_index(k->given, i);
         if (job->state == PM_LIVE && job->spec)
             tasks += job->entries * job->spec->cpus;
     }
@@ -464,7 +448,7 @@
 {
     for (int i = 0; i < b->n - 1; i++)
         for (guint j = 0; j < b->block[i].given->len; j++) {
-            struct pm_job *job = g_array_index(b->block[i].given, struct given, j).job;
+            struct pm_job *job = g_ptr_array_index(b->block[i].given, j);
             double more;
             if (!job->spec || job->state != PM_LIVE || job->width >= job->entries ||
                 job->spec->cpus <= 0)
@@ -480,6 +464,11 @@
         }
 }
 
+static uint32_t room_fit(const double *room, const struct pm_spec *spec)
+{
+    return pm_spec_fit(spec, room[0], room[1], room[2]);
+}
+
 static void take_off(double *free_room, const struct pm_spec *spec, uint32_t tasks)
 {
     free_room[0] -= tasks * spec->cpus;
@@ -487,19 +476,6 @@
     free_room[2] -= tasks * spec->ram_gb;
 }
 
-static uint32_t fits(const double *free_room, const struct pm_spec *spec)
-{
-    double n = 1e6;
-
-    if (spec->cpus > 0)
-        n = MIN(n, floor((free_room[0] + EPS) / spec->cpus));
-    if (spec->gpus > 0)
-        n = MIN(n, floor((free_room[1] + EPS) / spec->gpus));
-    if (spec->ram_gb > 0)
-        n = MIN(n, floor((free_room[2] + EPS) / spec->ram_gb));
-    return n < 0 ? 0 : (uint32_t)n;
-}
-
 /* Tasks of the job that whole machines of the leader's own block have room for now; those it takes
  * are marked. */
 static uint32_t whole_room(struct pm_blocks *b, const struct pm_job *job, bool *taken, double now)
@@ -515,7 +491,7 @@
         room[0] = m->cpus;
         room[1] = m->gpus;
         room[2] = m->ram_gb;
-        n += fits(room, job->spec);
+        n += room_fit(room, job->spec);
         taken[i] = true;
     }
     return n;
@@ -552,7 +528,7 @@
         }
         job->away = true;
         pm_plan_take_room(b->plan, job->spec->team, job->width * job->spec->cpus);
-        g_array_append_vals(best->given, &(struct given){job}, 1);
+        g_ptr_array_add(best->given, job);
         best->dirty = true;
         pm_debug("blocks.give", "%s of %s to %s, %u at once", job->id,
                  b->books->settings->team[job->spec->team].name, best->name, job->width);
@@ -560,6 +536,14 @@
     g_free(taken);
 }
 
+static struct block *block_of(struct pm_blocks *b, const struct pm_job *job)
+{
+    for (int i = 0; i < b->n - 1; i++)
+        if (g_ptr_array_find(b->block[i].given, job, NULL))
+            return &b->block[i];
+    return NULL;
+}
+
 struct shortage {
     struct pm_job *job;
     struct block *block;
@@ -602,11 +586,11 @@
 {
     for (guint i = 0; i < s->block->entries->len && s->waiting; i++) {
         struct entry *e = &g_array_index(s->block->entries, struct entry, i);
-        const struct pm_machine *m = machine_at(b, e->machine);
+        const struct pm_machine *m = pm_workers_at(b->workers, e->machine);
         uint32_t n;
         if (!m || e->state > HELD || !pm_plan_allows(b->books, s->job, m->type, m->zone, m->spot))
             continue;
-        n = MIN(fits(room[e->machine], s->job->spec), s->waiting);
+        n = MIN(room_fit(room[e->machine], s->job->spec), s->waiting);
         take_off(room[e->machine], s->job->spec, n);
         s->waiting -= n;
         used[e->machine] |= n > 0;
@@ -628,7 +612,7 @@
         room[m->index][0] = m->cpus;
         room[m->index][1] = m->gpus;
         room[m->index][2] = m->ram_gb;
-        n = MIN(fits(room[m->index], s->job->spec), s->waiting);
+        n = MIN(room_fit(room[m->index], s->job->spec), s->waiting);
         take_off(room[m->index], s->job->spec, n);
         s->waiting -= n;
         used[m->index] = true;
@@ -648,7 +632,7 @@
         struct block *k = &b->block[i];
         for (guint j = 0; missing && j < k->entries->len; j++) {
             struct entry *e = &g_array_index(k->entries, struct entry, j);
-            const struct pm_machine *m = machine_at(b, e->machine);
+            const struct pm_machine *m = pm_workers_at(b->workers, e->machine);
             double room[3];
             uint32_t n;
             if (!m || m->type < 0 || e->state != HELD || used[e->machine] ||
@@ -658,7 +642,7 @@
             room[0] = b->books->type[m->type].cpus;
             room[1] = b->books->type[m->type].gpus;
             room[2] = b->books->type[m->type].ram_gb;
-            n = fits(room, s->job->spec);
+            n = room_fit(room, s->job->spec);
             if (!n)
                 continue;
             e->state = LEAVING;
@@ -710,7 +694,7 @@
 
     for (int i = 0; i < b->n - 1; i++)
         for (guint j = 0; j < b->block[i].given->len; j++) {
-            struct pm_job *job = g_array_index(b->block[i].given, struct given, j).job;
+            struct pm_job *job = g_ptr_array_index(b->block[i].given, j);
             if (job->state == PM_LIVE && job->spec)
                 g_ptr_array_add(queue, job);
         }
@@ -723,10 +707,7 @@
         left = job->entries - MIN(job->entries, done + placed);
         short_of[i].job = job;
         short_of[i].waiting = MIN(left, job->width - MIN(job->width, placed));
-        for (int k = 0; k < b->n - 1; k++)
-            for (guint j = 0; j < b->block[k].given->len; j++)
-                if (g_array_index(b->block[k].given, struct given, j).job == job)
-                    short_of[i].block = &b->block[k];
+        short_of[i].block = block_of(b, job);
         use_held(b, &short_of[i], room, used);
     }
     /* What is within a guarantee goes first, ratio order in both. */
@@ -766,7 +747,7 @@
 {
     for (guint i = 0; i < k->entries->len;) {
         struct entry *e = &g_array_index(k->entries, struct entry, i);
-        struct pm_machine *m = machine_at(b, e->machine);
+        struct pm_machine *m = pm_workers_at(b->workers, e->machine);
         if (e->state == ADDING && e->serial && e->serial <= serial) {
             e->state = HELD;
         } else if (e->state == REMOVING && e->serial && e->serial <= serial) {
@@ -824,7 +805,7 @@
     pm_put_list(&txn.writes);
     for (guint i = 0; i < k->entries->len; i++) {
         struct entry *e = &g_array_index(k->entries, struct entry, i);
-        const struct pm_machine *m = machine_at(b, e->machine);
+        const struct pm_machine *m = pm_workers_at(b->workers, e->machine);
         if (!e->serial || e->state == REMOVING)
             e->serial = k->serial;
         if (e->state == REMOVING || !m)
@@ -844,9 +825,9 @@
     pm_put_text(&txn.writes, "jobs");
     pm_put_list(&txn.writes);
     for (guint i = 0; i < k->given->len;) {
-        struct pm_job *job = g_array_index(k->given, struct given, i).job;
+        struct pm_job *job = g_ptr_array_index(k->given, i);
         if (!job->spec) { /* over, and nothing of it is left */
-            g_array_remove_index_fast(k->given, i);
+            g_ptr_array_remove_index_fast(k->given, i);
             continue;
         }
         pm_put_map(&txn.writes);
@@ -866,6 +847,16 @@
 
 /* ---- leader: asking ---- */
 
+static struct entry *find_entry(const struct pm_blocks *b, struct block *k, const char *machine)
+{
+    int index = pm_names_find(b->books->machines, machine);
+
+    for (guint i = 0; i < k->entries->len; i++)
+        if (g_array_index(k->entries, struct entry, i).machine == index)
+            return &g_array_index(k->entries, struct entry, i);
+    return NULL;
+}
+
 static void on_told(void *arg, int status, const unsigned char *body, size_t size)
 {
     struct flight *f = arg;
@@ -886,27 +877,21 @@
     if (!tell->helpless)
         k->alive = pm_clock_steady();
     for (size_t i = 0; i < tell->n_clean; i++) {
-        int index = pm_names_find(b->books->machines, tell->clean[i]);
-        for (guint j = 0; j < k->entries->len; j++) {
-            struct entry *e = &g_array_index(k->entries, struct entry, j);
-            if (e->machine == index && e->state == LEAVING) {
-                e->state = REMOVING;
-                e->serial = 0;
-                k->dirty = true;
-            }
-        }
+        struct entry *e = find_entry(b, k, tell->clean[i]);
+        if (!e || e->state != LEAVING)
+            continue;
+        e->state = REMOVING;
+        e->serial = 0;
+        k->dirty = true;
     }
     for (size_t i = 0; i < tell->n_bad; i++) {
-        int index = pm_names_find(b->books->machines, tell->bad[i]);
-        for (guint j = 0; j < k->entries->len; j++) {
-            struct entry *e = &g_array_index(k->entries, struct entry, j);
-            if (e->machine != index || e->state > HELD)
-                continue;
-            e->state = LEAVING;
-            e->stop = true;
-            if (machine_at(b, index))
-                b->hooks.bad(b->hooks.arg, machine_at(b, index));
-        }
+        struct entry *e = find_entry(b, k, tell->bad[i]);
+        if (!e || e->state > HELD)
+            continue;
+        e->state = LEAVING;
+        e->stop = true;
+        if (pm_workers_at(b->workers, e->machine))
+            b->hooks.bad(b->hooks.arg, pm_workers_at(b->workers, e->machine));
     }
     for (size_t i = 0; i < tell->n_silent; i++) {
         struct pm_machine *m = pm_workers_find(b->workers, tell->silent[i]);
@@ -959,7 +944,7 @@
 {
     for (guint i = 0; i < k->entries->len; i++) {
         struct entry *e = &g_array_index(k->entries, struct entry, i);
-        if (!machine_at(b, e->machine) && e->state != REMOVING) {
+        if (!pm_workers_at(b->workers, e->machine) && e->state != REMOVING) {
             e->state = REMOVING;
             e->serial = 0;
             k->dirty = true;
@@ -1034,7 +1019,7 @@
         for (guint j = 0; j < m->places->len; j++)
             for (size_t s = 0; s < call->n_stop; s++)
                 if (!strcmp(call->stop[s], m->name))
-                    pm_plan_yield(g_ptr_array_index(m->places, j), now);
+                    pm_plan_yield(g_ptr_array_index(m->places, j));
         /* Said once, and kept: a clean machine that is leaving is answered no more. */
         if (pm_workers_clean(m, pm_lead_epoch(b->lead)))
             m->left = true;
@@ -1050,7 +1035,7 @@
         tell.doubt |= m->doubtful && m->doubtful >= pm_lead_epoch(b->lead);
         if (m->errors >= 3)
             add_name(&tell.bad, &tell.n_bad, m->name);
-        if (m->reported && now - m->heard > 1.6 * b->books->settings->report_s + 1)
+        if (m->reported && pm_workers_silent(m, b->books->settings, now))
             add_name(&tell.silent, &tell.n_silent, m->name);
     }
     tell.helpless = (up > 1 && !heard) || (b->mine_granted && !tell.ready);
--- a/src/blocks/blocks.h
+++ b/src/blocks/blocks.h
@@ -30,8 +30,7 @@
 struct pm_blocks *pm_blocks_new(struct pm_books *books, struct pm_jobs *jobs,
                                 struct pm_workers *workers, struct pm_plan *plan,
                                 struct pm_store *store, struct pm_http_client *http,
-                                struct pm_lead *lead, const struct pm_operator *op,
-                                const struct pm_blocks_hooks *hooks);
+                                struct pm_lead *lead, const struct pm_blocks_hooks *hooks);
 void pm_blocks_free(struct pm_blocks *blocks);
 
 /* The replica's feed, for p/b. */
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -137,7 +137,7 @@
     s->lead = pm_lead_new(loop, s->store, s->http, &s->settings, &s->op,
                           &(struct pm_lead_hooks){on_took, on_nothing, on_raised, on_nothing, s});
     s->blocks =
-        pm_blocks_new(&s->books, s->jobs, s->workers, s->plan, s->store, s->http, s->lead, &s->op,
+        pm_blocks_new(&s->books, s->jobs, s->workers, s->plan, s->store, s->http, s->lead,
                       &(struct pm_blocks_hooks){on_nothing, on_job_back, on_bad, on_mine, s});
     s->back = pm_http_server_new(loop, s->settings.peer_listen, 16, on_peer, s);
     assert_non_null(s->back);
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -74,7 +74,7 @@
 {
     double now = pm_clock_steady();
 
-    pm_plan_set_alone(n->plan, n->leading);
+    pm_plan_set_sees_all(n->plan, n->leading);
     pm_plan_set_writable(n->plan, writable(n, now));
     pm_plan_begin(n->plan, now, pm_clock_day());
     if (n->leading)
@@ -172,14 +172,10 @@
 {
     struct direct *direct = arg;
     struct pm_node *n = direct->node;
-    GPtrArray *all;
-    struct pm_machine *m;
+    struct pm_machine *m = n->ruling ? pm_workers_at(n->workers, direct->machine) : NULL;
     cbor_item_t *report;
     bool fresh;
 
-    all = pm_workers_all(n->workers);
-    m = n->ruling && direct->machine < (int)all->len ? g_ptr_array_index(all, direct->machine)
-                                                     : NULL;
     if (m && m->direct_busy) {
         report = status == 200 || status == 409 ? pm_cbor_parse(body, size) : NULL;
         pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
@@ -326,7 +322,8 @@
     plan_soon(n);
 }
 
-static void on_fleet_changed(void *arg)
+/* The books changed. */
+static void on_changed(void *arg)
 {
     plan_soon(arg);
 }
@@ -478,11 +475,6 @@
 
 /* ---- blocks ---- */
 
-static void on_block_changed(void *arg)
-{
-    plan_soon(arg);
-}
-
 static void on_job_back(void *arg, struct pm_job *job)
 {
     struct pm_node *n = arg;
@@ -830,7 +822,7 @@
         pm_workers_new(&n->books, n->jobs, &(struct pm_workers_hooks){on_ended, on_ran, n});
     n->plan = pm_plan_new(&n->books, n->jobs, n->workers, op);
     n->fleet = pm_fleet_new(n->http, &n->books, n->jobs, n->workers, n->plan, op,
-                            &(struct pm_fleet_hooks){on_types, on_gone, on_fleet_changed, n});
+                            &(struct pm_fleet_hooks){on_types, on_gone, on_changed, n});
     n->store = pm_store_new(
         loop, n->http, settings->state, settings->state_write_rps,
         &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed, on_caught_up, n});
@@ -843,8 +835,8 @@
         &(struct pm_commit_hooks){on_durable, on_commit_confirmed, on_commit_doubt, n});
     snprintf(n->block_key, sizeof n->block_key, "p/b/%s", settings->name);
     n->blocks = pm_blocks_new(
-        &n->books, n->jobs, n->workers, n->plan, n->store, n->http, n->lead, op,
-        &(struct pm_blocks_hooks){on_block_changed, on_job_back, on_machine_bad, on_block_mine, n});
+        &n->books, n->jobs, n->workers, n->plan, n->store, n->http, n->lead,
+        &(struct pm_blocks_hooks){on_changed, on_job_back, on_machine_bad, on_block_mine, n});
     n->intake = pm_intake_new(loop, n->store, n->jobs, &n->books, op);
     ev_async_init(&n->planned, on_planned);
     ev_timer_init(&n->pace, on_pace, 0., 0.);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -21,10 +21,6 @@
 #define SILENT_S 5.0   /* a machine that is silent for longer may be given up */
 #define LEAST_AGE_S 60 /* a machine costs that much at least */
 
-struct kind { /* per type, zone and spot or not */
-    double refused_until;
-};
-
 struct pm_fleet {
     struct pm_http_client *http;
     struct pm_books *books;
@@ -36,7 +32,7 @@
     uint64_t epoch, round, bookings;
     double tokens, filled;
     int in_flight;
-    struct kind kind[PM_TYPES_MAX][PM_ZONES_MAX][2];
+    double refused_until[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* per type, zone, and spot or not */
     bool types_busy, list_busy;
     double types_asked, listed, list_sent;
     char since[PM_NAME_MAX];
@@ -94,7 +90,7 @@
     f->listed = 0;
     f->since[0] = 0;
     g_hash_table_remove_all(f->seen);
-    memset(f->kind, 0, sizeof f->kind);
+    memset(f->refused_until, 0, sizeof f->refused_until);
 }
 
 static bool may_call(struct pm_fleet *f, double now)
@@ -111,14 +107,6 @@
 
 /* ---- machine types ---- */
 
-static int zone_index(const struct pm_books *books, const char *name)
-{
-    for (int i = 0; i < books->settings->zones; i++)
-        if (!strcmp(books->settings->zone_name[i], name))
-            return i;
-    return -1;
-}
-
 bool pm_fleet_read_types(struct pm_books *books, const cbor_item_t *models)
 {
     char name[PM_NAME_MAX];
@@ -143,7 +131,7 @@
         for (size_t z = 0; z < pm_cbor_length(zones); z++) {
             int zone = pm_cbor_text(pm_cbor_at(zones, z), name, sizeof name)
                            ? -1
-                           : zone_index(books, name);
+                           : pm_settings_zone(books->settings, name);
             if (zone >= 0)
                 type.zones |= 1u << zone;
         }
@@ -209,7 +197,7 @@
         (type = pm_names_find(f->books->types, text)) >= 0 && type < f->books->ntypes) {
         pm_workers_set_type(f->workers, m, type);
         if (!pm_cbor_text(pm_cbor_get(item, "room"), text, sizeof text))
-            m->zone = zone_index(f->books, text);
+            m->zone = pm_settings_zone(f->books->settings, text);
         pm_cbor_flag(pm_cbor_get(item, "borrowed"), &m->spot);
     }
     if (!m->endpoint[0])
@@ -348,7 +336,6 @@
 {
     struct call *call = arg;
     struct pm_fleet *f = call->fleet;
-    struct kind *kind = &f->kind[call->rent.type][call->rent.zone][call->rent.spot];
     cbor_item_t *answer, *hosts;
     char name[PM_NAME_MAX];
     size_t got = 0;
@@ -379,7 +366,7 @@
             pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "",
             status);
     if ((status == 200 && got < (size_t)call->rent.count) || status == 503)
-        kind->refused_until = f->filled + REFUSED_S;
+        f->refused_until[call->rent.type][call->rent.zone][call->rent.spot] = f->filled + REFUSED_S;
     /* No answer: it may have been carried out. The same name asks for the same machines, and rents
      * nothing twice. */
     if (status == PM_HTTP_LOST && ++call->tries < 4)
@@ -422,9 +409,9 @@
             if (status == 200) {
                 g_hash_table_add(f->gone, g_strdup(m->name));
                 f->hooks.gone(f->hooks.arg, m);
-            }
-            if (status != 200)
+            } else {
                 m->release_retry = f->filled + 1; /* until it is confirmed */
+            }
         }
         pm_info("fleet.released", "%u machines, status %d", call->names->len, status);
         f->hooks.changed(f->hooks.arg);
@@ -508,19 +495,6 @@
     return true;
 }
 
-static int tasks_per(const struct pm_type *t, const struct pm_spec *spec)
-{
-    double n = 1e6;
-
-    if (spec->cpus > 0)
-        n = MIN(n, floor((t->cpus + EPS) / spec->cpus));
-    if (spec->gpus > 0)
-        n = MIN(n, floor((t->gpus + EPS) / spec->gpus));
-    if (spec->ram_gb > 0)
-        n = MIN(n, floor((t->ram_gb + EPS) / spec->ram_gb));
-    return (int)n;
-}
-
 /* The kind that runs `left` such tasks at the least cost each; false when none is to be had. */
 static bool cheapest(const struct sizing *s, const struct pm_job *job, int left, int zone_wanted,
                      bool spot_only, struct pm_rent *out)
@@ -530,7 +504,8 @@
     for (int type = 0; type < s->f->books->ntypes; type++) {
         const struct pm_type *t = &s->f->books->type[type];
         bool service = job->spec->form == PM_SERVICE;
-        int most = tasks_per(t, job->spec), fit = service ? most : MIN(most, left);
+        int most = (int)pm_spec_fit(job->spec, t->cpus, t->gpus, t->ram_gb),
+            fit = service ? most : MIN(most, left);
         for (int zone = 0; fit > 0 && zone < s->f->books->settings->zones; zone++) {
             for (int spot = spot_only; spot < 2; spot++) {
                 /* Longer boots cost as well, as a share of a machine's usual stay; users of a
@@ -539,7 +514,7 @@
                     (spot ? t->spot_price : t->price) * (1 + t->ready_s / (service ? 60 : 300));
                 if (!(t->zones >> zone & 1) || (zone_wanted >= 0 && zone != zone_wanted) ||
                     !pm_plan_allows(s->f->books, job, type, zone, spot) ||
-                    s->f->kind[type][zone][spot].refused_until > s->now)
+                    s->f->refused_until[type][zone][spot] > s->now)
                     continue;
                 if (price / fit < best) {
                     best = price / fit;
@@ -702,7 +677,7 @@
         if (!m || m->type < 0 || m->zone < 0)
             continue;
         /* One that boots too long is not counted on. */
-        if (m->state == PM_BOOTING && now - m->rented > 1.4 * f->books->type[m->type].ready_s + 3)
+        if (m->state == PM_BOOTING && !pm_plan_boots_soon(f->books, m, now))
             continue;
         if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -403,8 +403,8 @@
         return;
     }
     /* The state service refusing everybody is no reason to turn users away from every node, and to
-     * have them wait for the load balancer when it is back: they hear 503, and when to return. Being
-     * out of its reach, or refused alone, is one to send them elsewhere. */
+     * have them wait for the load balancer when it is back: they hear 503, and when to return.
+     * Being out of its reach, or refused alone, is one to send them elsewhere. */
     ready = pm_store_refusing(in->store) ? !refused_alone
                                          : pm_store_ready(in->store) && silent < SERVED_S;
     if (silent > 1 && now - in->probed > 1) {
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -275,9 +275,8 @@
     return 2;
 }
 
-static bool full(const struct pm_commit *c, const struct flight *f, int room)
+static bool full(const struct flight *f, int room)
 {
-    (void)c;
     return f->txn.nwrites >= room || f->txn.writes.size > BODY_MAX ||
            f->txn.nconditions + 3 > 4 * room;
 }
@@ -295,7 +294,7 @@
         if (over(job)) {
             if (pass == 0 && job->retry_at <= now) {
                 found++;
-                if (!full(c, f, room))
+                if (!full(f, room))
                     add_final(c, f, job, room - f->txn.nwrites);
             } else if (job->retry_at > now) {
                 *next = *next ? MIN(*next, job->retry_at) : job->retry_at;
@@ -306,7 +305,7 @@
             if (!job->chunk[k] || chunk_rank(job, job->chunk[k], now, next) != pass)
                 continue;
             found++;
-            if (!full(c, f, room))
+            if (!full(f, room))
                 add_chunk(c, f, job, k);
         }
     }
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -2,11 +2,13 @@
 #include "base/log.h"
 
 #include <ctype.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum { TEXT_MAX = 120 };
+#define EPS 1e-6
 
 struct pm_jobs {
     struct pm_books *books;
@@ -146,14 +148,6 @@
     return 0;
 }
 
-static int find_zone(const struct pm_settings *settings, const char *name)
-{
-    for (int i = 0; i < settings->zones; i++)
-        if (!strcmp(settings->zone_name[i], name))
-            return i;
-    return -1;
-}
-
 static int find_team(const struct pm_settings *settings, const char *name)
 {
     for (int i = 0; i < settings->teams; i++)
@@ -250,7 +244,7 @@
         return 503;
     }
     spec->team = find_team(settings, names.team);
-    spec->zone = names.zone[0] ? find_zone(settings, names.zone) : -1;
+    spec->zone = names.zone[0] ? pm_settings_zone(settings, names.zone) : -1;
     *why = "unknown team or room";
     if (spec->team < 0 || (names.zone[0] && spec->zone < 0))
         return 422;
@@ -260,7 +254,7 @@
     team = &settings->team[spec->team];
     tasks = spec->form == PM_ARRAY ? 1 : spec->entries;
     *why = "above the team's limit";
-    if (tasks * spec->cpus > team->cpus_max + 1e-6 || tasks * spec->gpus > team->gpus_max + 1e-6)
+    if (tasks * spec->cpus > team->cpus_max + EPS || tasks * spec->gpus > team->gpus_max + EPS)
         return 422;
     spec->class_index = pm_names_add(books->classes, names.class_name);
     spec->image = pm_names_add(books->images, names.image);
@@ -370,7 +364,7 @@
                 g_free(spec);
             return job;
         }
-        spec->zone = names.zone[0] ? find_zone(jobs->books->settings, names.zone) : -1;
+        spec->zone = names.zone[0] ? pm_settings_zone(jobs->books->settings, names.zone) : -1;
         spec->class_index = pm_names_add(jobs->books->classes, names.class_name);
         spec->image = pm_names_add(jobs->books->images, names.image);
         pm_cbor_number(pm_cbor_get(value, "at"), &spec->submitted);
@@ -563,6 +557,19 @@
     }
 }
 
+uint32_t pm_spec_fit(const struct pm_spec *spec, double cpus, double gpus, double ram_gb)
+{
+    double n = 1e6;
+
+    if (spec->cpus > 0)
+        n = MIN(n, floor((cpus + EPS) / spec->cpus));
+    if (spec->gpus > 0)
+        n = MIN(n, floor((gpus + EPS) / spec->gpus));
+    if (spec->ram_gb > 0)
+        n = MIN(n, floor((ram_gb + EPS) / spec->ram_gb));
+    return n < 0 ? 0 : (uint32_t)n;
+}
+
 void pm_jobs_count(const struct pm_job *job, uint32_t *done, uint32_t *running)
 {
     *done = *running = 0;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -4,8 +4,9 @@
  * Keys:  p/j/ID      the job: its description while it lives, its final state for ever after
  *        p/t/ID/K    tasks 128*K .. 128*K+127: which are done, and where the others are placed
  *
- * Only users' submissions and cancellations, and the leader's final states, write p/j; only the
- * leader writes p/t, on the condition of the epoch's key, the job's key and the chunk's own. */
+ * Only users' submissions and cancellations, and the final states of whoever places the job, write
+ * p/j; only the latter (the leader, or a block's holder) writes p/t, on the condition of the
+ * epoch's key, the job's key, the chunk's own and, for a holder, the block's. */
 #ifndef PM_JOBS_JOBS_H
 #define PM_JOBS_JOBS_H
 
@@ -78,7 +79,6 @@
     double leave_s;
     double since;     /* steady: placed, or found again */
     double ran_from;  /* steady: first seen running, 0: not yet */
-    double stop_at;   /* steady: the stop was decided */
     uint64_t direct;  /* epoch of a /do that may have carried the launch, 0: none */
     uint64_t replied; /* tally of the report whose answer carried the launch, 0: none */
 };
@@ -117,9 +117,9 @@
     uint32_t hint; /* no task below it waits */
     bool final_in_flight, listed;
     double claims_until; /* gang: room is being cleared for it (placement) */
-    bool away;      /* another controller places it */
-    bool late;      /* its deadline is given up for now (placement) */
-    bool tried;     /* a chunk was written, or is being written, from here */
+    bool away;           /* another controller places it */
+    bool late;           /* its deadline is given up for now (placement) */
+    bool tried;          /* a chunk was written, or is being written, from here */
     double ran_sum; /* run times seen of this job's tasks: its owner's estimate may be far off */
     uint32_t ran_n;
     uint32_t width; /* tasks at once that its block's lease allows */
@@ -148,6 +148,8 @@
 /* Writes the value of p/j for a job in that state; `full` keeps the description. */
 void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
                    enum pm_job_state state, bool full, struct pm_buf *out);
+/* How many such tasks that room holds. */
+uint32_t pm_spec_fit(const struct pm_spec *spec, double cpus, double gpus, double ram_gb);
 /* Display counts, from the replica. */
 void pm_jobs_count(const struct pm_job *job, uint32_t *done, uint32_t *running);
 
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -479,11 +479,6 @@
     l->holder[0] = 0;
 }
 
-bool pm_lead_leads(const struct pm_lead *l)
-{
-    return l->leads;
-}
-
 uint64_t pm_lead_epoch(const struct pm_lead *l)
 {
     return acting(l);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -36,7 +36,6 @@
 /* A new listing begins: p/lead is free unless it tells otherwise. */
 void pm_lead_relist(struct pm_lead *lead);
 
-bool pm_lead_leads(const struct pm_lead *lead);
 uint64_t pm_lead_epoch(const struct pm_lead *lead);
 uint64_t pm_lead_stamp(const struct pm_lead *lead); /* of p/epoch, as we wrote it */
 /* Whether the epoch was confirmed recently enough to answer a worker. */
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -198,6 +198,19 @@
     return pm_store_ready(((struct controller *)arg)->store);
 }
 
+/* Three controllers that know one another: the first leads, the second has read the state, the
+ * third is not running. Then the state service refuses everybody. */
+static void begin_outage(struct controller *all)
+{
+    acquaint(all, 3);
+    start(&all[0]);
+    assert_true(fake_run_until(loop, has_taken, &all[0]));
+    start(&all[1]);
+    assert_true(fake_run_until(loop, has_read, &all[1]));
+    assert_true(fake_run_until(loop, knows_floor, &all[0]));
+    fake_state_outage(state, true);
+}
+
 static bool is_later(void *arg)
 {
     return pm_clock_steady() > *(double *)arg;
@@ -225,13 +238,7 @@
     int told = 0;
 
     (void)arg;
-    acquaint(all, 3);
-    start(&all[0]);
-    assert_true(fake_run_until(loop, has_taken, &all[0]));
-    start(&all[1]);
-    assert_true(fake_run_until(loop, has_read, &all[1]));
-    assert_true(fake_run_until(loop, knows_floor, &all[0]));
-    fake_state_outage(state, true);
+    begin_outage(all);
     message.from = "n2";
     message.epoch = pm_lead_epoch(all[0].lead) + 1;
     pm_http_call(all[1].http, all[0].settings.peer_listen, "POST", "/peer", data,
@@ -252,13 +259,7 @@
     double later;
 
     (void)arg;
-    acquaint(all, 3);
-    start(&all[0]);
-    assert_true(fake_run_until(loop, has_taken, &all[0]));
-    start(&all[1]);
-    assert_true(fake_run_until(loop, has_read, &all[1]));
-    assert_true(fake_run_until(loop, knows_floor, &all[0]));
-    fake_state_outage(state, true);
+    begin_outage(all);
     /* Two of three that have read the state confirm it for longer than one confirmation lasts. */
     later = pm_clock_steady() + 2 * all[0].op.confirm_s;
     assert_true(fake_run_until(loop, is_later, &later));
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -81,7 +81,7 @@
     p->reserve = cpus;
 }
 
-void pm_plan_set_alone(struct pm_plan *p, bool sees_all)
+void pm_plan_set_sees_all(struct pm_plan *p, bool sees_all)
 {
     p->sees_all = sees_all;
 }
@@ -142,7 +142,7 @@
  * for the guarantees and the ledger. */
 static void account_away(struct pm_plan *p, double span)
 {
-    GPtrArray *active = pm_jobs_active(p->jobs), *all = pm_workers_all(p->workers);
+    GPtrArray *active = pm_jobs_active(p->jobs);
 
     for (guint i = 0; i < active->len; i++) {
         const struct pm_job *job = g_ptr_array_index(active, i);
@@ -158,9 +158,8 @@
         for (int k = 0; k < job->nchunks; k++) {
             const GArray *spots = job->chunk[k] ? job->chunk[k]->spots : NULL;
             for (guint s = 0; spots && s < spots->len; s++) {
-                int index = g_array_index(spots, struct pm_spot, s).machine;
                 const struct pm_machine *m =
-                    index >= 0 && index < (int)all->len ? g_ptr_array_index(all, index) : NULL;
+                    pm_workers_at(p->workers, g_array_index(spots, struct pm_spot, s).machine);
                 p->actual[spec->team] += spec->cpus;
                 if (m && m->type >= 0)
                     charge(p, job, m, span);
@@ -212,12 +211,6 @@
     return p->ledger[team].sum / MAX(mine, 1e-3);
 }
 
-void pm_plan_usage(struct pm_plan *p, int team, double *cpus, double *gpus)
-{
-    *cpus = p->cpus[team];
-    *gpus = p->gpus[team];
-}
-
 static void write_images(const struct pm_plan *p, struct pm_buf *out)
 {
     GPtrArray *all = pm_workers_all(p->workers);
@@ -337,7 +330,7 @@
 {
     return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining &&
            !m->recall_at && m->errors < 3 && m->strays->len == 0 &&
-           now - m->heard < 1.6 * p->books->settings->report_s + 1;
+           !pm_workers_silent(m, p->books->settings, now);
 }
 
 static bool has_room(const struct pm_machine *m, const struct pm_spec *spec)
@@ -444,6 +437,11 @@
     return yielding_room(m) - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS;
 }
 
+bool pm_plan_boots_soon(const struct pm_books *books, const struct pm_machine *m, double now)
+{
+    return now - m->rented < 1.4 * books->type[m->type].ready_s + 3;
+}
+
 /* Whether a machine that the job may run on is to come up soon. */
 static bool boot_expected(struct pm_plan *p, const struct pm_job *job, double now)
 {
@@ -453,7 +451,7 @@
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (m && m->state == PM_BOOTING && m->type >= 0 &&
             pm_plan_allows(p->books, job, m->type, m->zone, m->spot) &&
-            now - m->rented < 1.4 * p->books->type[m->type].ready_s + 3)
+            pm_plan_boots_soon(p->books, m, now))
             return true;
     }
     return false;
@@ -489,8 +487,7 @@
     return value - 2 * (m->cpus - spec->cpus) / MAX(t->cpus, EPS);
 }
 
-/* Processors on ordinary machines that services could have at once. */
-static double ordinary_free(struct pm_plan *p, double now)
+double pm_plan_spare(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
     double sum = 0;
@@ -511,8 +508,9 @@
            job->spec->priority <= m->claim->spec->priority;
 }
 
+/* In any zone that the job allows, or in `only_zone` (-1: any). */
 static struct pm_machine *best_machine(struct pm_plan *p, const struct pm_job *job,
-                                       const struct spread *at, double now)
+                                       const struct spread *at, int only_zone, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
     struct pm_machine *best = NULL;
@@ -521,8 +519,9 @@
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double value;
-        if (!m || !usable(p, m, now) || !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
-            !has_room(m, job->spec) || !zone_ok(job, at, m->zone) || claimed_by_other(m, job, now))
+        if (!m || !usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
+            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) || !has_room(m, job->spec) ||
+            !zone_ok(job, at, m->zone) || claimed_by_other(m, job, now))
             continue;
         value = score(p, m, job);
         if (value > best_score) {
@@ -612,7 +611,7 @@
         struct pm_machine *m;
         i = next_waiting(job, i, now);
         if (i >= job->entries || !within(p, job, 1, guarantee) ||
-            !(m = best_machine(p, job, &at, now)) || better_cleared(p, m, job, &at, now) ||
+            !(m = best_machine(p, job, &at, -1, now)) || better_cleared(p, m, job, &at, now) ||
             rather_waits(p, m, job, now))
             break;
         put_task(p, job, i, m, ++job->last_try, &at, now);
@@ -634,22 +633,7 @@
         return false;
     chosen = g_new0(struct pm_machine *, job->entries);
     for (uint32_t i = 0; ok && i < job->entries; i++) {
-        GPtrArray *all = pm_workers_all(p->workers);
-        double best = -INFINITY;
-        for (guint k = 0; k < all->len; k++) {
-            struct pm_machine *m = g_ptr_array_index(all, k);
-            double value;
-            if (!m || !usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
-                !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
-                !has_room(m, job->spec) || !zone_ok(job, &at, m->zone) ||
-                claimed_by_other(m, job, now))
-                continue;
-            value = score(p, m, job);
-            if (value > best) {
-                best = value;
-                chosen[i] = m;
-            }
-        }
+        chosen[i] = best_machine(p, job, &at, only_zone, now);
         ok = chosen[i] != NULL;
         if (ok) { /* taken for the time being, so that the next task sees it */
             chosen[i]->cpus -= job->spec->cpus;
@@ -830,7 +814,7 @@
             struct pm_place *place = victims[v].place;
             pm_info("plan.preempt", "%s/%u on %s for %s", place->job->id, place->index, best->name,
                     job->id);
-            pm_workers_stop(place, leave_for(place, job->spec->priority == PM_PRODUCTION), now);
+            pm_workers_stop(place, leave_for(place, job->spec->priority == PM_PRODUCTION));
             p->yielding[place->job->spec->team] += place->job->spec->cpus;
             p->steps++;
         }
@@ -908,12 +892,12 @@
 
 /* ---- notices, gangs that lost a task, cancelled jobs ---- */
 
-static void stop_gang(struct pm_plan *p, struct pm_job *job, double leave_s, double now)
+static void stop_gang(struct pm_plan *p, struct pm_job *job, double leave_s)
 {
     for (uint32_t i = 0; i < job->entries; i++) {
         const struct pm_task *task = pm_job_peek(job, i);
         if (task && task->place && !task->place->stop) {
-            pm_workers_stop(task->place, leave_s, now);
+            pm_workers_stop(task->place, leave_s);
             p->steps++;
         }
     }
@@ -936,10 +920,10 @@
         if (spec->form != PM_SERVICE && place->ran_from && remains > -10 && remains < left * 0.4)
             continue;
         if (spec->form == PM_GANG) {
-            stop_gang(p, place->job, leave_for(place, false), now);
+            stop_gang(p, place->job, leave_for(place, false));
             continue;
         }
-        pm_workers_stop(place, leave_for(place, false), now);
+        pm_workers_stop(place, leave_for(place, false));
         p->steps++;
     }
 }
@@ -953,7 +937,7 @@
         struct pm_job *job = g_ptr_array_index(active, i);
         if (job->spec && !job->away && job->spec->form == PM_GANG && job->nplaced &&
             job->state == PM_LIVE && !job->ndone && job->nplaced < job->entries)
-            stop_gang(p, job, 0, now);
+            stop_gang(p, job, 0);
     }
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
@@ -970,7 +954,7 @@
             }
             if (place->job->state != PM_LIVE && place->state != PM_ENDED &&
                 !(place->stop && place->leave_s <= 0)) {
-                pm_workers_stop(place, 0, now);
+                pm_workers_stop(place, 0);
                 p->steps++;
             }
             j++;
@@ -1171,11 +1155,6 @@
     return most;
 }
 
-double pm_plan_spare(struct pm_plan *p, double now)
-{
-    return ordinary_free(p, now);
-}
-
 double pm_plan_pool(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
@@ -1186,7 +1165,7 @@
         const struct pm_type *t = m && m->type >= 0 ? &p->books->type[m->type] : NULL;
         if (!t || m->state == PM_RELEASING)
             continue;
-        if (m->lent || (m->state == PM_BOOTING && now - m->rented < 1.4 * t->ready_s + 3))
+        if (m->lent || (m->state == PM_BOOTING && pm_plan_boots_soon(p->books, m, now)))
             sum += t->cpus;
         else if (usable(p, m, now))
             sum += yielding_room(m);
@@ -1277,7 +1256,7 @@
     if (!best)
         return;
     pm_debug("plan.balance", "%s/%u leaves %s", best->job->id, best->index, best->machine->name);
-    pm_workers_stop(best, 0, now);
+    pm_workers_stop(best, 0);
 }
 
 /* Empties the ordinary machine that costs most for what it does, if its replicas find room and
@@ -1334,7 +1313,7 @@
         for (guint j = 0; j < worst->places->len; j++) {
             struct pm_place *place = g_ptr_array_index(worst->places, j);
             if (place->job->spec->form == PM_SERVICE)
-                pm_workers_stop(place, 0, now);
+                pm_workers_stop(place, 0);
         }
     } else {
         balance(p, now);
@@ -1380,7 +1359,7 @@
 {
     return usable(p, m, now) && pm_workers_clean(m, epoch) && m->type >= 0 &&
            pm_plan_allows(p->books, job, m->type, m->zone, m->spot) && has_room(m, job->spec) &&
-           (m->spot || ordinary_free(p, now) - m->cpus >= p->reserve);
+           (m->spot || pm_plan_spare(p, now) - m->cpus >= p->reserve);
 }
 
 struct pm_machine *pm_plan_whole_machine(struct pm_plan *p, const struct pm_job *job,
@@ -1431,8 +1410,8 @@
     return true;
 }
 
-void pm_plan_yield(struct pm_place *place, double now)
+void pm_plan_yield(struct pm_place *place)
 {
     if (!place->stop && place->state != PM_ENDED)
-        pm_workers_stop(place, leave_for(place, false), now);
+        pm_workers_stop(place, leave_for(place, false));
 }
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -34,9 +34,7 @@
 /* Whether all that the replica says runs on a lent machine is beyond its team's guarantee. */
 bool pm_plan_may_clear(struct pm_plan *plan, const struct pm_job *job, int machine);
 /* Stops a place in an orderly way. */
-void pm_plan_yield(struct pm_place *place, double now);
-/* What the team uses, counting all that is not proven gone. */
-void pm_plan_usage(struct pm_plan *plan, int team, double *cpus, double *gpus);
+void pm_plan_yield(struct pm_place *place);
 /* Occupied time of a team within the window, in machine-seconds, and its ratio to its budget. */
 double pm_plan_ratio(struct pm_plan *plan, int team);
 
@@ -58,10 +56,12 @@
 
 /* Whether this controller sees all of the teams' use: a holder of a block does not, and leaves what
  * the guarantees demand to the leader. */
-void pm_plan_set_alone(struct pm_plan *plan, bool sees_all);
+void pm_plan_set_sees_all(struct pm_plan *plan, bool sees_all);
 
 /* Empties an ordinary machine that does little, by moving its replicas; the fleet returns it. */
 void pm_plan_consolidate(struct pm_plan *plan, double now);
+/* Whether a booting machine is to be counted on: most are up by then. */
+bool pm_plan_boots_soon(const struct pm_books *books, const struct pm_machine *machine, double now);
 /* Processors on the ordinary machines that services could have at once. */
 double pm_plan_spare(struct pm_plan *plan, double now);
 
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -33,13 +33,16 @@
     return w->all;
 }
 
-struct pm_machine *pm_workers_find(struct pm_workers *w, const char *name)
+struct pm_machine *pm_workers_at(struct pm_workers *w, int index)
 {
-    int index = pm_names_find(w->books->machines, name);
-
     return index >= 0 && index < (int)w->all->len ? g_ptr_array_index(w->all, index) : NULL;
 }
 
+struct pm_machine *pm_workers_find(struct pm_workers *w, const char *name)
+{
+    return pm_workers_at(w, pm_names_find(w->books->machines, name));
+}
+
 struct pm_machine *pm_workers_add(struct pm_workers *w, const char *name)
 {
     int index = pm_names_add(w->books->machines, name);
@@ -168,14 +171,13 @@
     pm_workers_unplace(w, place);
 }
 
-void pm_workers_stop(struct pm_place *place, double leave_s, double now)
+void pm_workers_stop(struct pm_place *place, double leave_s)
 {
     if (place->stop && place->leave_s <= leave_s)
         return;
     place->stop = true;
     place->stop_sent = false;
     place->leave_s = leave_s;
-    place->stop_at = now;
 }
 
 void pm_workers_gone(struct pm_workers *w, struct pm_machine *m, double now)
@@ -200,6 +202,11 @@
     m->ram_gb += t->ram_gb;
 }
 
+bool pm_workers_silent(const struct pm_machine *m, const struct pm_settings *settings, double now)
+{
+    return now - m->heard >= 1.6 * settings->report_s + 1;
+}
+
 bool pm_workers_clean(const struct pm_machine *m, uint64_t epoch)
 {
     return !m->places->len && !m->direct_busy && !m->doubtful && !m->ended->len &&
@@ -366,10 +373,7 @@
         pm_cbor_text(pm_cbor_get(report, "model"), type, sizeof type) ||
         pm_cbor_text(pm_cbor_get(report, "room"), zone, sizeof zone))
         return -1;
-    m->zone = -1;
-    for (int i = 0; i < w->books->settings->zones; i++)
-        if (!strcmp(w->books->settings->zone_name[i], zone))
-            m->zone = i;
+    m->zone = pm_settings_zone(w->books->settings, zone);
     m->spot = false;
     pm_cbor_flag(pm_cbor_get(report, "borrowed"), &m->spot);
     pm_workers_set_type(w, m, pm_names_find(w->books->types, type));
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -45,8 +45,8 @@
         int image;
         double gb;
     } cached[PM_CACHE_MAX];
-    GArray *ended;  /* of struct pm_entry: ended there, to be forgotten */
-    GArray *strays; /* of struct pm_entry: there, but not by our books: to be killed */
+    GArray *ended;              /* of struct pm_entry: ended there, to be forgotten */
+    GArray *strays;             /* of struct pm_entry: there, but not by our books: to be killed */
     const struct pm_job *claim; /* a gang whose room is being cleared here (placement) */
     /* Blocks. */
     int lent;                         /* leader: 1 + the peer that holds it, 0: nobody */
@@ -80,8 +80,8 @@
 struct pm_workers;
 
 struct pm_workers_hooks {
-    /* A place's task ended or is proven gone; the place stays until its chunk is durable, and holds
-     * nothing any more. */
+    /* A place's task ended or is proven gone. It holds nothing any more, and is itself gone after
+     * this call. */
     void (*ended)(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now);
     void (*ran)(void *arg, struct pm_place *place, double now); /* first seen running */
     void *arg;
@@ -93,6 +93,7 @@
 /* All machines, by index; entries may be NULL. */
 GPtrArray *pm_workers_all(struct pm_workers *workers);
 struct pm_machine *pm_workers_find(struct pm_workers *workers, const char *name);
+struct pm_machine *pm_workers_at(struct pm_workers *workers, int index); /* NULL: none */
 struct pm_machine *pm_workers_add(struct pm_workers *workers, const char *name);
 void pm_workers_remove(struct pm_workers *workers, struct pm_machine *machine);
 /* Forgets all places and what was heard: on taking or losing the lead. */
@@ -100,6 +101,9 @@
 
 /* Gives it its type, and the room that goes with it, once. */
 void pm_workers_set_type(struct pm_workers *workers, struct pm_machine *machine, int type);
+/* Whether it has missed a report, by how they come on a quiet day. */
+bool pm_workers_silent(const struct pm_machine *machine, const struct pm_settings *settings,
+                       double now);
 /* Whether nothing is there, and nothing to it is under way or in doubt. */
 bool pm_workers_clean(const struct pm_machine *machine, uint64_t epoch);
 
@@ -129,6 +133,6 @@
 /* Whether the lease of what is on the machine has lapsed for certain. `floor` is the steady time
  * since when no other controller can have answered it, INFINITY if that is not known. */
 bool pm_workers_lapsed(const struct pm_machine *machine, double floor, double lease_s, double now);
-void pm_workers_stop(struct pm_place *place, double leave_s, double now);
+void pm_workers_stop(struct pm_place *place, double leave_s);
 
 #endif
