--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -15,7 +15,9 @@
 #define DEAD_S 2.4      /* a holder silent for this long loses its block */
 #define IDLE_BACK_S 2.0 /* a machine without tasks is called back after this */
 #define WRITE_PACE_S 0.06
-#define KEPT_SHARE 0.25 /* of a team's limit that no lease takes */
+/* Of a team's limits, no lease takes this share: what a holder has is out of reach for the team's
+ * services until it is done. */
+#define KEPT_SHARE 0.25
 
 enum entry_state { ADDING, HELD, LEAVING, REMOVING };
 
@@ -434,31 +436,21 @@
     return tasks;
 }
 
-/* Processors of the team that a lease may take: what a holder has is out of reach for the team's
- * services until it is done, so some is always kept. */
-static double spare_room(const struct pm_blocks *b, int team)
-{
-    double most = b->books->settings->team[team].cpus_max;
-
-    return pm_plan_room(b->plan, team) - (most < 1e9 ? most * KEPT_SHARE : 0);
-}
-
 /* A lease that the team's limit kept narrow grows as the limit allows. */
 static void widen(struct pm_blocks *b)
 {
     for (int i = 0; i < b->n - 1; i++)
         for (guint j = 0; j < b->block[i].given->len; j++) {
             struct pm_job *job = g_ptr_array_index(b->block[i].given, j);
-            double more;
-            if (!job->spec || job->state != PM_LIVE || job->width >= job->entries ||
-                job->spec->cpus <= 0)
+            uint32_t more;
+            if (!job->spec || job->state != PM_LIVE || job->width >= job->entries)
                 continue;
-            more = floor((spare_room(b, job->spec->team) + EPS) / job->spec->cpus);
-            more = CLAMP(more, 0, job->entries - job->width);
-            if (more < 1)
+            more =
+                MIN(pm_plan_lease_tasks(b->plan, job->spec, KEPT_SHARE), job->entries - job->width);
+            if (!more)
                 continue;
-            job->width += (uint32_t)more;
-            pm_plan_take_room(b->plan, job->spec->team, more * job->spec->cpus);
+            job->width += more;
+            pm_plan_lease(b->plan, job->spec, more);
             b->block[i].dirty = true;
             pm_debug("blocks.widen", "%s to %u", job->id, job->width);
         }
@@ -518,16 +510,13 @@
         if (!best)
             break;
         /* Its width counts against the team's limit as long as it is away. */
-        job->width = job->entries;
-        if (job->spec->cpus > 0)
-            job->width = (uint32_t)CLAMP(
-                floor((spare_room(b, job->spec->team) + EPS) / job->spec->cpus), 0, job->entries);
+        job->width = MIN(pm_plan_lease_tasks(b->plan, job->spec, KEPT_SHARE), job->entries);
         if (!job->width || whole_room(b, job, taken, now) < job->width) {
             job->width = UINT32_MAX;
             continue;
         }
         job->away = true;
-        pm_plan_take_room(b->plan, job->spec->team, job->width * job->spec->cpus);
+        pm_plan_lease(b->plan, job->spec, job->width);
         g_ptr_array_add(best->given, job);
         best->dirty = true;
         pm_debug("blocks.give", "%s of %s to %s, %u at once", job->id,
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -18,9 +18,10 @@
 int pm_plan_place(struct pm_plan *plan, double now);
 /* Stops what must yield to the wants that are not away. */
 void pm_plan_preempt(struct pm_plan *plan, double now);
-/* For the leasing of blocks: processors left below the team's limit, and taking them. */
-double pm_plan_room(const struct pm_plan *plan, int team);
-void pm_plan_take_room(struct pm_plan *plan, int team, double cpus);
+/* For the leasing of blocks: how many such tasks fit below the team's limits, less the share `kept`
+ * of them; and counting some as leased. */
+uint32_t pm_plan_lease_tasks(const struct pm_plan *plan, const struct pm_spec *spec, double kept);
+void pm_plan_lease(struct pm_plan *plan, const struct pm_spec *spec, uint32_t tasks);
 /* How many more of the job's tasks are within its team's guarantee; counts those as used. */
 uint32_t pm_plan_within_guarantee(struct pm_plan *plan, const struct pm_job *job);
 void pm_plan_rank(struct pm_plan *plan, GPtrArray *jobs);
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -120,7 +120,7 @@
     g_strlcpy(team->name, words[1], sizeof team->name);
     team->cpus = number(words, "guaranteed", 0);
     team->cpus_max = number(words, "most", 1e12);
-    team->gpus_max = 1e12;
+    team->gpus_max = number(words, "most_gpus", 1e12);
 }
 
 static void feed_job(struct world *w, const char *id, const struct pm_spec *spec,
@@ -160,6 +160,7 @@
     spec.entries = (uint32_t)number(words, "entries", 1);
     spec.cpus = number(words, "cpus", 4);
     spec.ram_gb = number(words, "ram", 4);
+    spec.gpus = number(words, "gpus", 0);
     spec.image_gb = 1;
     spec.image = pm_names_add(w->books.images, word(words, "image", "img"));
     spec.class_index = pm_names_add(w->books.classes, "class");
@@ -345,6 +346,10 @@
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, PM_HTTP_LOST);
     else if (!strcmp(verb, "answered"))
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, 200);
+    else if (!strcmp(verb, "lease_tasks")) /* lease_tasks JOB KEPT: how many a lease may take */
+        g_string_append_printf(
+            w->said, "> %u\n",
+            pm_plan_lease_tasks(w->plan, pm_jobs_find(w->jobs, words[1])->spec, atof(words[2])));
     else if (!strcmp(verb, "away")) { /* away JOB WIDTH: leased to another controller */
         pm_jobs_find(w->jobs, words[1])->away = true;
         pm_jobs_find(w->jobs, words[1])->width = (uint32_t)atoi(words[2]);
