--- /dev/null
+++ b/src/base/clock.c
@@ -0,0 +1,21 @@
+#include "base/clock.h"
+
+#include <time.h>
+
+static double read_clock(clockid_t id)
+{
+    struct timespec ts;
+
+    clock_gettime(id, &ts);
+    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+double pm_clock_steady(void)
+{
+    return read_clock(CLOCK_MONOTONIC);
+}
+
+double pm_clock_day(void)
+{
+    return read_clock(CLOCK_REALTIME);
+}
--- /dev/null
+++ b/src/base/http.h
@@ -0,0 +1,54 @@
+/* HTTP/1.1 over libev with http-parser: a server and a client, both non-blocking, no policy.
+ *
+ * Replies and requests are only queued here; the bytes leave from the loop, so a caller that holds
+ * a lock never waits for, nor performs, I/O. */
+#ifndef PM_BASE_HTTP_H
+#define PM_BASE_HTTP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+struct ev_loop;
+struct pm_http_server;
+struct pm_http_client;
+struct pm_http_request;
+
+enum { PM_HTTP_BODY_MAX = 64 * 1024 };
+
+enum pm_http_method { PM_HTTP_GET, PM_HTTP_POST, PM_HTTP_DELETE, PM_HTTP_OTHER };
+
+/* Borrowed until the reply. Every request gets exactly one pm_http_reply, now or later, also when
+ * its connection has gone meanwhile. */
+struct pm_http_request {
+    enum pm_http_method method;
+    const char *path; /* without the query */
+    const char *query;
+    const unsigned char *body;
+    size_t body_size;
+    double arrived;
+};
+
+typedef void pm_http_handler(void *arg, struct pm_http_request *req);
+
+/* NULL with errno when the address can't be bound. */
+struct pm_http_server *pm_http_server_new(struct ev_loop *loop, const char *addr, int conns_max,
+                                          pm_http_handler *handler, void *arg);
+void pm_http_server_free(struct pm_http_server *server);
+/* `retry_after` above 0 adds that header, in whole seconds. */
+void pm_http_reply(struct pm_http_request *req, int status, const void *body, size_t size,
+                   int retry_after);
+
+/* What a call came to, besides a status. */
+enum { PM_HTTP_LOST = -1,    /* no answer: it may have been, or may yet be, carried out */
+       PM_HTTP_NOT_SENT = -2 /* not a byte of it left: it will never be carried out */ };
+
+typedef void pm_http_done(void *arg, int status, const unsigned char *body, size_t size);
+
+struct pm_http_client *pm_http_client_new(struct ev_loop *loop, int conns_max);
+void pm_http_client_free(struct pm_http_client *client);
+/* Calls `done` exactly once, from the loop. `body_max` bounds the answer. */
+void pm_http_call(struct pm_http_client *client, const char *addr, const char *method,
+                  const char *target, const void *body, size_t size, double timeout_s,
+                  size_t body_max, pm_http_done *done, void *arg);
+
+#endif
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,232 @@
+#include "base/settings.h"
+#include "base/toml.h"
+
+#include <cyaml/cyaml.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct reader {
+    struct pm_toml *doc;
+    char *err;
+    size_t err_size;
+    int failed;
+};
+
+static void fail(struct reader *r, const char *field, const char *what)
+{
+    if (!r->failed)
+        snprintf(r->err, r->err_size, "%s: %s", field, what);
+    r->failed = 1;
+}
+
+static void want_text(struct reader *r, const char *field, char *out, size_t size)
+{
+    if (pm_toml_text(r->doc, field, out, size) || !out[0])
+        fail(r, field, "missing or not a text of fitting length");
+}
+
+static void want_addr(struct reader *r, const char *field, char *out, size_t size)
+{
+    const char *colon;
+    char *end;
+    long port;
+
+    want_text(r, field, out, size);
+    if (r->failed)
+        return;
+    colon = strrchr(out, ':');
+    port = colon ? strtol(colon + 1, &end, 10) : 0;
+    if (!colon || *end || port < 1 || port > 65535)
+        fail(r, field, "not an address of the form IP:PORT");
+}
+
+static double want_number(struct reader *r, const char *field, double least, double most)
+{
+    double value = 0;
+
+    if (pm_toml_number(r->doc, field, &value))
+        fail(r, field, "missing or not a number");
+    else if (!isfinite(value) || value < least || value > most)
+        fail(r, field, "outside its range");
+    return value;
+}
+
+static int want_count(struct reader *r, const char *field, int least, int most)
+{
+    int n = pm_toml_count(r->doc, field);
+
+    if (n < 0 && least > 0)
+        fail(r, field, "missing or not a list");
+    else if (n > most || (n >= 0 && n < least))
+        fail(r, field, "too many or too few entries");
+    return r->failed || n < 0 ? 0 : n;
+}
+
+/* The path of a field of a list's entry; short-lived, one thread reads settings. */
+static const char *at(const char *list, int i, const char *field)
+{
+    static char path[160];
+
+    snprintf(path, sizeof path, "%s[%d]%s%s", list, i, *field ? "." : "", field);
+    return path;
+}
+
+static void read_teams(struct reader *r, struct pm_settings *out)
+{
+    out->teams = want_count(r, "settings.teams", 1, PM_TEAMS_MAX);
+    for (int i = 0; i < out->teams; i++) {
+        struct pm_team_setting *team = &out->team[i];
+        want_text(r, at("settings.teams", i, "name"), team->name, sizeof team->name);
+        team->cpus = want_number(r, at("settings.teams", i, "cpus"), 0, 1e9);
+        team->cpus_max = want_number(r, at("settings.teams", i, "cpus_max"), 0, 1e9);
+        team->gpus = want_number(r, at("settings.teams", i, "gpus"), 0, 1e9);
+        team->gpus_max = want_number(r, at("settings.teams", i, "gpus_max"), 0, 1e9);
+    }
+}
+
+static void read_aims(struct reader *r, struct pm_settings *out)
+{
+    out->aims = want_count(r, "settings.objectives", 0, PM_AIMS_MAX);
+    for (int i = 0; i < out->aims; i++) {
+        struct pm_aim_setting *aim = &out->aim[i];
+        want_text(r, at("settings.objectives", i, "kind"), aim->kind, sizeof aim->kind);
+        pm_toml_text(r->doc, at("settings.objectives", i, "class"), aim->class_name,
+                     sizeof aim->class_name);
+        pm_toml_number(r->doc, at("settings.objectives", i, "within_s"), &aim->within_s);
+        pm_toml_number(r->doc, at("settings.objectives", i, "share"), &aim->share);
+        pm_toml_number(r->doc, at("settings.objectives", i, "times"), &aim->times);
+    }
+}
+
+int pm_settings_load(struct pm_settings *out, const char *path, char *err, size_t err_size)
+{
+    struct reader reader = {.err = err, .err_size = err_size}, *r = &reader;
+
+    memset(out, 0, sizeof *out);
+    r->doc = pm_toml_load(path, err, err_size);
+    if (!r->doc)
+        return -1;
+    want_text(r, "host_name", out->name, sizeof out->name);
+    want_text(r, "domain", out->zone, sizeof out->zone);
+    want_addr(r, "serve_on", out->listen, sizeof out->listen);
+    want_addr(r, "back", out->peer_listen, sizeof out->peer_listen);
+    out->peers = want_count(r, "peers", 0, PM_PEERS_MAX);
+    for (int i = 0; i < out->peers; i++) {
+        struct pm_peer_setting *peer = &out->peer[i];
+        want_text(r, at("peers", i, "host_name"), peer->name, sizeof peer->name);
+        want_text(r, at("peers", i, "domain"), peer->zone, sizeof peer->zone);
+        want_addr(r, at("peers", i, "peer_addr"), peer->addr, sizeof peer->addr);
+    }
+    want_addr(r, "outside.cloud", out->cloud, sizeof out->cloud);
+    want_addr(r, "outside.state", out->state, sizeof out->state);
+    out->size = (int)want_number(r, "settings.size", 1, 64);
+    out->zones = want_count(r, "settings.zones", 1, PM_ZONES_MAX);
+    for (int i = 0; i < out->zones; i++)
+        want_text(r, at("settings.zones", i, ""), out->zone_name[i], PM_NAME_MAX);
+    read_teams(r, out);
+    read_aims(r, out);
+    out->report_s = want_number(r, "settings.workers.report_s", 0.01, 1e5);
+    out->lease_s = want_number(r, "settings.workers.lease_s", 0.1, 1e6);
+    out->gang_wait_s = want_number(r, "settings.workers.gang_wait_s", 0, 1e6);
+    out->gang_peer_s = want_number(r, "settings.workers.gang_peer_s", 0, 1e6);
+    out->cancel_s = want_number(r, "settings.workers.cancel_s", 0, 1e6);
+    out->state_rps = want_number(r, "settings.state.rps", 1, 1e9);
+    out->state_write_rps = want_number(r, "settings.state.write_rps", 1, 1e9);
+    out->value_kb = want_number(r, "settings.state.value_kb", 1, 1e6);
+    out->txn_ops = (int)want_number(r, "settings.state.txn_ops", 2, 1e6);
+    out->cloud_rps = want_number(r, "settings.cloud.rps", 0.01, 1e9);
+    out->list_lag_s = want_number(r, "settings.cloud.list_lag_s", 0, 1e6);
+    out->cores = want_number(r, "settings.quota.cores", 0.001, 1e6);
+    out->mem_mb = want_number(r, "settings.quota.mem_mb", 1, 1e9);
+    out->sockets = (int)want_number(r, "settings.quota.sockets", 16, 1e9);
+    pm_toml_free(r->doc);
+    return r->failed ? -1 : 0;
+}
+
+void pm_operator_defaults(struct pm_operator *out)
+{
+    *out = (struct pm_operator){
+        .window_h = 24,
+        .min_runtime_s = 1800,
+        .block_lease_s = 20,
+        .leader_ttl_s = 2.5,
+        .confirm_s = 2.0,
+        .admit_min = 8,
+        .admit_max = 256,
+        .idle_return_s = 25,
+        .warm_share = 0.15,
+    };
+}
+
+/* Every key is optional: a pointer that stays NULL leaves the default. */
+struct yaml_form {
+    double *window_h, *min_runtime_s, *block_lease_s, *leader_ttl_s, *confirm_s, *idle_return_s,
+        *warm_share;
+    unsigned *admit_min, *admit_max;
+};
+
+#define YAML_NUMBER(key)                                                                           \
+    CYAML_FIELD_FLOAT_PTR(#key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct yaml_form, key)
+#define YAML_COUNT(key)                                                                            \
+    CYAML_FIELD_UINT_PTR(#key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct yaml_form, key)
+
+static const cyaml_schema_field_t yaml_fields[] = {
+    YAML_NUMBER(window_h),     YAML_NUMBER(min_runtime_s), YAML_NUMBER(block_lease_s),
+    YAML_NUMBER(leader_ttl_s), YAML_NUMBER(confirm_s),     YAML_NUMBER(idle_return_s),
+    YAML_NUMBER(warm_share),   YAML_COUNT(admit_min),      YAML_COUNT(admit_max),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t yaml_schema = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct yaml_form, yaml_fields)};
+
+static void take(double *out, const double *value, const char *name, double least, double most,
+                 char *err, size_t err_size, int *failed)
+{
+    if (!value)
+        return;
+    if (!isfinite(*value) || *value < least || *value > most) {
+        snprintf(err, err_size, "%s: outside %g to %g", name, least, most);
+        *failed = 1;
+        return;
+    }
+    *out = *value;
+}
+
+int pm_operator_load(struct pm_operator *out, const char *path, char *err, size_t err_size)
+{
+    const cyaml_config_t config = {.log_level = CYAML_LOG_ERROR, .mem_fn = cyaml_mem};
+    struct yaml_form *form = NULL;
+    cyaml_err_t code;
+    int failed = 0;
+
+    pm_operator_defaults(out);
+    code = cyaml_load_file(path, &config, &yaml_schema, (cyaml_data_t **)&form, NULL);
+    if (code != CYAML_OK) {
+        snprintf(err, err_size, "%s", cyaml_strerror(code));
+        return -1;
+    }
+    if (!form)
+        return 0; /* an empty file */
+    take(&out->window_h, form->window_h, "window_h", 0.01, 8784, err, err_size, &failed);
+    take(&out->min_runtime_s, form->min_runtime_s, "min_runtime_s", 0, 28800, err, err_size,
+         &failed);
+    take(&out->block_lease_s, form->block_lease_s, "block_lease_s", 2, 600, err, err_size,
+         &failed);
+    take(&out->leader_ttl_s, form->leader_ttl_s, "leader_ttl_s", 0.5, 60, err, err_size, &failed);
+    take(&out->confirm_s, form->confirm_s, "confirm_s", 0.2, 60, err, err_size, &failed);
+    take(&out->idle_return_s, form->idle_return_s, "idle_return_s", 0, 86400, err, err_size,
+         &failed);
+    take(&out->warm_share, form->warm_share, "warm_share", 0, 4, err, err_size, &failed);
+    if (form->admit_min)
+        out->admit_min = *form->admit_min;
+    if (form->admit_max)
+        out->admit_max = *form->admit_max;
+    if (!failed && (out->admit_min < 1 || out->admit_max < out->admit_min)) {
+        snprintf(err, err_size, "admit_min, admit_max: need 1 <= admit_min <= admit_max");
+        failed = 1;
+    }
+    cyaml_free(&config, &yaml_schema, form, 0);
+    return failed ? -1 : 0;
+}
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,67 @@
+/* The platform's settings file (TOML) and the operators' own (YAML). */
+#ifndef PM_BASE_SETTINGS_H
+#define PM_BASE_SETTINGS_H
+
+#include <stddef.h>
+
+enum { PM_NAME_MAX = 128, PM_PEERS_MAX = 8, PM_TEAMS_MAX = 64, PM_ZONES_MAX = 16,
+       PM_AIMS_MAX = 64 };
+
+struct pm_peer_setting {
+    char name[PM_NAME_MAX];
+    char zone[PM_NAME_MAX];
+    char addr[64];
+};
+
+struct pm_team_setting {
+    char name[PM_NAME_MAX];
+    double cpus, cpus_max, gpus, gpus_max; /* a maximum of 0: none allowed */
+};
+
+struct pm_aim_setting {
+    char kind[32];
+    char class_name[PM_NAME_MAX];
+    double within_s, share, times;
+};
+
+struct pm_settings {
+    char name[PM_NAME_MAX];
+    char zone[PM_NAME_MAX];
+    char listen[64], peer_listen[64];
+    int peers;
+    struct pm_peer_setting peer[PM_PEERS_MAX];
+    char cloud[64], state[64];
+    int size;
+    int zones;
+    char zone_name[PM_ZONES_MAX][PM_NAME_MAX];
+    int teams;
+    struct pm_team_setting team[PM_TEAMS_MAX];
+    int aims;
+    struct pm_aim_setting aim[PM_AIMS_MAX];
+    double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
+    double state_rps, state_write_rps, value_kb;
+    int txn_ops;
+    double cloud_rps, list_lag_s;
+    double cores, mem_mb;
+    int sockets;
+};
+
+/* The operators' settings; every value has a default (see docs/operations.md). */
+struct pm_operator {
+    double window_h;        /* span over which a team's occupied time is summed */
+    double min_runtime_s;   /* default protection of a charged task */
+    double block_lease_s;   /* how long a block of machines is leased */
+    double leader_ttl_s;    /* lease of the leader's key at the state service */
+    double confirm_s;       /* how old a confirmation of the epoch may be */
+    unsigned admit_min;     /* bounds of the limit on users' requests in progress */
+    unsigned admit_max;
+    double idle_return_s;   /* an idle machine is returned after this long */
+    double warm_share;      /* spare room kept for services, as a share of what they use */
+};
+
+/* 0, or -1 with a message that names the field and its path. */
+int pm_settings_load(struct pm_settings *out, const char *path, char *err, size_t err_size);
+void pm_operator_defaults(struct pm_operator *out);
+int pm_operator_load(struct pm_operator *out, const char *path, char *err, size_t err_size);
+
+#endif
--- /dev/null
+++ b/src/cmd/pumicemount/main.c
@@ -0,0 +1,66 @@
+#include "node.h"
+#include "base/log.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <malloc.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static int fail_settings(const char *path, const char *err)
+{
+    fprintf(stderr, "pumicemount: %s: %s\n", path, err);
+    return 2;
+}
+
+int main(int argc, char **argv)
+{
+    static struct pm_settings settings;
+    static struct pm_operator op;
+    char *config = NULL, *check = NULL, *operator_file = NULL, err[512];
+    gboolean version = FALSE;
+    GOptionEntry entries[] = {
+        {"config", 0, 0, G_OPTION_ARG_FILENAME, &config, "the platform's settings (TOML)", "FILE"},
+        {"check-config", 0, 0, G_OPTION_ARG_FILENAME, &check, "read these settings and exit",
+         "FILE"},
+        {"operator", 0, 0, G_OPTION_ARG_FILENAME, &operator_file, "the operators' settings (YAML)",
+         "FILE"},
+        {"version", 0, 0, G_OPTION_ARG_NONE, &version, "print the version and exit", NULL},
+        {0}};
+    GOptionContext *context = g_option_context_new("- cluster scheduler, one controller");
+    GError *error = NULL;
+    struct ev_loop *loop;
+
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, &error) || argc > 1) {
+        fprintf(stderr, "pumicemount: %s\n", error ? error->message : "unexpected argument");
+        return 2;
+    }
+    g_option_context_free(context);
+    if (version) {
+        printf("pumicemount %s\n", PM_VERSION);
+        return 0;
+    }
+    if (!config && !check) {
+        fprintf(stderr, "pumicemount: --config FILE is needed (see --help)\n");
+        return 2;
+    }
+    if (pm_settings_load(&settings, check ? check : config, err, sizeof err))
+        return fail_settings(check ? check : config, err);
+    pm_operator_defaults(&op);
+    if (operator_file && pm_operator_load(&op, operator_file, err, sizeof err))
+        return fail_settings(operator_file, err);
+    if (check)
+        return 0;
+    /* Two threads share little: one arena keeps the memory in bounds. */
+    mallopt(M_ARENA_MAX, 1);
+    signal(SIGPIPE, SIG_IGN);
+    pm_log_setup(getenv("LOG_LEVEL"), settings.name);
+    loop = ev_default_loop(EVFLAG_AUTO);
+    if (!loop || !pm_node_new(loop, &settings, &op))
+        return 1;
+    pm_info("node.start", "%s, serving %s", PM_VERSION, settings.listen);
+    ev_run(loop, 0);
+    return 0;
+}
--- /dev/null
+++ b/src/cmd/pumicemount/node.c
@@ -0,0 +1,677 @@
+/* One controller: the loop's thread does all I/O, the planner's thread decides what runs where.
+ * The loop holds the books' lock while it handles the events at hand, and lets go of it around every
+ * wait; the planner takes it for one plan. Sockets never block, so nobody waits with the lock. */
+#include "node.h"
+#include "base/clock.h"
+#include "base/http.h"
+#include "base/log.h"
+#include "fleet/fleet.h"
+#include "intake/intake.h"
+#include "jobs/commit.h"
+#include "leadership/leadership.h"
+#include "placement/plan.h"
+#include "store/store.h"
+#include "workers/workers.h"
+
+#include <errno.h>
+#include <ev.h>
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DIRECT_S 3.0     /* a /do with no answer by then is in doubt */
+#define PLAN_PACE_S 0.03 /* plans no more often than this */
+#define ROUND_S 0.5
+#define LEDGER_S 5.0
+
+struct pm_node {
+    struct ev_loop *loop;
+    const struct pm_settings *settings;
+    const struct pm_operator *op;
+    struct pm_books books;
+    struct pm_http_client *http;
+    struct pm_http_server *front, *back;
+    struct pm_store *store;
+    struct pm_lead *lead;
+    struct pm_jobs *jobs;
+    struct pm_workers *workers;
+    struct pm_plan *plan;
+    struct pm_commit *commit;
+    struct pm_fleet *fleet;
+    struct pm_intake *intake;
+    GMutex lock;    /* all of the above */
+    bool ruling;    /* leads, and the working state is rebuilt */
+    uint64_t ledger_stamp, types_stamp;
+    bool ledger_busy, types_busy;
+    double ledger_at, raised_at;
+    /* The planner's thread. */
+    GThread *planner;
+    GMutex wake_lock;
+    GCond wake;
+    bool due;
+    ev_async planned;
+    ev_timer pace, round, commit_timer;
+    double plan_at;
+};
+
+/* ---- planning ---- */
+
+static gpointer planner_main(gpointer data)
+{
+    struct pm_node *n = data;
+
+    for (;;) {
+        g_mutex_lock(&n->wake_lock);
+        while (!n->due)
+            g_cond_wait(&n->wake, &n->wake_lock);
+        n->due = false;
+        g_mutex_unlock(&n->wake_lock);
+        g_mutex_lock(&n->lock);
+        if (n->ruling && n->books.ntypes)
+            pm_plan_run(n->plan, pm_clock_steady(), pm_clock_day());
+        g_mutex_unlock(&n->lock);
+        ev_async_send(n->loop, &n->planned);
+    }
+    return NULL;
+}
+
+static void on_pace(struct ev_loop *loop, ev_timer *w, int events)
+{
+    struct pm_node *n = w->data;
+
+    (void)loop;
+    (void)events;
+    n->plan_at = pm_clock_steady();
+    g_mutex_lock(&n->wake_lock);
+    n->due = true;
+    g_cond_signal(&n->wake);
+    g_mutex_unlock(&n->wake_lock);
+}
+
+/* Something changed that the planner ought to see; several changes make one plan. */
+static void plan_soon(struct pm_node *n)
+{
+    double left;
+
+    if (!n->ruling || ev_is_active(&n->pace))
+        return;
+    left = n->plan_at + PLAN_PACE_S - pm_clock_steady();
+    ev_timer_set(&n->pace, MAX(left, 0.002), 0.);
+    ev_timer_start(n->loop, &n->pace);
+}
+
+static void commit_run(struct pm_node *n)
+{
+    double now = pm_clock_steady(), next;
+
+    if (!n->ruling)
+        return;
+    next = pm_commit_run(n->commit, pm_lead_stamp(n->lead), now);
+    ev_timer_stop(n->loop, &n->commit_timer);
+    if (next > 0) {
+        ev_timer_set(&n->commit_timer, MAX(next - now, 0.002), 0.);
+        ev_timer_start(n->loop, &n->commit_timer);
+    }
+}
+
+static void on_commit_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+    struct pm_node *n = w->data;
+
+    (void)loop;
+    (void)events;
+    commit_run(n);
+}
+
+/* ---- direct commands ---- */
+
+struct direct {
+    struct pm_node *node;
+    int machine;
+    uint64_t epoch;
+};
+
+static void direct_due(struct pm_node *n, struct pm_machine *m, bool probe);
+
+static void on_direct(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct direct *direct = arg;
+    struct pm_node *n = direct->node;
+    GPtrArray *all;
+    struct pm_machine *m;
+    cbor_item_t *report;
+    bool fresh;
+
+    all = pm_workers_all(n->workers);
+    m = n->ruling && direct->machine < (int)all->len ? g_ptr_array_index(all, direct->machine)
+                                                     : NULL;
+    if (m && m->direct_busy) {
+        report = status == 200 || status == 409 ? pm_cbor_parse(body, size) : NULL;
+        pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
+        if (status < 0)
+            m->direct_retry = pm_clock_steady() + 1;
+        if (report) {
+            pm_workers_report(n->workers, report, PM_DIRECT, pm_lead_epoch(n->lead),
+                              pm_clock_steady(), &fresh);
+            plan_soon(n);
+            commit_run(n);
+        }
+        pm_cbor_free(report);
+        direct_due(n, m, false);
+    }
+    g_free(direct);
+}
+
+/* Sends what is due straight to the worker; with `probe`, also when nothing is: its answer is a
+ * report, and brings our token. */
+static void direct_due(struct pm_node *n, struct pm_machine *m, bool probe)
+{
+    struct pm_buf body = {0};
+    struct direct *direct;
+
+    if (m->direct_busy || !m->endpoint[0] || m->direct_retry > pm_clock_steady() ||
+        (!probe && !pm_workers_direct_due(m)) || !pm_lead_confirmed(n->lead, pm_clock_steady()))
+        return;
+    direct = g_new0(struct direct, 1);
+    *direct = (struct direct){n, m->index, pm_lead_epoch(n->lead)};
+    pm_put_map(&body);
+    pm_put_pair_count(&body, "mandate", direct->epoch);
+    pm_put_pair_count(&body, "shift", m->session ? m->session : 1);
+    pm_put_text(&body, "orders");
+    pm_workers_orders(m, true, direct->epoch, &body);
+    pm_put_end(&body);
+    m->direct_busy = true;
+    pm_http_call(n->http, m->endpoint, "POST", "/do", body.data, body.size, DIRECT_S, 1024 * 1024,
+                 on_direct, direct);
+    pm_buf_free(&body);
+}
+
+static void all_direct(struct pm_node *n)
+{
+    GPtrArray *all = pm_workers_all(n->workers);
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && m->state == PM_UP)
+            direct_due(n, m, false);
+    }
+}
+
+static void on_planned(struct ev_loop *loop, ev_async *w, int events)
+{
+    struct pm_node *n = w->data;
+
+    (void)loop;
+    (void)events;
+    if (n->ruling) {
+        commit_run(n);
+        all_direct(n);
+        pm_fleet_run(n->fleet, pm_clock_steady());
+    }
+}
+
+/* ---- what the slices tell ---- */
+
+static void on_durable(void *arg, struct pm_place *place)
+{
+    struct pm_node *n = arg;
+
+    if (n->ruling)
+        direct_due(n, place->machine, false);
+}
+
+static void on_commit_confirmed(void *arg, double sent)
+{
+    struct pm_node *n = arg;
+
+    pm_lead_confirm(n->lead, sent);
+    commit_run(n);
+    plan_soon(n);
+}
+
+static void on_commit_doubt(void *arg)
+{
+    pm_lead_doubt(((struct pm_node *)arg)->lead);
+}
+
+static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
+{
+    struct pm_node *n = arg;
+    struct pm_job *job = place->job;
+    struct pm_task *task = pm_job_task(job, place->index);
+    struct pm_machine *m = place->machine;
+
+    pm_debug("task.ended", "%s/%u try %u on %s: %d%s", job->id, place->index, place->attempt,
+             m->name, end, saved ? " saved" : "");
+    if (end == PM_END_DONE) {
+        m->errors = 0;
+        task->errors = 0;
+        if (place->ran_from && place->attempt == 1)
+            pm_plan_learn(n->plan, job, now - place->ran_from);
+        if (job->spec->form == PM_GANG) { /* its tasks complete together */
+            for (uint32_t i = 0; i < job->entries; i++)
+                pm_job_task(job, i)->done = true;
+            job->ndone = job->entries;
+        }
+    } else if (end == PM_END_ERROR || end == PM_END_REFUSED) {
+        /* Mostly the machine; a job that fails everywhere rests longer and longer. */
+        task->errors = (uint16_t)MIN(task->errors + 1, 6);
+        task->not_before = now + (end == PM_END_REFUSED ? 0.5 : 0.5 * (1 << task->errors));
+        if (end == PM_END_ERROR)
+            m->errors++;
+        pm_info("task.failed", "%s/%u on %s", job->id, place->index, m->name);
+    }
+}
+
+static void on_ran(void *arg, struct pm_place *place, double now)
+{
+    (void)arg;
+    pm_debug("task.runs", "%s/%u try %u on %s after %.2f", place->job->id, place->index,
+             place->attempt, place->machine->name, now - place->since);
+}
+
+static void on_gone(void *arg, struct pm_machine *m)
+{
+    struct pm_node *n = arg;
+
+    pm_workers_gone(n->workers, m, pm_clock_steady());
+    pm_workers_remove(n->workers, m);
+    plan_soon(n);
+}
+
+static void on_fleet_changed(void *arg)
+{
+    plan_soon(arg);
+}
+
+static void on_types_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    (void)status;
+    (void)edition;
+    (void)failed;
+    ((struct pm_node *)arg)->types_busy = false;
+}
+
+static void on_types(void *arg, const cbor_item_t *models)
+{
+    struct pm_node *n = arg;
+    struct pm_txn txn = {0};
+
+    if (!pm_fleet_read_types(&n->books, models)) {
+        pm_error("fleet.types", "unreadable machine types");
+        return;
+    }
+    plan_soon(n);
+    if (!n->ruling || n->types_busy || n->types_stamp)
+        return;
+    /* Kept in the state service, for controllers that start while the cloud has an outage. */
+    n->types_busy = true;
+    pm_txn_if(&txn, "p/epoch", pm_lead_stamp(n->lead));
+    pm_txn_put(&txn, "p/types");
+    pm_put_item(&txn.writes, models);
+    pm_txn_put_end(&txn, 0);
+    pm_store_commit(n->store, &txn, on_types_written, n);
+}
+
+static void on_ledger_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    (void)status;
+    (void)edition;
+    (void)failed;
+    ((struct pm_node *)arg)->ledger_busy = false;
+}
+
+static void write_ledger(struct pm_node *n, double now)
+{
+    struct pm_txn txn = {0};
+
+    if (n->ledger_busy || now - n->ledger_at < LEDGER_S || pm_store_room(n->store, now) < 6)
+        return;
+    n->ledger_busy = true;
+    n->ledger_at = now;
+    pm_txn_if(&txn, "p/epoch", pm_lead_stamp(n->lead));
+    pm_txn_put(&txn, "p/ledger");
+    pm_plan_write_ledger(n->plan, pm_clock_day(), &txn.writes);
+    pm_txn_put_end(&txn, 0);
+    pm_store_commit(n->store, &txn, on_ledger_written, n);
+}
+
+/* ---- the lead ---- */
+
+/* Rebuilds the working state from the state service: what is done, and every place that is not
+ * proven gone. Tasks are then found again in workers' reports rather than started anew. */
+static void on_took(void *arg, uint64_t epoch)
+{
+    struct pm_node *n = arg;
+    GPtrArray *active = pm_jobs_active(n->jobs);
+    double now = pm_clock_steady();
+    int places = 0;
+
+    pm_workers_reset(n->workers);
+    pm_jobs_reset_work(n->jobs);
+    pm_commit_reset(n->commit);
+    pm_plan_reset(n->plan);
+    pm_fleet_reset(n->fleet, epoch);
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        for (int k = 0; job->spec && k < job->nchunks; k++) {
+            GArray *spots = job->chunk[k] && job->chunk[k]->stamp ? job->chunk[k]->spots : NULL;
+            for (guint s = 0; spots && s < spots->len; s++) {
+                struct pm_spot *spot = &g_array_index(spots, struct pm_spot, s);
+                struct pm_machine *m = pm_workers_add(
+                    n->workers, pm_names_text(n->books.machines, spot->machine));
+                pm_workers_place(n->workers, job, (uint32_t)k * PM_CHUNK + spot->task, m,
+                                 spot->attempt, spot->session, PM_DURABLE, now);
+                /* Its worker may be silent already: it counts from now. */
+                m->state = PM_UP;
+                m->heard = now;
+                places++;
+            }
+        }
+    }
+    n->ruling = true;
+    pm_store_set_share(n->store, 0.75);
+    pm_info("node.rules", "epoch %llu, %u jobs, %d places", (unsigned long long)epoch, active->len,
+            places);
+    pm_fleet_run(n->fleet, now);
+    plan_soon(n);
+}
+
+static void on_lost(void *arg)
+{
+    struct pm_node *n = arg;
+
+    n->ruling = false;
+    pm_store_set_share(n->store, 0.4);
+    pm_commit_reset(n->commit);
+    pm_fleet_reset(n->fleet, 0);
+    pm_workers_reset(n->workers);
+    pm_jobs_reset_work(n->jobs);
+    pm_store_relist(n->store);
+}
+
+static void on_raised(void *arg, uint64_t epoch)
+{
+    (void)epoch;
+    plan_soon(arg);
+}
+
+/* ---- the replica's feed ---- */
+
+static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+{
+    struct pm_node *n = arg;
+
+    if (!strcmp(key, "p/epoch") || !strcmp(key, "p/lead")) {
+        pm_lead_put(n->lead, key, value, stamp);
+    } else if (!strcmp(key, "p/ledger")) {
+        if (!n->ruling)
+            pm_plan_read_ledger(n->plan, value);
+    } else if (!strcmp(key, "p/types")) {
+        n->types_stamp = stamp;
+        if (!n->books.ntypes && !pm_fleet_read_types(&n->books, value))
+            pm_error("fleet.types", "unreadable machine types in the state service");
+    } else if (pm_jobs_put(n->jobs, key, value, stamp) && n->ruling) {
+        plan_soon(n);
+    }
+}
+
+static void on_drop(void *arg, const char *key, uint64_t stamp)
+{
+    struct pm_node *n = arg;
+
+    pm_lead_drop(n->lead, key, stamp);
+    pm_jobs_drop(n->jobs, key, stamp);
+}
+
+static void on_begin(void *arg)
+{
+    struct pm_node *n = arg;
+
+    pm_lead_relist(n->lead);
+    pm_jobs_sweep_begin(n->jobs);
+}
+
+static void on_listed(void *arg)
+{
+    struct pm_node *n = arg;
+
+    pm_info("node.listed", "edition %llu", (unsigned long long)pm_store_edition(n->store));
+}
+
+static void on_caught_up(void *arg, uint64_t edition)
+{
+    (void)arg;
+    (void)edition;
+}
+
+/* ---- requests ---- */
+
+static void reply_elsewhere(struct pm_node *n, struct pm_http_request *req)
+{
+    const char *other = pm_lead_other(n->lead);
+    struct pm_buf body = {0};
+
+    if (!other) {
+        pm_http_reply(req, 503, NULL, 0, 1);
+        return;
+    }
+    pm_put_map(&body);
+    pm_put_pair_text(&body, "steward", other);
+    pm_put_end(&body);
+    pm_http_reply(req, 421, body.data, body.size, 0);
+    pm_buf_free(&body);
+}
+
+/* Safety invariant 5: 200 only with the epoch confirmed within A seconds, and never with a token
+ * below what the worker has seen. */
+static void on_report(struct pm_node *n, struct pm_http_request *req)
+{
+    uint64_t epoch = pm_lead_epoch(n->lead), mandate = 0;
+    double now = pm_clock_steady();
+    struct pm_buf body = {0};
+    struct pm_machine *m;
+    cbor_item_t *report;
+    bool fresh;
+
+    if (!n->ruling) {
+        reply_elsewhere(n, req);
+        return;
+    }
+    report = pm_cbor_parse(req->body, req->body_size);
+    pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate);
+    if (!pm_lead_confirmed(n->lead, now) || mandate > epoch) {
+        if (mandate > epoch)
+            pm_lead_doubt(n->lead);
+        pm_cbor_free(report);
+        pm_http_reply(req, 503, NULL, 0, 1);
+        return;
+    }
+    m = report ? pm_workers_report(n->workers, report, PM_REPORT, epoch, now, &fresh) : NULL;
+    pm_cbor_free(report);
+    if (!m) {
+        pm_http_reply(req, 400, NULL, 0, 0);
+        return;
+    }
+    if (m->state == PM_RELEASING) {
+        pm_http_reply(req, 503, NULL, 0, 1);
+        return;
+    }
+    pm_put_map(&body);
+    pm_put_pair_count(&body, "mandate", epoch);
+    pm_put_text(&body, "orders");
+    if (fresh) {
+        pm_workers_orders(m, false, epoch, &body);
+    } else {
+        pm_put_list(&body);
+        pm_put_end(&body);
+    }
+    pm_put_end(&body);
+    m->answered = now;
+    pm_http_reply(req, 200, body.data, body.size, 0);
+    pm_buf_free(&body);
+    if (fresh) {
+        plan_soon(n);
+        commit_run(n);
+    }
+}
+
+static void on_front(void *arg, struct pm_http_request *req)
+{
+    struct pm_node *n = arg;
+
+    if (!strcmp(req->path, "/v1/report")) {
+        if (req->method == PM_HTTP_POST)
+            on_report(n, req);
+        else
+            pm_http_reply(req, 405, NULL, 0, 0);
+    } else if (!strcmp(req->path, "/ready")) {
+        pm_intake_ready(n->intake, req);
+    } else if (!strcmp(req->path, "/work") || !strncmp(req->path, "/work/", 6)) {
+        pm_intake_request(n->intake, req);
+    } else {
+        pm_http_reply(req, 404, NULL, 0, 0);
+    }
+}
+
+static void on_back(void *arg, struct pm_http_request *req)
+{
+    struct pm_node *n = arg;
+
+    if (!strcmp(req->path, "/peer") && req->method == PM_HTTP_POST)
+        pm_lead_peer(n->lead, req);
+    else
+        pm_http_reply(req, 404, NULL, 0, 0);
+}
+
+/* ---- the round ---- */
+
+/* A machine whose lease nobody can have renewed has killed its tasks, if it still is there. Counted
+ * from our last answer to it, or, before we ever answered it, from the time since when no earlier
+ * leader can have. */
+static void judge_leases(struct pm_node *n, double now)
+{
+    GPtrArray *all = pm_workers_all(n->workers);
+    double floor_at = pm_lead_floor(n->lead);
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        double base;
+        if (!m || !m->places->len)
+            continue;
+        base = MAX(m->answered, floor_at);
+        if (now <= base + n->settings->lease_s * (1 + 2 * PM_DRIFT) + 0.2)
+            continue;
+        pm_info("workers.lapsed", "%s with %u places", m->name, m->places->len);
+        pm_workers_gone(n->workers, m, now);
+        plan_soon(n);
+    }
+}
+
+static void find_again(struct pm_node *n, double now)
+{
+    GPtrArray *all = pm_workers_all(n->workers);
+    bool doubtful = false;
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->state == PM_RELEASING)
+            continue;
+        doubtful |= m->doubtful && m->mandate <= m->doubtful &&
+                    m->doubtful >= pm_lead_epoch(n->lead) && now - m->heard < 3;
+        /* A worker that has not come to us yet is asked: the answer is its report, and it learns
+         * our token. A wrong session is refused, with the report all the same. */
+        if (!m->reported && m->endpoint[0] && m->listed)
+            direct_due(n, m, true);
+    }
+    if (doubtful && now - n->raised_at > 6) {
+        n->raised_at = now;
+        pm_lead_raise(n->lead); /* ends the doubt: late copies of the old token die */
+    }
+}
+
+static void on_round(struct ev_loop *loop, ev_timer *w, int events)
+{
+    struct pm_node *n = w->data;
+    double now = pm_clock_steady();
+
+    (void)loop;
+    (void)events;
+    if (!n->books.ntypes && pm_store_ready(n->store))
+        pm_fleet_ask_types(n->fleet, now);
+    if (n->ruling) {
+        judge_leases(n, now);
+        find_again(n, now);
+        all_direct(n);
+        write_ledger(n, now);
+        plan_soon(n);
+    }
+}
+
+static void before_wait(struct ev_loop *loop)
+{
+    g_mutex_unlock(&((struct pm_node *)ev_userdata(loop))->lock);
+}
+
+static void after_wait(struct ev_loop *loop)
+{
+    g_mutex_lock(&((struct pm_node *)ev_userdata(loop))->lock);
+}
+
+struct pm_node *pm_node_new(struct ev_loop *loop, const struct pm_settings *settings,
+                            const struct pm_operator *op)
+{
+    struct pm_node *n = g_new0(struct pm_node, 1);
+
+    n->loop = loop;
+    n->settings = settings;
+    n->op = op;
+    n->books.settings = settings;
+    n->books.classes = pm_names_new();
+    n->books.images = pm_names_new();
+    n->books.types = pm_names_new();
+    n->books.machines = pm_names_new();
+    g_mutex_init(&n->lock);
+    ev_set_userdata(loop, n);
+    ev_set_loop_release_cb(loop, before_wait, after_wait);
+    g_mutex_init(&n->wake_lock);
+    g_cond_init(&n->wake);
+    n->http = pm_http_client_new(loop, settings->sockets / 4);
+    n->jobs = pm_jobs_new(&n->books);
+    n->workers = pm_workers_new(&n->books, n->jobs,
+                                &(struct pm_workers_hooks){on_ended, on_ran, n});
+    n->plan = pm_plan_new(&n->books, n->jobs, n->workers, op);
+    n->fleet = pm_fleet_new(n->http, &n->books, n->jobs, n->workers, n->plan, op,
+                            &(struct pm_fleet_hooks){on_types, on_gone, on_fleet_changed, n});
+    n->store = pm_store_new(loop, n->http, settings->state, settings->state_write_rps,
+                            &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed,
+                                                    on_caught_up, n});
+    pm_store_set_share(n->store, 0.4);
+    n->lead = pm_lead_new(loop, n->store, n->http, settings, op,
+                          &(struct pm_lead_hooks){on_took, on_lost, on_raised, n});
+    n->commit = pm_commit_new(&n->books, n->jobs, n->store,
+                              &(struct pm_commit_hooks){on_durable, on_commit_confirmed,
+                                                        on_commit_doubt, n});
+    n->intake = pm_intake_new(loop, n->store, n->jobs, &n->books, op);
+    ev_async_init(&n->planned, on_planned);
+    ev_timer_init(&n->pace, on_pace, 0., 0.);
+    ev_timer_init(&n->commit_timer, on_commit_timer, 0., 0.);
+    ev_timer_init(&n->round, on_round, 0.05, ROUND_S);
+    n->planned.data = n->pace.data = n->commit_timer.data = n->round.data = n;
+    ev_async_start(loop, &n->planned);
+    ev_timer_start(loop, &n->round);
+    n->front = pm_http_server_new(loop, settings->listen, settings->sockets / 2, on_front, n);
+    if (!n->front) {
+        pm_error("node.listen", "%s: %s", settings->listen, strerror(errno));
+        return NULL;
+    }
+    n->back = pm_http_server_new(loop, settings->peer_listen, 64, on_back, n);
+    if (!n->back) {
+        pm_error("node.listen", "%s: %s", settings->peer_listen, strerror(errno));
+        return NULL;
+    }
+    g_mutex_lock(&n->lock); /* the loop's thread has it until its first wait */
+    n->planner = g_thread_new("planner", planner_main, n);
+    return n;
+}
--- /dev/null
+++ b/src/cmd/pumicemount/node.h
@@ -0,0 +1,15 @@
+/* Ties the slices together into one controller. */
+#ifndef PM_CMD_NODE_H
+#define PM_CMD_NODE_H
+
+#include "base/settings.h"
+
+struct ev_loop;
+struct pm_node;
+
+/* NULL, with an error logged, when an address can't be bound. The calling thread is the one that
+ * must run the loop. */
+struct pm_node *pm_node_new(struct ev_loop *loop, const struct pm_settings *settings,
+                            const struct pm_operator *op);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,692 @@
+#include "fleet/fleet.h"
+#include "base/log.h"
+
+#include <ev.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+enum { RENT_MAX = 16, BINS_MAX = 512, RELEASE_MAX = 100, IN_FLIGHT_MAX = 3, PAGE = 500 };
+#define EPS 1e-6
+#define CALL_S 5.0
+#define REFUSED_S 6.0  /* no room of a kind: not asked for again within this */
+#define LEAST_AGE_S 60 /* a machine costs that much at least */
+
+struct kind { /* per type, zone and spot or not */
+    double refused_until;
+};
+
+struct pm_fleet {
+    struct pm_http_client *http;
+    struct pm_books *books;
+    struct pm_jobs *jobs;
+    struct pm_workers *workers;
+    struct pm_plan *plan;
+    const struct pm_operator *op;
+    struct pm_fleet_hooks hooks;
+    uint64_t epoch, round, bookings;
+    double tokens, filled;
+    int in_flight;
+    struct kind kind[PM_TYPES_MAX][PM_ZONES_MAX][2];
+    bool types_busy, list_busy;
+    double types_asked, listed, list_sent;
+    char since[PM_NAME_MAX];
+    GHashTable *seen; /* names of the listing under way */
+    GHashTable *unsure; /* rent requests with no answer: their booking, to be asked again */
+    double spare_want;
+};
+
+struct call {
+    struct pm_fleet *fleet;
+    uint64_t round;
+    struct pm_rent rent;
+    char booking[64];
+    GPtrArray *names;
+    double sent;
+    int tries;
+};
+
+struct pm_fleet *pm_fleet_new(struct pm_http_client *http, struct pm_books *books,
+                              struct pm_jobs *jobs, struct pm_workers *workers,
+                              struct pm_plan *plan, const struct pm_operator *op,
+                              const struct pm_fleet_hooks *hooks)
+{
+    struct pm_fleet *f = g_new0(struct pm_fleet, 1);
+
+    f->http = http;
+    f->books = books;
+    f->jobs = jobs;
+    f->workers = workers;
+    f->plan = plan;
+    f->op = op;
+    f->hooks = *hooks;
+    f->tokens = 1;
+    f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return f;
+}
+
+void pm_fleet_free(struct pm_fleet *f)
+{
+    g_hash_table_destroy(f->seen);
+    g_free(f);
+}
+
+void pm_fleet_reset(struct pm_fleet *f, uint64_t epoch)
+{
+    f->epoch = epoch;
+    f->round++;
+    f->bookings = 0;
+    f->in_flight = 0;
+    f->list_busy = false;
+    f->listed = 0;
+    f->since[0] = 0;
+    g_hash_table_remove_all(f->seen);
+    memset(f->kind, 0, sizeof f->kind);
+}
+
+static bool may_call(struct pm_fleet *f, double now)
+{
+    double rate = f->books->settings->cloud_rps * 0.85;
+
+    f->tokens = MIN(f->tokens + (now - f->filled) * rate, rate * 1.7);
+    f->filled = now;
+    if (f->tokens < 1)
+        return false;
+    f->tokens -= 1;
+    return true;
+}
+
+/* ---- machine types ---- */
+
+static int zone_index(const struct pm_books *books, const char *name)
+{
+    for (int i = 0; i < books->settings->zones; i++)
+        if (!strcmp(books->settings->zone_name[i], name))
+            return i;
+    return -1;
+}
+
+bool pm_fleet_read_types(struct pm_books *books, const cbor_item_t *models)
+{
+    char name[PM_NAME_MAX];
+
+    if (!pm_cbor_length(models))
+        return false;
+    for (size_t i = 0; i < pm_cbor_length(models); i++) {
+        const cbor_item_t *item = pm_cbor_at(models, i), *zones = pm_cbor_get(item, "rooms");
+        struct pm_type type = {0};
+        int index;
+        if (pm_cbor_text(pm_cbor_get(item, "sku"), name, sizeof name) ||
+            pm_cbor_number(pm_cbor_get(item, "cpus"), &type.cpus) ||
+            pm_cbor_number(pm_cbor_get(item, "ram_gb"), &type.ram_gb) ||
+            pm_cbor_number(pm_cbor_get(item, "price"), &type.price))
+            return false;
+        pm_cbor_number(pm_cbor_get(item, "accelerators"), &type.gpus);
+        pm_cbor_number(pm_cbor_get(item, "local_gb"), &type.local_gb);
+        pm_cbor_number(pm_cbor_get(item, "pull_gb_per_s"), &type.pull_gb_per_s);
+        pm_cbor_number(pm_cbor_get(item, "ready_s"), &type.ready_s);
+        if (pm_cbor_number(pm_cbor_get(item, "market_price"), &type.spot_price))
+            type.spot_price = type.price;
+        for (size_t z = 0; z < pm_cbor_length(zones); z++) {
+            int zone = pm_cbor_text(pm_cbor_at(zones, z), name, sizeof name)
+                           ? -1
+                           : zone_index(books, name);
+            if (zone >= 0)
+                type.zones |= 1u << zone;
+        }
+        pm_cbor_text(pm_cbor_get(item, "sku"), name, sizeof name);
+        index = pm_names_add(books->types, name);
+        if (index >= PM_TYPES_MAX)
+            return false;
+        books->type[index] = type;
+    }
+    books->ntypes = MIN(pm_names_count(books->types), PM_TYPES_MAX);
+    return true;
+}
+
+static void on_types(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct pm_fleet *f = arg;
+    cbor_item_t *answer = status == 200 ? pm_cbor_parse(body, size) : NULL;
+    cbor_item_t *models = pm_cbor_get(answer, "models");
+
+    f->types_busy = false;
+    if (models && cbor_isa_array(models))
+        f->hooks.types(f->hooks.arg, models);
+    else
+        pm_info("fleet.types", "no machine types: status %d", status);
+    pm_cbor_free(answer);
+}
+
+void pm_fleet_ask_types(struct pm_fleet *f, double now)
+{
+    if (f->types_busy || (f->types_asked && now - f->types_asked < 1) || !may_call(f, now))
+        return;
+    f->types_busy = true;
+    f->types_asked = now;
+    pm_http_call(f->http, f->books->settings->cloud, "GET", "/machine_types", NULL, 0, CALL_S,
+                 256 * 1024, on_types, f);
+}
+
+/* ---- the list ---- */
+
+static void list_page(struct pm_fleet *f);
+
+static void read_listed(struct pm_fleet *f, const cbor_item_t *item, double now)
+{
+    char name[PM_NAME_MAX], text[PM_NAME_MAX], status[32] = "";
+    struct pm_machine *m;
+    double age = 0;
+    int type;
+
+    if (pm_cbor_text(pm_cbor_get(item, "name_id"), name, sizeof name) || !name[0])
+        return;
+    g_strlcpy(f->since, name, sizeof f->since);
+    g_hash_table_add(f->seen, g_strdup(name));
+    pm_cbor_text(pm_cbor_get(item, "status"), status, sizeof status);
+    pm_cbor_number(pm_cbor_get(item, "age_s"), &age);
+    m = pm_workers_find(f->workers, name);
+    if (m && m->state == PM_RELEASING)
+        return;
+    if (!m) {
+        m = pm_workers_add(f->workers, name);
+        m->rented = now - age;
+    }
+    if (m->type < 0 && !pm_cbor_text(pm_cbor_get(item, "model"), text, sizeof text) &&
+        (type = pm_names_find(f->books->types, text)) >= 0 && type < f->books->ntypes) {
+        m->type = type;
+        m->cpus += f->books->type[type].cpus;
+        m->gpus += f->books->type[type].gpus;
+        m->ram_gb += f->books->type[type].ram_gb;
+        if (!pm_cbor_text(pm_cbor_get(item, "room"), text, sizeof text))
+            m->zone = zone_index(f->books, text);
+        pm_cbor_flag(pm_cbor_get(item, "borrowed"), &m->spot);
+    }
+    if (!m->endpoint[0])
+        pm_cbor_text(pm_cbor_get(item, "endpoint"), m->endpoint, sizeof m->endpoint);
+    m->listed = true;
+    m->absent_since = 0;
+    if (!strcmp(status, "failed"))
+        m->failed = true;
+}
+
+/* "Once listed, a machine stays listed until it is gone", but a list may be older than the one
+ * before it, by up to twice the lag: only what is older than that can be missed. */
+static void read_absent(struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+    double lag = 2 * f->books->settings->list_lag_s + 1;
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->state == PM_RELEASING || g_hash_table_contains(f->seen, m->name))
+            continue;
+        if (f->list_sent - m->rented > lag && now - m->heard > lag && !m->absent_since)
+            m->absent_since = now;
+    }
+}
+
+static void on_list(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct call *call = arg;
+    struct pm_fleet *f = call->fleet;
+    bool current = call->round == f->round, more = false;
+    double now = call->sent; /* ages are as of the list, near enough */
+    cbor_item_t *answer, *hosts;
+
+    g_free(call);
+    if (!current)
+        return;
+    answer = status == 200 ? pm_cbor_parse(body, size) : NULL;
+    hosts = pm_cbor_get(answer, "hosts");
+    if (!answer || !hosts || !cbor_isa_array(hosts)) {
+        pm_cbor_free(answer);
+        f->list_busy = false;
+        return;
+    }
+    for (size_t i = 0; i < pm_cbor_length(hosts); i++)
+        read_listed(f, pm_cbor_at(hosts, i), now);
+    pm_cbor_flag(pm_cbor_get(answer, "has_next"), &more);
+    pm_cbor_free(answer);
+    if (more) {
+        list_page(f);
+        return;
+    }
+    f->list_busy = false;
+    read_absent(f, now);
+    f->hooks.changed(f->hooks.arg);
+}
+
+static void list_page(struct pm_fleet *f)
+{
+    struct call *call = g_new0(struct call, 1);
+    char target[PM_NAME_MAX + 64];
+
+    call->fleet = f;
+    call->round = f->round;
+    call->sent = f->filled;
+    snprintf(target, sizeof target, "/machines?%s%s%spage=%d", f->since[0] ? "since=" : "",
+             f->since, f->since[0] ? "&" : "", PAGE);
+    pm_http_call(f->http, f->books->settings->cloud, "GET", target, NULL, 0, CALL_S, 1024 * 1024,
+                 on_list, call);
+}
+
+static void list_start(struct pm_fleet *f, double now)
+{
+    double every = CLAMP(f->books->settings->list_lag_s / 2, 2, 6);
+
+    if (f->list_busy || (f->listed && now - f->listed < every) || !may_call(f, now))
+        return;
+    f->list_busy = true;
+    f->listed = f->list_sent = now;
+    f->since[0] = 0;
+    g_hash_table_remove_all(f->seen);
+    list_page(f);
+}
+
+/* ---- renting ---- */
+
+static void on_rented(void *arg, int status, const unsigned char *body, size_t size);
+
+static void rent_send(struct pm_fleet *f, struct call *call)
+{
+    struct pm_buf body = {0};
+
+    pm_put_map(&body);
+    pm_put_pair_text(&body, "booking", call->booking);
+    pm_put_pair_text(&body, "model", pm_names_text(f->books->types, call->rent.type));
+    pm_put_pair_text(&body, "room", f->books->settings->zone_name[call->rent.zone]);
+    pm_put_pair_flag(&body, "borrowed", call->rent.spot);
+    pm_put_pair_count(&body, "how_many", (uint64_t)call->rent.count);
+    pm_put_end(&body);
+    f->in_flight++;
+    pm_http_call(f->http, f->books->settings->cloud, "POST", "/machines", body.data, body.size,
+                 CALL_S, 64 * 1024, on_rented, call);
+    pm_buf_free(&body);
+}
+
+static void on_rented(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct call *call = arg;
+    struct pm_fleet *f = call->fleet;
+    struct kind *kind = &f->kind[call->rent.type][call->rent.zone][call->rent.spot];
+    cbor_item_t *answer, *hosts;
+    char name[PM_NAME_MAX];
+    size_t got = 0;
+
+    if (call->round != f->round) {
+        g_free(call); /* the list tells the next leader */
+        return;
+    }
+    f->in_flight--;
+    answer = status == 200 ? pm_cbor_parse(body, size) : NULL;
+    hosts = pm_cbor_get(answer, "hosts");
+    for (size_t i = 0; i < pm_cbor_length(hosts); i++) {
+        struct pm_machine *m;
+        if (pm_cbor_text(pm_cbor_at(hosts, i), name, sizeof name) || !name[0])
+            continue;
+        m = pm_workers_add(f->workers, name);
+        got++;
+        if (m->type >= 0)
+            continue; /* reported already */
+        m->type = call->rent.type;
+        m->zone = call->rent.zone;
+        m->spot = call->rent.spot;
+        m->rented = call->sent;
+        m->cpus += f->books->type[m->type].cpus;
+        m->gpus += f->books->type[m->type].gpus;
+        m->ram_gb += f->books->type[m->type].ram_gb;
+    }
+    pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->booking, got, call->rent.count,
+            pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "",
+            status);
+    if ((status == 200 && got < (size_t)call->rent.count) || status == 503)
+        kind->refused_until = f->filled + REFUSED_S;
+    /* No answer: it may have been carried out. The same name asks for the same machines, and rents
+     * nothing twice. */
+    if (status == PM_HTTP_LOST && ++call->tries < 4)
+        rent_send(f, call);
+    else
+        g_free(call);
+    pm_cbor_free(answer);
+    f->hooks.changed(f->hooks.arg);
+}
+
+static void rent(struct pm_fleet *f, const struct pm_rent *rent, double now)
+{
+    struct call *call = g_new0(struct call, 1);
+
+    call->fleet = f;
+    call->round = f->round;
+    call->rent = *rent;
+    call->sent = now;
+    /* The epoch is this reign's alone, so the name is never used again by anybody. */
+    snprintf(call->booking, sizeof call->booking, "r-%llu-%llu", (unsigned long long)f->epoch,
+             (unsigned long long)++f->bookings);
+    rent_send(f, call);
+}
+
+/* ---- returning ---- */
+
+static void on_released(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct call *call = arg;
+    struct pm_fleet *f = call->fleet;
+
+    (void)body;
+    (void)size;
+    if (call->round == f->round) {
+        f->in_flight--;
+        for (guint i = 0; i < call->names->len; i++) {
+            struct pm_machine *m =
+                pm_workers_find(f->workers, g_ptr_array_index(call->names, i));
+            if (!m)
+                continue;
+            if (status == 200)
+                f->hooks.gone(f->hooks.arg, m);
+            else
+                m->release_retry = f->filled + 1; /* until it is confirmed */
+        }
+        pm_info("fleet.released", "%u machines, status %d", call->names->len, status);
+        f->hooks.changed(f->hooks.arg);
+    }
+    g_ptr_array_free(call->names, TRUE);
+    g_free(call);
+}
+
+static void release_due(struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+    struct call *call = NULL;
+    struct pm_buf body = {0};
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->state != PM_RELEASING || m->release_retry > now)
+            continue;
+        if (!call) {
+            if (!may_call(f, now))
+                return;
+            call = g_new0(struct call, 1);
+            call->fleet = f;
+            call->round = f->round;
+            call->names = g_ptr_array_new_with_free_func(g_free);
+            pm_put_map(&body);
+            pm_put_text(&body, "hosts");
+            pm_put_list(&body);
+        }
+        if (call->names->len >= RELEASE_MAX)
+            break;
+        g_ptr_array_add(call->names, g_strdup(m->name));
+        pm_put_text(&body, m->name);
+        m->release_retry = INFINITY;
+    }
+    if (!call)
+        return;
+    pm_put_end(&body);
+    pm_put_end(&body);
+    f->in_flight++;
+    pm_http_call(f->http, f->books->settings->cloud, "POST", "/machines/release", body.data,
+                 body.size, CALL_S, 64 * 1024, on_released, call);
+    pm_buf_free(&body);
+}
+
+static void give_back(struct pm_machine *m, const char *why)
+{
+    pm_info("fleet.return", "%s: %s", m->name, why);
+    m->state = PM_RELEASING;
+    m->release_retry = 0;
+}
+
+/* ---- sizing ---- */
+
+struct bin {
+    double cpus, gpus, ram_gb;
+    int type, zone;
+    bool spot, up;
+};
+
+struct sizing {
+    struct pm_fleet *f;
+    struct bin bin[BINS_MAX];
+    int bins;
+    struct pm_rent *out;
+    int n, max;
+    double now;
+};
+
+static bool bin_takes(const struct sizing *s, struct bin *bin, const struct pm_job *job)
+{
+    const struct pm_spec *spec = job->spec;
+
+    if (!pm_plan_allows(s->f->books, job, bin->type, bin->zone, bin->spot) ||
+        bin->cpus + EPS < spec->cpus || bin->gpus + EPS < spec->gpus ||
+        bin->ram_gb + EPS < spec->ram_gb)
+        return false;
+    bin->cpus -= spec->cpus;
+    bin->gpus -= spec->gpus;
+    bin->ram_gb -= spec->ram_gb;
+    return true;
+}
+
+static int tasks_per(const struct pm_type *t, const struct pm_spec *spec)
+{
+    double n = 1e6;
+
+    if (spec->cpus > 0)
+        n = MIN(n, floor((t->cpus + EPS) / spec->cpus));
+    if (spec->gpus > 0)
+        n = MIN(n, floor((t->gpus + EPS) / spec->gpus));
+    if (spec->ram_gb > 0)
+        n = MIN(n, floor((t->ram_gb + EPS) / spec->ram_gb));
+    return (int)n;
+}
+
+/* The kind that runs `left` such tasks at the least cost each; false when none is to be had. */
+static bool cheapest(const struct sizing *s, const struct pm_job *job, int left, int zone_wanted,
+                     struct pm_rent *out)
+{
+    double best = INFINITY;
+
+    for (int type = 0; type < s->f->books->ntypes; type++) {
+        const struct pm_type *t = &s->f->books->type[type];
+        int fit = MIN(tasks_per(t, job->spec), left);
+        for (int zone = 0; fit > 0 && zone < s->f->books->settings->zones; zone++) {
+            for (int spot = 0; spot < 2; spot++) {
+                /* Longer boots cost as well, as a share of a machine's usual stay. */
+                double price = (spot ? t->spot_price : t->price) * (1 + t->ready_s / 300);
+                if (!(t->zones >> zone & 1) || (zone_wanted >= 0 && zone != zone_wanted) ||
+                    !pm_plan_allows(s->f->books, job, type, zone, spot) ||
+                    s->f->kind[type][zone][spot].refused_until > s->now)
+                    continue;
+                if (price / fit < best) {
+                    best = price / fit;
+                    *out = (struct pm_rent){type, zone, spot, 1};
+                }
+            }
+        }
+    }
+    return best < INFINITY;
+}
+
+static void add_rent(struct sizing *s, const struct pm_rent *rent)
+{
+    const struct pm_type *t = &s->f->books->type[rent->type];
+
+    if (s->bins < BINS_MAX)
+        s->bin[s->bins++] =
+            (struct bin){t->cpus, t->gpus, t->ram_gb, rent->type, rent->zone, rent->spot, false};
+    for (int i = 0; i < s->n; i++) {
+        if (s->out[i].type == rent->type && s->out[i].zone == rent->zone &&
+            s->out[i].spot == rent->spot) {
+            s->out[i].count++;
+            return;
+        }
+    }
+    if (s->n < s->max)
+        s->out[s->n++] = *rent;
+}
+
+/* How many of a job's waiting tasks ought to run at once, so that it ends in time: the rest can
+ * follow on the same machines. */
+static int parallel(const struct pm_fleet *f, const struct pm_want *want, double day)
+{
+    const struct pm_spec *spec = want->job->spec;
+    double each = pm_plan_expected(f->plan, want->job) * 1.2 + 2, left, waves;
+
+    if (spec->form != PM_ARRAY || spec->due_s < 0)
+        return (int)want->tasks;
+    left = spec->submitted + spec->due_s - day - 35;
+    waves = CLAMP(floor(left / each), 1, 8);
+    return (int)ceil((want->tasks + want->job->nplaced) / waves) - (int)want->job->nplaced;
+}
+
+/* With `used_up`, machines that are up are left out: the planner found no room on them. */
+static void fill(struct sizing *s, const struct pm_job *job, int tasks, bool used_up)
+{
+    struct pm_rent rent;
+    int zone = job->spec->same_place && job->spec->form == PM_GANG ? -2 : -1;
+
+    while (tasks > 0) {
+        bool held = false;
+        for (int i = 0; i < s->bins && !held; i++)
+            if (!(used_up && s->bin[i].up) && (zone < 0 || s->bin[i].zone == zone))
+                held = bin_takes(s, &s->bin[i], job);
+        if (held) {
+            tasks--;
+            continue;
+        }
+        if (s->bins >= BINS_MAX || !cheapest(s, job, tasks, zone >= 0 ? zone : -1, &rent))
+            return;
+        if (zone == -2)
+            zone = rent.zone;
+        add_rent(s, &rent);
+    }
+}
+
+int pm_fleet_size(struct pm_fleet *f, double now, struct pm_rent *out, int max)
+{
+    static struct sizing sizing; /* large; one planner */
+    struct sizing *s = &sizing;
+    const GArray *wants = pm_plan_wants(f->plan);
+    GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
+    double day = ev_time(), service_cpus = 0, spare = 0;
+    struct pm_job *typical = NULL;
+
+    *s = (struct sizing){.f = f, .out = out, .max = max, .now = now};
+    for (guint i = 0; i < all->len && s->bins < BINS_MAX; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->type < 0 || m->zone < 0)
+            continue;
+        /* One that boots too long is not counted on. */
+        if (m->state == PM_BOOTING && now - m->rented > 2.5 * f->books->type[m->type].ready_s + 10)
+            continue;
+        if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 ||
+            (m->state == PM_UP && now - m->heard > 12))
+            continue;
+        s->bin[s->bins++] = (struct bin){m->cpus, m->gpus, m->ram_gb,
+                                           m->type, m->zone, m->spot, m->state == PM_UP};
+    }
+    for (guint i = 0; i < wants->len; i++) {
+        const struct pm_want *want = &g_array_index(wants, struct pm_want, i);
+        fill(s, want->job, parallel(f, want, day), true);
+    }
+    /* A reserve on ordinary machines, so that a new service finds room at once. */
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        if (!job->spec || job->spec->form != PM_SERVICE || job->state != PM_LIVE)
+            continue;
+        service_cpus += job->nplaced * job->spec->cpus;
+        if (!typical || (job->spec->zone < 0 && job->spec->types == ~(uint64_t)0))
+            typical = job;
+    }
+    f->spare_want = service_cpus * f->op->warm_share;
+    if (typical && typical->spec->cpus > 0) {
+        for (int i = 0; i < s->bins; i++)
+            if (!s->bin[i].spot && s->bin[i].cpus > 0)
+                spare += s->bin[i].cpus;
+        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus),
+             false);
+    }
+    pm_plan_set_reserve(f->plan, f->spare_want);
+    return s->n;
+}
+
+/* ---- the round ---- */
+
+static void review(struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+    double spare = 0, lease = f->books->settings->lease_s;
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && m->state == PM_UP && !m->spot)
+            spare += m->cpus;
+    }
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        const struct pm_type *type;
+        if (!m || m->state == PM_RELEASING)
+            continue;
+        type = m->type >= 0 ? &f->books->type[m->type] : NULL;
+        if (m->failed) {
+            give_back(m, "failed");
+            continue;
+        }
+        /* Taken or dead: the confirmed release proves it at once, sooner than its lease. */
+        if (m->absent_since && now - m->heard > 4 && m->state == PM_UP) {
+            give_back(m, "no longer listed, and silent");
+            continue;
+        }
+        if (m->state == PM_BOOTING && type && m->places->len == 0 &&
+            now - m->rented > 6 * type->ready_s + 30) {
+            give_back(m, "does not come up");
+            continue;
+        }
+        if (m->state == PM_UP && m->places->len == 0 && now - m->heard > 2 * lease + 20) {
+            give_back(m, "silent and empty");
+            continue;
+        }
+        if (m->state != PM_UP || m->places->len) {
+            m->idle_since = 0;
+            continue;
+        }
+        if (!m->idle_since)
+            m->idle_since = now;
+        if (m->errors >= 3) {
+            give_back(m, "its tasks keep failing");
+            continue;
+        }
+        if (now - m->idle_since < f->op->idle_return_s || now - m->rented < LEAST_AGE_S)
+            continue;
+        if (!m->spot && spare - m->cpus < f->spare_want)
+            continue;
+        if (!m->spot)
+            spare -= m->cpus;
+        give_back(m, "idle");
+    }
+}
+
+void pm_fleet_run(struct pm_fleet *f, double now)
+{
+    struct pm_rent rents[RENT_MAX];
+    int n;
+
+    if (!f->books->ntypes)
+        return;
+    review(f, now);
+    if (f->in_flight < IN_FLIGHT_MAX)
+        release_due(f, now);
+    /* Sized only with no request under way: its machines are not in the books yet. */
+    if (f->in_flight == 0) {
+        n = pm_fleet_size(f, now, rents, RENT_MAX);
+        for (int i = 0; i < n && f->in_flight < IN_FLIGHT_MAX && may_call(f, now); i++) {
+            rents[i].count = MIN(rents[i].count, 50);
+            rent(f, &rents[i], now);
+        }
+    }
+    list_start(f, now);
+    if (now - f->types_asked > 60)
+        pm_fleet_ask_types(f, now);
+}
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,41 @@
+/* The cloud: what to rent, what to return, and the calls. Deciding is apart from calling, and takes
+ * the time as an argument. */
+#ifndef PM_FLEET_FLEET_H
+#define PM_FLEET_FLEET_H
+
+#include "placement/plan.h"
+
+struct ev_loop;
+struct pm_fleet;
+
+struct pm_fleet_hooks {
+    void (*types)(void *arg, const cbor_item_t *models); /* the cloud told its machine types */
+    void (*gone)(void *arg, struct pm_machine *machine); /* a release was confirmed */
+    void (*changed)(void *arg);                          /* the books of machines changed */
+    void *arg;
+};
+
+struct pm_fleet *pm_fleet_new(struct pm_http_client *http, struct pm_books *books,
+                              struct pm_jobs *jobs, struct pm_workers *workers,
+                              struct pm_plan *plan, const struct pm_operator *op,
+                              const struct pm_fleet_hooks *hooks);
+void pm_fleet_free(struct pm_fleet *fleet);
+/* On taking or losing the lead; `epoch` makes the request names of this reign its own. */
+void pm_fleet_reset(struct pm_fleet *fleet, uint64_t epoch);
+/* Reads the machine types into the books; false when malformed. */
+bool pm_fleet_read_types(struct pm_books *books, const cbor_item_t *models);
+/* Asks the cloud for the machine types, for a controller that knows none. */
+void pm_fleet_ask_types(struct pm_fleet *fleet, double now);
+/* Leader only: decides, and sends what the cloud's limit has room for. */
+void pm_fleet_run(struct pm_fleet *fleet, double now);
+
+/* One thing to rent. */
+struct pm_rent {
+    int type, zone;
+    bool spot;
+    int count;
+};
+/* What the waiting work and the reserve need beyond the machines that are up or booting. */
+int pm_fleet_size(struct pm_fleet *fleet, double now, struct pm_rent *out, int max);
+
+#endif
--- /dev/null
+++ b/src/intake/intake.c
@@ -0,0 +1,439 @@
+#include "intake/intake.h"
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+enum { TRIES_MAX = 6, IN_FLIGHT_MAX = 4 };
+#define GIVE_UP_S 3.0 /* the client waits 5 s: it hears before that */
+#define SERVED_S 4.0  /* the state service counts as reachable for this long after an answer */
+
+enum kind { SUBMIT, POLL, ABORT };
+
+struct item { /* a request in progress */
+    struct pm_intake *intake;
+    struct pm_http_request *req;
+    enum kind kind;
+    char id[PM_ID_MAX];
+    struct pm_spec *spec; /* of a submission */
+    double arrived;
+    int tries;
+    bool fresh; /* the replica is as new as the question */
+};
+
+struct flight {
+    struct pm_intake *intake;
+    GPtrArray *items;
+};
+
+struct pm_intake {
+    struct ev_loop *loop;
+    struct pm_store *store;
+    struct pm_jobs *jobs;
+    struct pm_books *books;
+    struct pm_limit *limit;
+    GQueue queue; /* of items to be written */
+    int in_flight;
+    ev_timer timer;
+    double probed;
+};
+
+static void flush(struct pm_intake *in);
+
+static void item_free(struct item *item)
+{
+    g_free(item->spec);
+    g_free(item);
+}
+
+/* ---- answers ---- */
+
+static void reply(struct item *item, int status, const void *body, size_t size, int retry_after)
+{
+    pm_http_reply(item->req, status, body, size, retry_after);
+    pm_limit_leave(item->intake->limit, pm_clock_steady() - item->arrived);
+    item_free(item);
+}
+
+static void reply_unsure(struct item *item, int retry_after)
+{
+    reply(item, 503, NULL, 0, retry_after);
+}
+
+static void put_state(const struct pm_job *job, struct pm_buf *out)
+{
+    uint32_t done, running;
+
+    pm_jobs_count(job, &done, &running);
+    pm_put_map(out);
+    pm_put_pair_text(out, "name_id", job->id);
+    pm_put_pair_text(out, "status",
+                     job->state == PM_DONE        ? "done"
+                     : job->state == PM_CANCELLED ? "cancelled"
+                     : running                    ? "running"
+                                                  : "queued");
+    pm_put_pair_count(out, "done", done);
+    pm_put_pair_count(out, "running", job->state == PM_LIVE ? running : 0);
+    pm_put_end(out);
+}
+
+static void reply_state(struct item *item, const struct pm_job *job)
+{
+    struct pm_buf body = {0};
+
+    put_state(job, &body);
+    reply(item, 200, body.data, body.size, 0);
+    pm_buf_free(&body);
+}
+
+static void reply_accepted(struct item *item)
+{
+    struct pm_buf body = {0};
+
+    pm_put_map(&body);
+    pm_put_pair_text(&body, "name_id", item->id);
+    pm_put_pair_text(&body, "status", "queued");
+    pm_put_end(&body);
+    reply(item, 201, body.data, body.size, 0);
+    pm_buf_free(&body);
+}
+
+static void reply_cancelled(struct item *item)
+{
+    struct pm_buf body = {0};
+
+    pm_put_map(&body);
+    pm_put_pair_text(&body, "name_id", item->id);
+    pm_put_pair_text(&body, "status", "cancelled");
+    pm_put_end(&body);
+    reply(item, 200, body.data, body.size, 0);
+    pm_buf_free(&body);
+}
+
+/* ---- deciding ---- */
+
+static void on_fresh(void *arg, bool ok);
+
+/* Answers what can be answered, and sends the rest on its way. */
+static void decide(struct item *item)
+{
+    struct pm_intake *in = item->intake;
+    const struct pm_job *job = pm_jobs_find(in->jobs, item->id);
+
+    if (job && job->state != PM_LIVE) {
+        reply_state(item, job); /* final, for ever */
+        return;
+    }
+    if (!job && item->kind == SUBMIT) {
+        /* Written on the condition that the key does not exist: that is the freshest check. */
+        g_queue_push_tail(&in->queue, item);
+        flush(in);
+        return;
+    }
+    if (!item->fresh) {
+        pm_store_fresh(in->store, on_fresh, item);
+        return;
+    }
+    if (!job) {
+        reply(item, 404, NULL, 0, 0);
+    } else if (item->kind == ABORT) {
+        g_queue_push_head(&in->queue, item);
+        flush(in);
+    } else {
+        reply_state(item, job);
+    }
+}
+
+static void on_fresh(void *arg, bool ok)
+{
+    struct item *item = arg;
+
+    if (!ok) {
+        reply_unsure(item, 1);
+        return;
+    }
+    item->fresh = true;
+    decide(item);
+}
+
+/* ---- group commit ---- */
+
+static void on_conflict(void *arg, bool ok)
+{
+    struct item *item = arg;
+
+    /* The replica now tells what stood in the way. */
+    if (!ok || ++item->tries > TRIES_MAX) {
+        reply_unsure(item, 1);
+        return;
+    }
+    item->fresh = true;
+    decide(item);
+}
+
+static bool is_failed(const cbor_item_t *failed, const struct item *item)
+{
+    char key[256];
+
+    for (size_t i = 0; i < pm_cbor_length(failed); i++)
+        if (!pm_cbor_text(pm_cbor_at(failed, i), key, sizeof key) &&
+            !strncmp(key, "p/j/", 4) && !strcmp(key + 4, item->id))
+            return true;
+    return false;
+}
+
+static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    struct flight *f = arg;
+    struct pm_intake *in = f->intake;
+
+    in->in_flight--;
+    for (guint i = 0; i < f->items->len; i++) {
+        struct item *item = g_ptr_array_index(f->items, i);
+        if (status == 200) {
+            if (item->kind == SUBMIT)
+                reply_accepted(item);
+            else
+                reply_cancelled(item);
+        } else if (status == 409 && is_failed(failed, item)) {
+            pm_store_reach(in->store, edition, on_conflict, item);
+        } else if ((status == 409 || status == 429 || status == PM_HTTP_NOT_SENT) &&
+                   ++item->tries <= TRIES_MAX) {
+            g_queue_push_tail(&in->queue, item); /* not written: it goes with the next ones */
+        } else {
+            reply_unsure(item, 1);
+        }
+    }
+    g_ptr_array_free(f->items, TRUE);
+    g_free(f);
+    if (in->queue.length && !ev_is_active(&in->timer)) {
+        ev_timer_set(&in->timer, status == 200 || status == 409 ? 0.001 : 0.1, 0.);
+        ev_timer_start(in->loop, &in->timer);
+    }
+}
+
+static bool add_write(struct pm_intake *in, struct flight *f, struct pm_txn *txn,
+                      struct item *item)
+{
+    const struct pm_job *job = pm_jobs_find(in->jobs, item->id);
+    char key[64];
+
+    for (guint i = 0; i < f->items->len; i++)
+        if (!strcmp(((struct item *)g_ptr_array_index(f->items, i))->id, item->id))
+            return false; /* the same job twice: the second goes after the first */
+    snprintf(key, sizeof key, "p/j/%s", item->id);
+    pm_txn_if(txn, key, job ? job->stamp : 0);
+    pm_txn_put(txn, key);
+    if (item->kind == SUBMIT)
+        pm_jobs_write(in->books, item->spec, item->spec->entries, PM_LIVE, true, &txn->writes);
+    else
+        pm_jobs_write(in->books, job->spec, job->entries, PM_CANCELLED, true, &txn->writes);
+    pm_txn_put_end(txn, 0);
+    g_ptr_array_add(f->items, item);
+    return true;
+}
+
+static void flush(struct pm_intake *in)
+{
+    double now = pm_clock_steady();
+
+    while (in->queue.length && in->in_flight < IN_FLIGHT_MAX) {
+        int room = MIN(pm_store_room(in->store, now), in->books->settings->txn_ops);
+        struct pm_txn txn = {0};
+        struct flight *f;
+        guint waiting = in->queue.length;
+
+        if (room < 1)
+            break;
+        f = g_new0(struct flight, 1);
+        f->intake = in;
+        f->items = g_ptr_array_new();
+        while (waiting-- > 0 && txn.nwrites < room && txn.writes.size < 40 * 1024) {
+            struct item *item = g_queue_pop_head(&in->queue);
+            const struct pm_job *job = pm_jobs_find(in->jobs, item->id);
+            if (now - item->arrived > GIVE_UP_S)
+                reply_unsure(item, 2);
+            else if (job && (item->kind == SUBMIT || job->state != PM_LIVE || !job->spec))
+                decide(item);
+            else if (!add_write(in, f, &txn, item))
+                g_queue_push_tail(&in->queue, item);
+        }
+        if (!f->items->len) {
+            pm_txn_free(&txn);
+            g_ptr_array_free(f->items, TRUE);
+            g_free(f);
+            break;
+        }
+        in->in_flight++;
+        pm_store_commit(in->store, &txn, on_written, f);
+    }
+    if (in->queue.length && !ev_is_active(&in->timer)) {
+        ev_timer_set(&in->timer, 0.05, 0.);
+        ev_timer_start(in->loop, &in->timer);
+    }
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+    (void)loop;
+    (void)events;
+    flush(w->data);
+}
+
+/* ---- the door ---- */
+
+static struct item *item_new(struct pm_intake *in, struct pm_http_request *req, enum kind kind,
+                             const char *id)
+{
+    struct item *item;
+
+    if (!pm_limit_enter(in->limit)) {
+        pm_http_reply(req, 429, NULL, 0, 1);
+        return NULL;
+    }
+    item = g_new0(struct item, 1);
+    item->intake = in;
+    item->req = req;
+    item->kind = kind;
+    item->arrived = pm_clock_steady();
+    g_strlcpy(item->id, id, sizeof item->id);
+    return item;
+}
+
+static void reply_error(struct pm_http_request *req, int status, const char *why)
+{
+    struct pm_buf body = {0};
+
+    pm_put_map(&body);
+    pm_put_pair_text(&body, "error", why);
+    pm_put_end(&body);
+    pm_http_reply(req, status, body.data, body.size, status == 503 ? 1 : 0);
+    pm_buf_free(&body);
+}
+
+static void submit(struct pm_intake *in, struct pm_http_request *req)
+{
+    cbor_item_t *body = pm_cbor_parse(req->body, req->body_size);
+    struct pm_spec spec;
+    char id[PM_ID_MAX] = "";
+    const char *why = "not CBOR";
+    struct item *item;
+    int status = 400;
+
+    if (body) {
+        /* A repeat of what was accepted is never judged again (rule `forgotten`). */
+        bool known = !pm_cbor_text(pm_cbor_get(body, "name_id"), id, sizeof id) &&
+                     pm_jobs_find(in->jobs, id);
+        status = known ? 200 : pm_jobs_read(in->books, body, id, &spec, &why);
+        pm_cbor_free(body);
+        if (known) {
+            if ((item = item_new(in, req, SUBMIT, id)))
+                decide(item);
+            return;
+        }
+    }
+    if (status != 200) {
+        reply_error(req, status, why);
+        return;
+    }
+    if (!(item = item_new(in, req, SUBMIT, id)))
+        return;
+    item->spec = g_new(struct pm_spec, 1);
+    *item->spec = spec;
+    item->spec->submitted = pm_clock_day();
+    decide(item);
+}
+
+void pm_intake_request(struct pm_intake *in, struct pm_http_request *req)
+{
+    const char *rest = req->path + strlen("/work");
+    char id[PM_ID_MAX];
+    const char *slash;
+    size_t n;
+    enum kind kind;
+    struct item *item;
+
+    if (!*rest) {
+        if (req->method == PM_HTTP_POST)
+            submit(in, req);
+        else
+            reply_error(req, 405, "method");
+        return;
+    }
+    slash = strchr(rest + 1, '/');
+    n = slash ? (size_t)(slash - rest - 1) : strlen(rest + 1);
+    if (slash && strcmp(slash, "/abort")) {
+        reply_error(req, 404, "path");
+        return;
+    }
+    kind = slash ? ABORT : POLL;
+    if (req->method != (slash ? PM_HTTP_POST : PM_HTTP_GET)) {
+        reply_error(req, 405, "method");
+        return;
+    }
+    if (n >= sizeof id) {
+        reply_error(req, 404, "no such job");
+        return;
+    }
+    memcpy(id, rest + 1, n);
+    id[n] = 0;
+    if (!pm_jobs_id_valid(id)) {
+        reply_error(req, 404, "no such job");
+        return;
+    }
+    if ((item = item_new(in, req, kind, id)))
+        decide(item);
+}
+
+static void on_probed(void *arg, bool ok)
+{
+    (void)arg;
+    (void)ok;
+}
+
+void pm_intake_ready(struct pm_intake *in, struct pm_http_request *req)
+{
+    double now = pm_clock_steady(), silent = now - pm_store_served(in->store);
+    bool ready;
+
+    if (req->method != PM_HTTP_GET) {
+        reply_error(req, 405, "method");
+        return;
+    }
+    /* The state service refusing everybody is no reason to turn users away from every node; being
+     * out of its reach is one to send them elsewhere. */
+    ready = pm_store_ready(in->store) &&
+            (silent < SERVED_S || pm_store_refusing(in->store));
+    if (silent > 1 && now - in->probed > 1) {
+        in->probed = now;
+        pm_store_fresh(in->store, on_probed, in);
+    }
+    pm_http_reply(req, ready ? 200 : 503, NULL, 0, ready ? 0 : 1);
+}
+
+struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store,
+                                struct pm_jobs *jobs, struct pm_books *books,
+                                const struct pm_operator *op)
+{
+    struct pm_intake *in = g_new0(struct pm_intake, 1);
+
+    in->loop = loop;
+    in->store = store;
+    in->jobs = jobs;
+    in->books = books;
+    in->limit = pm_limit_new(op->admit_min, op->admit_max);
+    g_queue_init(&in->queue);
+    ev_init(&in->timer, on_timer);
+    in->timer.data = in;
+    return in;
+}
+
+void pm_intake_free(struct pm_intake *in)
+{
+    ev_timer_stop(in->loop, &in->timer);
+    pm_limit_free(in->limit);
+    g_free(in);
+}
--- /dev/null
+++ b/src/intake/intake.h
@@ -0,0 +1,36 @@
+/* Users' requests: submissions, polls, cancellations; how many at a time; how fresh the answers.
+ *
+ * Safety invariant 6: accepted and cancelled are durable before they are answered. A non-final
+ * answer, and a 404, is as fresh as the state service was when the question arrived. Final states
+ * come from memory, for ever. What is unsure is a 503. */
+#ifndef PM_INTAKE_INTAKE_H
+#define PM_INTAKE_INTAKE_H
+
+#include "base/http.h"
+#include "jobs/jobs.h"
+#include "store/store.h"
+
+struct pm_intake;
+struct pm_limit;
+
+/* ---- the limit on requests in progress ---- */
+
+struct pm_limit *pm_limit_new(unsigned least, unsigned most);
+void pm_limit_free(struct pm_limit *limit);
+bool pm_limit_enter(struct pm_limit *limit); /* false: more than can be done now */
+/* A request that was let in took that long. */
+void pm_limit_leave(struct pm_limit *limit, double seconds);
+unsigned pm_limit_now(const struct pm_limit *limit);
+
+/* ---- the requests ---- */
+
+struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store,
+                                struct pm_jobs *jobs, struct pm_books *books,
+                                const struct pm_operator *op);
+void pm_intake_free(struct pm_intake *intake);
+/* Takes a request whose path is /work or below, and answers it now or later. */
+void pm_intake_request(struct pm_intake *intake, struct pm_http_request *req);
+/* GET /ready. */
+void pm_intake_ready(struct pm_intake *intake, struct pm_http_request *req);
+
+#endif
--- /dev/null
+++ b/src/intake/limit.c
@@ -0,0 +1,58 @@
+/* The limit grows while requests take about as long as they do on a quiet day, and shrinks when
+ * they take markedly longer: then more in progress only means longer waits for each. */
+#include "intake/intake.h"
+
+#include <glib.h>
+
+struct pm_limit {
+    unsigned least, most, inside;
+    double limit;
+    double usual;  /* slowly moving floor of the times measured */
+    double recent; /* quickly moving mean */
+};
+
+struct pm_limit *pm_limit_new(unsigned least, unsigned most)
+{
+    struct pm_limit *l = g_new0(struct pm_limit, 1);
+
+    l->least = least;
+    l->most = most;
+    l->limit = MIN(most, MAX(least, 64));
+    return l;
+}
+
+void pm_limit_free(struct pm_limit *l)
+{
+    g_free(l);
+}
+
+unsigned pm_limit_now(const struct pm_limit *l)
+{
+    return (unsigned)l->limit;
+}
+
+bool pm_limit_enter(struct pm_limit *l)
+{
+    if (l->inside >= (unsigned)l->limit)
+        return false;
+    l->inside++;
+    return true;
+}
+
+void pm_limit_leave(struct pm_limit *l, double seconds)
+{
+    bool busy = l->inside * 2 >= (unsigned)l->limit;
+
+    if (l->inside)
+        l->inside--;
+    l->recent = l->recent > 0 ? l->recent * 0.9 + seconds * 0.1 : seconds;
+    if (l->usual <= 0 || seconds < l->usual)
+        l->usual = seconds;
+    else
+        l->usual += (seconds - l->usual) * 0.002;
+    /* Below a tenth of a second nobody waits noticeably: no reason to turn anybody away. */
+    if (l->recent > MAX(0.1, 4 * l->usual))
+        l->limit = MAX(l->least, l->limit * 0.98);
+    else if (busy)
+        l->limit = MIN(l->most, l->limit + 1);
+}
--- /dev/null
+++ b/src/jobs/commit.c
@@ -0,0 +1,356 @@
+#include "jobs/commit.h"
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum { IN_FLIGHT_MAX = 4, BODY_MAX = 48 * 1024 };
+#define BATCH_S 0.15 /* what no launch waits for is written together with what follows soon */
+
+struct pm_commit {
+    struct pm_books *books;
+    struct pm_jobs *jobs;
+    struct pm_store *store;
+    struct pm_commit_hooks hooks;
+    uint64_t round;
+    int in_flight;
+    double lazy_since; /* the oldest change that no launch waits for, 0: none */
+};
+
+struct mark { /* an intent that the transaction makes durable */
+    struct pm_job *job;
+    uint32_t index, attempt;
+};
+
+struct part {
+    struct pm_job *job;
+    int k; /* -1: the job's own key */
+    bool drop;
+};
+
+struct flight {
+    struct pm_commit *commit;
+    uint64_t round;
+    double sent;
+    GArray *marks, *parts;
+    struct pm_txn txn;
+};
+
+struct pm_commit *pm_commit_new(struct pm_books *books, struct pm_jobs *jobs,
+                                struct pm_store *store, const struct pm_commit_hooks *hooks)
+{
+    struct pm_commit *c = g_new0(struct pm_commit, 1);
+
+    c->books = books;
+    c->jobs = jobs;
+    c->store = store;
+    c->hooks = *hooks;
+    return c;
+}
+
+void pm_commit_free(struct pm_commit *c)
+{
+    g_free(c);
+}
+
+void pm_commit_reset(struct pm_commit *c)
+{
+    c->round++;
+    c->in_flight = 0;
+    c->lazy_since = 0;
+}
+
+static void flight_free(struct flight *f)
+{
+    g_array_free(f->marks, TRUE);
+    g_array_free(f->parts, TRUE);
+    pm_txn_free(&f->txn);
+    g_free(f);
+}
+
+static void settle(struct flight *f, int status, uint64_t edition)
+{
+    struct pm_commit *c = f->commit;
+    double now = pm_clock_steady();
+    double pause = status == 409 ? 0.06 : status == 429 ? 0.15 : 0.3;
+
+    for (guint i = 0; i < f->parts->len; i++) {
+        struct part *part = &g_array_index(f->parts, struct part, i);
+        struct pm_job *job = part->job;
+        if (part->k < 0) {
+            job->final_in_flight = false;
+            if (status != 200)
+                job->retry_at = now + pause;
+            continue;
+        }
+        if (part->k >= job->nchunks || !job->chunk[part->k])
+            continue; /* over meanwhile */
+        job->chunk[part->k]->in_flight = false;
+        if (status == 200) {
+            if (part->drop)
+                job->chunk[part->k]->stamp = 0;
+            else
+                job->chunk[part->k]->stamp = edition;
+        } else if (!part->drop) {
+            /* Unknown or failed: written again on the stamp that the watch tells by then. If this
+             * copy is applied late after all, its own stamps no longer match, or ours don't. */
+            job->chunk[part->k]->dirty = true;
+            job->chunk[part->k]->retry_at = now + pause;
+        }
+    }
+    for (guint i = 0; status == 200 && i < f->marks->len; i++) {
+        struct mark *mark = &g_array_index(f->marks, struct mark, i);
+        const struct pm_task *task;
+        if (!mark->job->chunk)
+            continue;
+        task = pm_job_peek(mark->job, mark->index);
+        if (task && task->place && task->place->attempt == mark->attempt &&
+            task->place->state == PM_INTENT) {
+            task->place->state = PM_DURABLE;
+            c->hooks.durable(c->hooks.arg, task->place);
+        }
+    }
+}
+
+static void on_done(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    struct flight *f = arg;
+    struct pm_commit *c = f->commit;
+    char key[256];
+
+    if (f->round == c->round) {
+        c->in_flight--;
+        settle(f, status, edition);
+        if (status == 200)
+            c->hooks.confirmed(c->hooks.arg, f->sent);
+        else
+            pm_debug("commit.failed", "status %d", status);
+        for (size_t i = 0; i < pm_cbor_length(failed); i++)
+            if (!pm_cbor_text(pm_cbor_at(failed, i), key, sizeof key) && !strcmp(key, "p/epoch"))
+                c->hooks.doubt(c->hooks.arg);
+    }
+    flight_free(f);
+}
+
+static void job_key(const struct pm_job *job, char *key, size_t size)
+{
+    snprintf(key, size, "p/j/%s", job->id);
+}
+
+static void chunk_key(const struct pm_job *job, int k, char *key, size_t size)
+{
+    snprintf(key, size, "p/t/%s/%d", job->id, k);
+}
+
+static void condition_job(struct flight *f, const struct pm_job *job)
+{
+    char key[64];
+
+    for (guint i = 0; i < f->parts->len; i++)
+        if (g_array_index(f->parts, struct part, i).job == job)
+            return;
+    job_key(job, key, sizeof key);
+    pm_txn_if(&f->txn, key, job->stamp);
+}
+
+static void add_chunk(struct pm_commit *c, struct flight *f, struct pm_job *job, int k)
+{
+    struct pm_chunk *chunk = job->chunk[k];
+    char key[64];
+
+    condition_job(f, job);
+    chunk_key(job, k, key, sizeof key);
+    pm_txn_if(&f->txn, key, chunk->stamp);
+    pm_txn_put(&f->txn, key);
+    pm_jobs_write_chunk(c->books, job, k, &f->txn.writes);
+    pm_txn_put_end(&f->txn, 0);
+    for (int i = 0; i < PM_CHUNK; i++) {
+        const struct pm_place *place = chunk->task[i].place;
+        if (place && place->state == PM_INTENT)
+            g_array_append_vals(f->marks, &(struct mark){job, place->index, place->attempt}, 1);
+    }
+    chunk->dirty = false;
+    chunk->in_flight = true;
+    g_array_append_vals(f->parts, &(struct part){job, k, false}, 1);
+}
+
+static void drop_chunk(struct flight *f, struct pm_job *job, int k)
+{
+    char key[64];
+
+    condition_job(f, job);
+    chunk_key(job, k, key, sizeof key);
+    pm_txn_if(&f->txn, key, job->chunk[k]->stamp);
+    pm_txn_drop(&f->txn, key);
+    job->chunk[k]->dirty = false;
+    job->chunk[k]->in_flight = true;
+    g_array_append_vals(f->parts, &(struct part){job, k, true}, 1);
+}
+
+/* Whether the job has come to its end and nothing of it is left on any machine. */
+static bool over(const struct pm_job *job)
+{
+    if (!job->spec || job->nplaced)
+        return false;
+    return job->state != PM_LIVE ||
+           (job->spec->form != PM_SERVICE && job->ndone == job->entries);
+}
+
+static int chunks_written(const struct pm_job *job, bool *busy)
+{
+    int n = 0;
+
+    *busy = false;
+    for (int k = 0; k < job->nchunks; k++) {
+        if (!job->chunk[k])
+            continue;
+        n += job->chunk[k]->stamp != 0;
+        *busy |= job->chunk[k]->in_flight;
+    }
+    return n;
+}
+
+/* The final state, and the chunks go. A job with more chunks than a transaction takes is first
+ * called done with its description kept, then its chunks go, then the description. */
+static bool add_final(struct pm_commit *c, struct flight *f, struct pm_job *job, int room)
+{
+    enum pm_job_state end = job->state == PM_LIVE ? PM_DONE : job->state;
+    char key[64];
+    bool busy, fits;
+    int chunks = chunks_written(job, &busy);
+
+    if (busy || room < 1)
+        return false;
+    fits = chunks + 1 <= room;
+    if (!fits && f->parts->len)
+        return false; /* wait for a transaction of its own */
+    condition_job(f, job);
+    if (fits || job->state == PM_LIVE) {
+        job_key(job, key, sizeof key);
+        pm_txn_put(&f->txn, key);
+        pm_jobs_write(c->books, job->spec, job->entries, end, !fits, &f->txn.writes);
+        pm_txn_put_end(&f->txn, 0);
+        room--;
+    }
+    g_array_append_vals(f->parts, &(struct part){job, -1, false}, 1);
+    job->final_in_flight = true;
+    for (int k = 0; k < job->nchunks && room > 0 && (fits || job->state != PM_LIVE); k++) {
+        if (!job->chunk[k] || !job->chunk[k]->stamp)
+            continue;
+        drop_chunk(f, job, k);
+        room--;
+    }
+    return true;
+}
+
+static struct flight *flight_new(struct pm_commit *c, uint64_t epoch_stamp, double now)
+{
+    struct flight *f = g_new0(struct flight, 1);
+
+    f->commit = c;
+    f->round = c->round;
+    f->sent = now;
+    f->marks = g_array_new(FALSE, FALSE, sizeof(struct mark));
+    f->parts = g_array_new(FALSE, FALSE, sizeof(struct part));
+    pm_txn_if(&f->txn, "p/epoch", epoch_stamp);
+    return f;
+}
+
+/* 0: intents of services, 1: other intents, 2: the rest, 3: not due, and the time in `next`. */
+static int chunk_rank(const struct pm_job *job, const struct pm_chunk *chunk, double now,
+                      double *next)
+{
+    if (!chunk->dirty || chunk->in_flight)
+        return 3;
+    if (chunk->retry_at > now) {
+        *next = *next ? MIN(*next, chunk->retry_at) : chunk->retry_at;
+        return 3;
+    }
+    for (int i = 0; i < PM_CHUNK; i++)
+        if (chunk->task[i].place && chunk->task[i].place->state == PM_INTENT)
+            return job->spec->priority == PM_PRODUCTION ? 0 : 1;
+    return 2;
+}
+
+static bool full(const struct pm_commit *c, const struct flight *f, int room)
+{
+    (void)c;
+    return f->txn.nwrites >= room || f->txn.writes.size > BODY_MAX ||
+           f->txn.nconditions + 3 > 4 * room;
+}
+
+static int add_pass(struct pm_commit *c, struct flight *f, int pass, int room, double now,
+                    double *next)
+{
+    GPtrArray *active = pm_jobs_active(c->jobs);
+    int found = 0;
+
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        if (!job->spec || job->final_in_flight)
+            continue;
+        if (over(job)) {
+            if (pass == 0 && job->retry_at <= now) {
+                found++;
+                if (!full(c, f, room))
+                    add_final(c, f, job, room - f->txn.nwrites);
+            } else if (job->retry_at > now) {
+                *next = *next ? MIN(*next, job->retry_at) : job->retry_at;
+            }
+            continue;
+        }
+        for (int k = 0; k < job->nchunks; k++) {
+            if (!job->chunk[k] || chunk_rank(job, job->chunk[k], now, next) != pass)
+                continue;
+            found++;
+            if (!full(c, f, room))
+                add_chunk(c, f, job, k);
+        }
+    }
+    return found;
+}
+
+double pm_commit_run(struct pm_commit *c, uint64_t epoch_stamp, double now)
+{
+    int txn_ops = c->books->settings->txn_ops;
+
+    for (;;) {
+        int room = MIN(pm_store_room(c->store, now), txn_ops), lazy = 0;
+        double next = 0;
+        struct flight *f;
+
+        if (c->in_flight >= IN_FLIGHT_MAX)
+            return now + 0.02;
+        if (room < MIN(4, txn_ops))
+            return now + 0.05;
+        f = flight_new(c, epoch_stamp, now);
+        add_pass(c, f, 0, room, now, &next);
+        add_pass(c, f, 1, room, now, &next);
+        if (c->lazy_since && now - c->lazy_since >= BATCH_S) {
+            lazy = add_pass(c, f, 2, room, now, &next);
+            c->lazy_since = 0;
+        } else {
+            double ignored = 0;
+            GPtrArray *active = pm_jobs_active(c->jobs);
+            for (guint i = 0; !lazy && i < active->len; i++) {
+                struct pm_job *job = g_ptr_array_index(active, i);
+                for (int k = 0; job->spec && !over(job) && !lazy && k < job->nchunks; k++)
+                    lazy = job->chunk[k] &&
+                           chunk_rank(job, job->chunk[k], now, &ignored) == 2;
+            }
+            if (lazy && !c->lazy_since)
+                c->lazy_since = now;
+            if (!lazy)
+                c->lazy_since = 0;
+        }
+        if (!f->parts->len) {
+            flight_free(f);
+            if (c->lazy_since)
+                next = next ? MIN(next, c->lazy_since + BATCH_S) : c->lazy_since + BATCH_S;
+            return next;
+        }
+        c->in_flight++;
+        pm_store_commit(c->store, &f->txn, on_done, f);
+    }
+}
--- /dev/null
+++ b/src/jobs/commit.h
@@ -0,0 +1,27 @@
+/* Writes the leader's working state back, in transactions that each carry the epoch's stamp, every
+ * job's stamp and every chunk's (safety invariants 1 and 2). */
+#ifndef PM_JOBS_COMMIT_H
+#define PM_JOBS_COMMIT_H
+
+#include "jobs/jobs.h"
+#include "store/store.h"
+
+struct pm_commit;
+
+struct pm_commit_hooks {
+    void (*durable)(void *arg, struct pm_place *place); /* an intent may be launched now */
+    void (*confirmed)(void *arg, double sent);          /* the epoch held at that time */
+    void (*doubt)(void *arg);                           /* the epoch's stamp did not match */
+    void *arg;
+};
+
+struct pm_commit *pm_commit_new(struct pm_books *books, struct pm_jobs *jobs,
+                                struct pm_store *store, const struct pm_commit_hooks *hooks);
+void pm_commit_free(struct pm_commit *commit);
+/* Sends what is due and what the write budget has room for. Returns the steady time at which to
+ * call again, 0 when nothing waits. */
+double pm_commit_run(struct pm_commit *commit, uint64_t epoch_stamp, double now);
+/* Answers to transactions under way are no longer ours to read: on losing the lead. */
+void pm_commit_reset(struct pm_commit *commit);
+
+#endif
--- /dev/null
+++ b/src/jobs/jobs.c
@@ -0,0 +1,638 @@
+#include "jobs/jobs.h"
+#include "base/log.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { TEXT_MAX = 120 };
+
+struct pm_jobs {
+    struct pm_books *books;
+    GHashTable *by_id; /* owns the jobs */
+    GPtrArray *active;
+};
+
+static const char *const form_names[] = {"array", "group", "standing"};
+static const char *const priority_names[] = {"best_effort", "normal", "urgent", "production"};
+static const char *const state_names[] = {"live", "cancelled", "done"};
+
+static int name_index(const char *const *names, int n, const char *text)
+{
+    for (int i = 0; i < n; i++)
+        if (!strcmp(names[i], text))
+            return i;
+    return -1;
+}
+
+static void chunk_free(struct pm_chunk *chunk)
+{
+    if (!chunk)
+        return;
+    if (chunk->spots)
+        g_array_free(chunk->spots, TRUE);
+    g_free(chunk->task);
+    g_free(chunk);
+}
+
+static void chunks_free(struct pm_job *job)
+{
+    for (int k = 0; k < job->nchunks; k++)
+        chunk_free(job->chunk[k]);
+    g_free(job->chunk);
+    job->chunk = NULL;
+    job->nchunks = 0;
+}
+
+static void job_free(gpointer data)
+{
+    struct pm_job *job = data;
+
+    chunks_free(job);
+    g_free(job->spec);
+    g_free(job);
+}
+
+struct pm_jobs *pm_jobs_new(struct pm_books *books)
+{
+    struct pm_jobs *jobs = g_new0(struct pm_jobs, 1);
+
+    jobs->books = books;
+    jobs->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    jobs->active = g_ptr_array_new();
+    return jobs;
+}
+
+void pm_jobs_free(struct pm_jobs *jobs)
+{
+    g_hash_table_destroy(jobs->by_id);
+    g_ptr_array_free(jobs->active, TRUE);
+    g_free(jobs);
+}
+
+struct pm_job *pm_jobs_find(const struct pm_jobs *jobs, const char *id)
+{
+    return g_hash_table_lookup(jobs->by_id, id);
+}
+
+GPtrArray *pm_jobs_active(struct pm_jobs *jobs)
+{
+    return jobs->active;
+}
+
+bool pm_jobs_id_valid(const char *id)
+{
+    size_t n = strlen(id);
+
+    if (n < 5 || n >= PM_ID_MAX || strncmp(id, "job-", 4))
+        return false;
+    for (const char *c = id + 4; *c; c++)
+        if (!isdigit((unsigned char)*c))
+            return false;
+    return true;
+}
+
+/* ---- reading a job's fields, from a user or from the state service ---- */
+
+static int read_name(const cbor_item_t *body, const char *key, char *out, const char **why)
+{
+    if (pm_cbor_text(pm_cbor_get(body, key), out, TEXT_MAX) || !out[0]) {
+        *why = key;
+        return -1;
+    }
+    return 0;
+}
+
+static int read_amount(const cbor_item_t *body, const char *key, double *out, const char **why)
+{
+    if (pm_cbor_number(pm_cbor_get(body, key), out) || *out < 0 || *out > 1e12) {
+        *why = key;
+        return -1;
+    }
+    return 0;
+}
+
+static int read_flag(const cbor_item_t *body, const char *key, bool *out, const char **why)
+{
+    *out = false;
+    if (pm_cbor_has(body, key) && pm_cbor_flag(pm_cbor_get(body, key), out)) {
+        *why = key;
+        return -1;
+    }
+    return 0;
+}
+
+static int read_types(const struct pm_books *books, const cbor_item_t *list, uint64_t *out)
+{
+    char name[TEXT_MAX];
+
+    if (!list) {
+        *out = ~(uint64_t)0;
+        return 0;
+    }
+    if (!cbor_isa_array(list))
+        return -1;
+    *out = 0;
+    for (size_t i = 0; i < pm_cbor_length(list); i++) {
+        int type;
+        if (pm_cbor_text(pm_cbor_at(list, i), name, sizeof name))
+            return -1;
+        type = pm_names_find(books->types, name);
+        if (type >= 0 && type < PM_TYPES_MAX)
+            *out |= (uint64_t)1 << type;
+    }
+    return 0;
+}
+
+static int find_zone(const struct pm_settings *settings, const char *name)
+{
+    for (int i = 0; i < settings->zones; i++)
+        if (!strcmp(settings->zone_name[i], name))
+            return i;
+    return -1;
+}
+
+static int find_team(const struct pm_settings *settings, const char *name)
+{
+    for (int i = 0; i < settings->teams; i++)
+        if (!strcmp(settings->team[i].name, name))
+            return i;
+    return -1;
+}
+
+struct raw_names {
+    char class_name[TEXT_MAX], team[TEXT_MAX], image[TEXT_MAX], zone[TEXT_MAX];
+};
+
+/* 0, or -1 with the field at fault in `why`. Names are left for the caller to judge. */
+static int read_fields(const struct pm_books *books, const cbor_item_t *body, struct pm_spec *spec,
+                       struct raw_names *names, const char **why)
+{
+    char text[TEXT_MAX];
+    uint64_t entries;
+    int found;
+
+    *why = "not a map";
+    if (!body || !cbor_isa_map(body))
+        return -1;
+    if (read_name(body, "ledger", names->class_name, why) ||
+        read_name(body, "desk", names->team, why) ||
+        read_name(body, "bundle", names->image, why) || read_name(body, "form", text, why))
+        return -1;
+    *why = "form";
+    if ((found = name_index(form_names, 3, text)) < 0)
+        return -1;
+    spec->form = (enum pm_form)found;
+    if (read_name(body, "urgency", text, why))
+        return -1;
+    *why = "urgency";
+    if ((found = name_index(priority_names, 4, text)) < 0)
+        return -1;
+    spec->priority = (enum pm_priority)found;
+    *why = "entries";
+    if (pm_cbor_count(pm_cbor_get(body, "entries"), &entries) || entries < 1 ||
+        entries > PM_ENTRIES_MAX)
+        return -1;
+    spec->entries = (uint32_t)entries;
+    if (read_amount(body, "cpus", &spec->cpus, why) ||
+        read_amount(body, "accelerators", &spec->gpus, why) ||
+        read_amount(body, "ram_gb", &spec->ram_gb, why) ||
+        read_amount(body, "size_gb", &spec->image_gb, why) ||
+        read_amount(body, "expected_s", &spec->expected_s, why) ||
+        read_amount(body, "bookmark_s", &spec->bookmark_s, why) ||
+        read_amount(body, "filing_s", &spec->filing_s, why))
+        return -1;
+    spec->due_s = -1;
+    if (pm_cbor_has(body, "due_s") && read_amount(body, "due_s", &spec->due_s, why))
+        return -1;
+    if (read_flag(body, "same_place", &spec->same_place, why) ||
+        read_flag(body, "spread", &spec->spread, why) ||
+        read_flag(body, "borrowed", &spec->spot, why))
+        return -1;
+    *why = "models";
+    if (read_types(books, pm_cbor_get(body, "models"), &spec->types))
+        return -1;
+    names->zone[0] = 0;
+    if (pm_cbor_has(body, "room") && read_name(body, "room", names->zone, why))
+        return -1;
+    return 0;
+}
+
+static bool fits_some_type(const struct pm_books *books, const struct pm_spec *spec)
+{
+    for (int i = 0; i < books->ntypes; i++) {
+        const struct pm_type *type = &books->type[i];
+        if (spec->types >> i & 1 && type->cpus >= spec->cpus && type->gpus >= spec->gpus &&
+            type->ram_gb >= spec->ram_gb)
+            return true;
+    }
+    return false;
+}
+
+int pm_jobs_read(struct pm_books *books, const cbor_item_t *body, char *id, struct pm_spec *spec,
+                 const char **why)
+{
+    const struct pm_settings *settings = books->settings;
+    struct raw_names names;
+    const struct pm_team_setting *team;
+    double tasks;
+
+    memset(spec, 0, sizeof *spec);
+    *why = "name_id";
+    if (pm_cbor_text(pm_cbor_get(body, "name_id"), id, PM_ID_MAX) || !pm_jobs_id_valid(id))
+        return 400;
+    if (read_fields(books, body, spec, &names, why))
+        return 400;
+    if (!books->ntypes) {
+        *why = "machine types not known yet";
+        return 503;
+    }
+    spec->team = find_team(settings, names.team);
+    spec->zone = names.zone[0] ? find_zone(settings, names.zone) : -1;
+    *why = "unknown team or room";
+    if (spec->team < 0 || (names.zone[0] && spec->zone < 0))
+        return 422;
+    *why = "fits no allowed machine type";
+    if (!fits_some_type(books, spec))
+        return 422;
+    team = &settings->team[spec->team];
+    tasks = spec->form == PM_ARRAY ? 1 : spec->entries;
+    *why = "above the team's limit";
+    if (tasks * spec->cpus > team->cpus_max + 1e-6 || tasks * spec->gpus > team->gpus_max + 1e-6)
+        return 422;
+    spec->class_index = pm_names_add(books->classes, names.class_name);
+    spec->image = pm_names_add(books->images, names.image);
+    return 200;
+}
+
+/* ---- values of p/j ---- */
+
+void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
+                   enum pm_job_state state, bool full, struct pm_buf *out)
+{
+    pm_put_map(out);
+    pm_put_pair_text(out, "now", state_names[state]);
+    pm_put_pair_count(out, "entries", entries);
+    if (full) {
+        pm_put_pair_text(out, "ledger", pm_names_text(books->classes, spec->class_index));
+        pm_put_pair_text(out, "desk", books->settings->team[spec->team].name);
+        pm_put_pair_text(out, "bundle", pm_names_text(books->images, spec->image));
+        pm_put_pair_text(out, "form", form_names[spec->form]);
+        pm_put_pair_text(out, "urgency", priority_names[spec->priority]);
+        pm_put_pair_number(out, "cpus", spec->cpus);
+        pm_put_pair_number(out, "accelerators", spec->gpus);
+        pm_put_pair_number(out, "ram_gb", spec->ram_gb);
+        pm_put_pair_number(out, "size_gb", spec->image_gb);
+        pm_put_pair_number(out, "expected_s", spec->expected_s);
+        pm_put_pair_number(out, "bookmark_s", spec->bookmark_s);
+        pm_put_pair_number(out, "filing_s", spec->filing_s);
+        if (spec->due_s >= 0)
+            pm_put_pair_number(out, "due_s", spec->due_s);
+        pm_put_pair_flag(out, "same_place", spec->same_place);
+        pm_put_pair_flag(out, "spread", spec->spread);
+        pm_put_pair_flag(out, "borrowed", spec->spot);
+        if (spec->types != ~(uint64_t)0) {
+            pm_put_text(out, "models");
+            pm_put_list(out);
+            for (int i = 0; i < books->ntypes; i++)
+                if (spec->types >> i & 1)
+                    pm_put_text(out, pm_names_text(books->types, i));
+            pm_put_end(out);
+        }
+        if (spec->zone >= 0)
+            pm_put_pair_text(out, "room", books->settings->zone_name[spec->zone]);
+        pm_put_pair_number(out, "at", spec->submitted);
+    }
+    pm_put_end(out);
+}
+
+static void activate(struct pm_jobs *jobs, struct pm_job *job)
+{
+    if (!job->listed) {
+        job->listed = true;
+        g_ptr_array_add(jobs->active, job);
+    }
+}
+
+static void deactivate(struct pm_jobs *jobs, struct pm_job *job)
+{
+    if (job->listed) {
+        job->listed = false;
+        g_ptr_array_remove_fast(jobs->active, job);
+    }
+}
+
+static void job_size(struct pm_job *job)
+{
+    if (!job->chunk) {
+        job->nchunks = (int)((job->entries + PM_CHUNK - 1) / PM_CHUNK);
+        job->chunk = g_new0(struct pm_chunk *, job->nchunks);
+    }
+}
+
+static struct pm_job *put_job(struct pm_jobs *jobs, const char *id, const cbor_item_t *value,
+                              uint64_t stamp)
+{
+    struct pm_job *job = pm_jobs_find(jobs, id);
+    struct raw_names names;
+    char now[16];
+    uint64_t entries;
+    const char *why;
+    int state;
+
+    if (job && job->stamp >= stamp)
+        return NULL;
+    if (!pm_jobs_id_valid(id) || pm_cbor_text(pm_cbor_get(value, "now"), now, sizeof now) ||
+        (state = name_index(state_names, 3, now)) < 0 ||
+        pm_cbor_count(pm_cbor_get(value, "entries"), &entries) || entries < 1 ||
+        entries > PM_ENTRIES_MAX) {
+        pm_error("jobs.value", "unreadable value of job %s", id);
+        return NULL;
+    }
+    if (!job) {
+        job = g_new0(struct pm_job, 1);
+        g_strlcpy(job->id, id, sizeof job->id);
+        job->entries = (uint32_t)entries;
+        g_hash_table_insert(jobs->by_id, job->id, job);
+    }
+    job->stamp = stamp;
+    job->state = (enum pm_job_state)state;
+    if (pm_cbor_has(value, "form")) {
+        struct pm_spec *spec = job->spec ? job->spec : g_new0(struct pm_spec, 1);
+        if (read_fields(jobs->books, value, spec, &names, &why) ||
+            (spec->team = find_team(jobs->books->settings, names.team)) < 0) {
+            pm_error("jobs.value", "unreadable description of job %s", id);
+            if (!job->spec)
+                g_free(spec);
+            return job;
+        }
+        spec->zone = names.zone[0] ? find_zone(jobs->books->settings, names.zone) : -1;
+        spec->class_index = pm_names_add(jobs->books->classes, names.class_name);
+        spec->image = pm_names_add(jobs->books->images, names.image);
+        pm_cbor_number(pm_cbor_get(value, "at"), &spec->submitted);
+        job->spec = spec;
+        job_size(job);
+        activate(jobs, job);
+    } else if (!job->nplaced) {
+        /* Over, and nothing of it is left anywhere: the final state alone is kept. */
+        g_free(job->spec);
+        job->spec = NULL;
+        chunks_free(job);
+        deactivate(jobs, job);
+    }
+    return job;
+}
+
+/* ---- values of p/t ---- */
+
+static void read_ranges(const char *text, uint64_t done[PM_CHUNK / 64])
+{
+    memset(done, 0, PM_CHUNK / 8);
+    while (*text) {
+        char *end;
+        unsigned long from = strtoul(text, &end, 10), to = from;
+        if (end == text)
+            return;
+        if (*end == '-')
+            to = strtoul(end + 1, &end, 10);
+        for (; from <= to && from < PM_CHUNK; from++)
+            done[from / 64] |= (uint64_t)1 << (from % 64);
+        text = *end == ',' ? end + 1 : end;
+    }
+}
+
+static void write_ranges(const struct pm_task *task, char *out, size_t size)
+{
+    size_t used = 0;
+
+    out[0] = 0;
+    for (int i = 0; i < PM_CHUNK; i++) {
+        int from = i;
+        if (!task[i].done)
+            continue;
+        while (i + 1 < PM_CHUNK && task[i + 1].done)
+            i++;
+        used += (size_t)snprintf(out + used, size - used, i > from ? "%s%d-%d" : "%s%d",
+                                 used ? "," : "", from, i);
+    }
+}
+
+static bool split_chunk_key(const char *rest, char *id, int *k)
+{
+    const char *slash = strchr(rest, '/');
+
+    if (!slash || (size_t)(slash - rest) >= PM_ID_MAX)
+        return false;
+    memcpy(id, rest, (size_t)(slash - rest));
+    id[slash - rest] = 0;
+    *k = atoi(slash + 1);
+    return true;
+}
+
+static struct pm_chunk *chunk_at(struct pm_job *job, int k)
+{
+    if (k < 0 || k >= job->nchunks)
+        return NULL;
+    if (!job->chunk[k])
+        job->chunk[k] = g_new0(struct pm_chunk, 1);
+    return job->chunk[k];
+}
+
+static struct pm_job *put_chunk(struct pm_jobs *jobs, const char *rest, const cbor_item_t *value,
+                                uint64_t stamp)
+{
+    char id[PM_ID_MAX], text[1024];
+    struct pm_job *job;
+    struct pm_chunk *chunk;
+    uint64_t last_try = 0;
+    cbor_item_t *spots;
+    int k;
+
+    if (!split_chunk_key(rest, id, &k) || !(job = pm_jobs_find(jobs, id)))
+        return NULL;
+    chunk = chunk_at(job, k);
+    if (!chunk || chunk->stamp >= stamp)
+        return NULL;
+    if (pm_cbor_text(pm_cbor_get(value, "done"), text, sizeof text) ||
+        pm_cbor_count(pm_cbor_get(value, "try"), &last_try)) {
+        pm_error("jobs.value", "unreadable chunk %s", rest);
+        return NULL;
+    }
+    chunk->stamp = stamp;
+    read_ranges(text, chunk->done);
+    chunk->last_try = (uint32_t)last_try;
+    if (chunk->spots)
+        g_array_set_size(chunk->spots, 0);
+    else
+        chunk->spots = g_array_new(FALSE, FALSE, sizeof(struct pm_spot));
+    spots = pm_cbor_get(value, "at");
+    for (size_t i = 0; i < pm_cbor_length(spots); i++) {
+        const cbor_item_t *item = pm_cbor_at(spots, i);
+        uint64_t task, attempt, session;
+        if (pm_cbor_length(item) != 4 || pm_cbor_count(pm_cbor_at(item, 0), &task) ||
+            pm_cbor_count(pm_cbor_at(item, 1), &attempt) ||
+            pm_cbor_text(pm_cbor_at(item, 2), text, sizeof text) ||
+            pm_cbor_count(pm_cbor_at(item, 3), &session) || task >= PM_CHUNK)
+            continue;
+        g_array_append_vals(chunk->spots,
+                            &(struct pm_spot){.task = (uint16_t)task,
+                                              .attempt = (uint32_t)attempt,
+                                              .session = (uint32_t)session,
+                                              .machine = pm_names_add(jobs->books->machines, text)},
+                            1);
+    }
+    return job;
+}
+
+void pm_jobs_write_chunk(const struct pm_books *books, const struct pm_job *job, int k,
+                         struct pm_buf *out)
+{
+    const struct pm_chunk *chunk = job->chunk[k];
+    char text[1024];
+
+    write_ranges(chunk->task, text, sizeof text);
+    pm_put_map(out);
+    pm_put_pair_text(out, "done", text);
+    pm_put_pair_count(out, "try", job->last_try);
+    pm_put_text(out, "at");
+    pm_put_list(out);
+    for (int i = 0; i < PM_CHUNK; i++) {
+        const struct pm_place *place = chunk->task[i].place;
+        if (!place || place->state == PM_ENDED)
+            continue;
+        pm_put_list(out);
+        pm_put_count(out, (uint64_t)i);
+        pm_put_count(out, place->attempt);
+        pm_put_text(out, pm_names_text(books->machines, place->machine_index));
+        pm_put_count(out, place->session);
+        pm_put_end(out);
+    }
+    pm_put_end(out);
+    pm_put_end(out);
+}
+
+/* ---- feed ---- */
+
+struct pm_job *pm_jobs_put(struct pm_jobs *jobs, const char *key, const cbor_item_t *value,
+                           uint64_t stamp)
+{
+    if (!strncmp(key, "p/j/", 4))
+        return put_job(jobs, key + 4, value, stamp);
+    if (!strncmp(key, "p/t/", 4))
+        return put_chunk(jobs, key + 4, value, stamp);
+    return NULL;
+}
+
+struct pm_job *pm_jobs_drop(struct pm_jobs *jobs, const char *key, uint64_t stamp)
+{
+    char id[PM_ID_MAX];
+    struct pm_job *job;
+    int k;
+
+    if (strncmp(key, "p/t/", 4) || !split_chunk_key(key + 4, id, &k) ||
+        !(job = pm_jobs_find(jobs, id)) || k < 0 || k >= job->nchunks || !job->chunk[k] ||
+        job->chunk[k]->stamp > stamp)
+        return NULL;
+    job->chunk[k]->stamp = 0;
+    if (job->chunk[k]->spots)
+        g_array_set_size(job->chunk[k]->spots, 0);
+    return job;
+}
+
+void pm_jobs_sweep_begin(struct pm_jobs *jobs)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    /* p/j keys are never dropped, so only chunks can have vanished unseen: they are told anew, and
+     * after their jobs, since a listing goes by key. */
+    g_hash_table_iter_init(&iter, jobs->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct pm_job *job = value;
+        for (int k = 0; k < job->nchunks; k++) {
+            if (!job->chunk[k])
+                continue;
+            job->chunk[k]->stamp = 0;
+            if (job->chunk[k]->spots)
+                g_array_set_size(job->chunk[k]->spots, 0);
+        }
+    }
+}
+
+void pm_jobs_count(const struct pm_job *job, uint32_t *done, uint32_t *running)
+{
+    *done = *running = 0;
+    if (job->state == PM_DONE) {
+        *done = job->entries;
+        return;
+    }
+    for (int k = 0; k < job->nchunks; k++) {
+        if (!job->chunk[k])
+            continue;
+        for (int i = 0; i < PM_CHUNK / 64; i++)
+            *done += (uint32_t)__builtin_popcountll(job->chunk[k]->done[i]);
+        if (job->chunk[k]->spots)
+            *running += job->chunk[k]->spots->len;
+    }
+}
+
+/* ---- working state ---- */
+
+struct pm_task *pm_job_task(struct pm_job *job, uint32_t index)
+{
+    struct pm_chunk *chunk = chunk_at(job, (int)(index / PM_CHUNK));
+
+    if (!chunk->task)
+        chunk->task = g_new0(struct pm_task, PM_CHUNK);
+    return &chunk->task[index % PM_CHUNK];
+}
+
+const struct pm_task *pm_job_peek(const struct pm_job *job, uint32_t index)
+{
+    const struct pm_chunk *chunk = job->chunk[index / PM_CHUNK];
+
+    return chunk && chunk->task ? &chunk->task[index % PM_CHUNK] : NULL;
+}
+
+void pm_job_touch(struct pm_job *job, uint32_t index)
+{
+    pm_job_task(job, index);
+    job->chunk[index / PM_CHUNK]->dirty = true;
+}
+
+uint32_t pm_job_waiting(const struct pm_job *job)
+{
+    if (job->state != PM_LIVE || !job->spec)
+        return 0;
+    return job->entries - job->ndone - job->nplaced;
+}
+
+void pm_jobs_reset_work(struct pm_jobs *jobs)
+{
+    for (guint i = 0; i < jobs->active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(jobs->active, i);
+        job->ndone = job->nplaced = job->last_try = job->hint = 0;
+        job->final_in_flight = job->stopping = false;
+        job->retry_at = job->first_wait = job->gang_tried = job->cancelled_seen = 0;
+        for (int k = 0; k < job->nchunks; k++) {
+            struct pm_chunk *chunk = job->chunk[k];
+            if (!chunk)
+                continue;
+            g_free(chunk->task);
+            chunk->task = NULL;
+            chunk->dirty = chunk->in_flight = false;
+            chunk->retry_at = 0;
+            if (!chunk->stamp)
+                continue;
+            chunk->task = g_new0(struct pm_task, PM_CHUNK);
+            job->last_try = MAX(job->last_try, chunk->last_try);
+            for (int t = 0; t < PM_CHUNK; t++) {
+                if (chunk->done[t / 64] >> (t % 64) & 1) {
+                    chunk->task[t].done = true;
+                    job->ndone++;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/jobs.h
@@ -0,0 +1,161 @@
+/* Jobs and their tasks: the replica of what the state service holds, and, on the leader, the
+ * working state that is written back to it.
+ *
+ * Keys:  p/j/ID      the job: its description while it lives, its final state for ever after
+ *        p/t/ID/K    tasks 128*K .. 128*K+127: which are done, and where the others are placed
+ *
+ * Only users' submissions and cancellations, and the leader's final states, write p/j; only the
+ * leader writes p/t, on the condition of the epoch's key, the job's key and the chunk's own. */
+#ifndef PM_JOBS_JOBS_H
+#define PM_JOBS_JOBS_H
+
+#include "base/cbor.h"
+#include "base/names.h"
+#include "base/settings.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum { PM_CHUNK = 128, PM_ENTRIES_MAX = 100000, PM_TYPES_MAX = 64, PM_ID_MAX = 32 };
+
+enum pm_form { PM_ARRAY, PM_GANG, PM_SERVICE };
+enum pm_priority { PM_BEST_EFFORT, PM_NORMAL, PM_URGENT, PM_PRODUCTION };
+enum pm_job_state { PM_LIVE, PM_CANCELLED, PM_DONE };
+
+/* The dense indices of all names that jobs and machines speak of. */
+struct pm_books {
+    const struct pm_settings *settings;
+    struct pm_names *classes, *images, *types, *machines;
+    int ntypes; /* machine types that the cloud has told of; 0: not known yet */
+    struct pm_type {
+        double cpus, gpus, ram_gb, local_gb, pull_gb_per_s, price, spot_price, ready_s;
+        uint32_t zones; /* bit i: offered in zone i of the settings */
+    } type[PM_TYPES_MAX];
+};
+
+struct pm_spec {
+    int class_index, team, image, zone; /* zone -1: any */
+    enum pm_form form;
+    enum pm_priority priority;
+    uint32_t entries;
+    double cpus, gpus, ram_gb, image_gb;
+    uint64_t types; /* bit i: allowed on type i */
+    bool same_place, spread, spot;
+    double expected_s, bookmark_s, filing_s, due_s; /* due_s below 0: no deadline */
+    double submitted; /* time of day */
+};
+
+/* A task's place as the state service knows it. */
+struct pm_spot {
+    uint16_t task; /* within the chunk */
+    uint32_t attempt, session;
+    int machine;
+};
+
+struct pm_machine; /* workers slice */
+
+enum pm_place_state {
+    PM_INTENT,  /* not durable yet: nothing may be sent */
+    PM_DURABLE, /* may be launched; its worker has not reported it yet */
+    PM_FETCHING,
+    PM_WAITING,
+    PM_RUNNING,
+    PM_SAVING,
+    PM_ENDED /* proven: it holds nothing any more */
+};
+
+/* Where a task is, or may be. */
+struct pm_place {
+    struct pm_job *job;
+    struct pm_machine *machine;
+    int machine_index;
+    uint32_t index, attempt, session;
+    enum pm_place_state state;
+    bool stop; /* to be killed */
+    bool stop_sent; /* a /do with the kill was answered */
+    bool seen; /* in the message being read */
+    bool late; /* suspected of running on a bad machine */
+    double leave_s;
+    double since;     /* steady: placed, or found again */
+    double ran_from;  /* steady: first seen running, 0: not yet */
+    double stop_at;   /* steady: the stop was decided */
+    uint64_t direct;  /* epoch of a /do that may have carried the launch, 0: none */
+    uint64_t replied; /* tally of the report whose answer carried the launch, 0: none */
+};
+
+/* The leader's view of one task. */
+struct pm_task {
+    struct pm_place *place; /* whatever is not proven gone */
+    uint16_t errors;
+    bool done;
+    double not_before; /* steady: the next try, after errors */
+};
+
+struct pm_chunk {
+    uint64_t stamp; /* 0: not in the state service */
+    uint64_t done[PM_CHUNK / 64];
+    uint32_t last_try;
+    GArray *spots; /* of struct pm_spot, as written; NULL when none */
+    /* Leader only. */
+    struct pm_task *task; /* PM_CHUNK of them, or NULL: none was ever touched */
+    bool dirty, in_flight;
+    double retry_at;
+};
+
+struct pm_job {
+    char id[PM_ID_MAX];
+    uint64_t stamp;
+    enum pm_job_state state;
+    uint32_t entries;
+    struct pm_spec *spec; /* NULL once only the final state is kept */
+    int nchunks;
+    struct pm_chunk **chunk;
+    /* Leader only. */
+    uint32_t ndone, nplaced, last_try;
+    uint32_t hint; /* no task below it waits */
+    bool final_in_flight, listed;
+    bool stopping; /* gang: all of the attempt must go before the next one */
+    double retry_at, first_wait, gang_tried;
+    double cancelled_seen;
+};
+
+struct pm_jobs;
+
+struct pm_jobs *pm_jobs_new(struct pm_books *books);
+void pm_jobs_free(struct pm_jobs *jobs);
+struct pm_job *pm_jobs_find(const struct pm_jobs *jobs, const char *id);
+/* Jobs that are not over, or whose tasks are not all proven gone; in no set order. */
+GPtrArray *pm_jobs_active(struct pm_jobs *jobs);
+
+/* The replica's feed; each returns the job that changed, or NULL. */
+struct pm_job *pm_jobs_put(struct pm_jobs *jobs, const char *key, const cbor_item_t *value,
+                           uint64_t stamp);
+struct pm_job *pm_jobs_drop(struct pm_jobs *jobs, const char *key, uint64_t stamp);
+void pm_jobs_sweep_begin(struct pm_jobs *jobs);
+
+/* Whether `id` has the form that users' ids always have. */
+bool pm_jobs_id_valid(const char *id);
+/* Reads a submission: 200, or 400, 422, 503 (types not known yet) with the reason in `why`. */
+int pm_jobs_read(struct pm_books *books, const cbor_item_t *body, char *id, struct pm_spec *spec,
+                 const char **why);
+/* Writes the value of p/j for a job in that state; `full` keeps the description. */
+void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
+                   enum pm_job_state state, bool full, struct pm_buf *out);
+/* Display counts, from the replica. */
+void pm_jobs_count(const struct pm_job *job, uint32_t *done, uint32_t *running);
+
+/* ---- the leader's working state ---- */
+
+struct pm_task *pm_job_task(struct pm_job *job, uint32_t index); /* made when missing */
+const struct pm_task *pm_job_peek(const struct pm_job *job, uint32_t index); /* NULL: untouched */
+void pm_job_touch(struct pm_job *job, uint32_t index); /* its chunk needs writing */
+/* Drops the working state of all jobs and rebuilds the counts from the replica. */
+void pm_jobs_reset_work(struct pm_jobs *jobs);
+/* Writes the value of p/t/ID/k from the working state. */
+void pm_jobs_write_chunk(const struct pm_books *books, const struct pm_job *job, int k,
+                         struct pm_buf *out);
+/* Tasks that are neither done nor placed. */
+uint32_t pm_job_waiting(const struct pm_job *job);
+
+#endif
--- /dev/null
+++ b/src/leadership/leadership.c
@@ -0,0 +1,469 @@
+#include "leadership/leadership.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "peer.pb-c.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PEER_S 1.0 /* a peer's answer counts only within this */
+
+struct pm_lead {
+    struct ev_loop *loop;
+    struct pm_store *store;
+    struct pm_http_client *http;
+    const struct pm_settings *settings;
+    const struct pm_operator *op;
+    struct pm_lead_hooks hooks;
+    char boot[24]; /* tells this process from its predecessors of the same name */
+    ev_timer tick;
+    /* From the replica. */
+    uint64_t epoch, epoch_stamp;
+    char leader[PM_NAME_MAX], leader_boot[24];
+    uint64_t lead_stamp; /* 0: nobody holds p/lead */
+    char holder[PM_NAME_MAX], holder_boot[24];
+    uint64_t heard; /* the highest epoch a peer spoke of */
+    /* Trying, leading. */
+    bool trying, leads, raising;
+    uint64_t tenure, mine, mine_stamp;
+    uint64_t reach; /* edition of the transaction that made us leader */
+    double vacant_since, renewed, checked, confirmed, asked;
+    bool renew_busy, check_busy;
+    /* Peers' words on our epoch: for the acknowledgement, and for confirmation in an outage. */
+    bool acked[PM_PEERS_MAX];
+    double ack_at;
+    double ask_sent;
+    int ask_round, ask_yes;
+    uint64_t ask_epoch;
+};
+
+struct ask {
+    struct pm_lead *lead;
+    int peer, round;
+    double sent;
+};
+
+static int majority(const struct pm_lead *l)
+{
+    return l->settings->size / 2 + 1;
+}
+
+static void step_down(struct pm_lead *l, const char *why)
+{
+    if (!l->leads)
+        return;
+    pm_info("lead.lost", "epoch %llu: %s", (unsigned long long)l->mine, why);
+    l->leads = false;
+    l->confirmed = 0;
+    l->hooks.lost(l->hooks.arg);
+}
+
+/* ---- taking the lead ---- */
+
+static void put_epoch(struct pm_lead *l, struct pm_txn *txn, uint64_t epoch)
+{
+    pm_txn_put(txn, "p/epoch");
+    pm_put_map(&txn->writes);
+    pm_put_pair_count(&txn->writes, "epoch", epoch);
+    pm_put_pair_text(&txn->writes, "leader", l->settings->name);
+    pm_put_pair_text(&txn->writes, "boot", l->boot);
+    pm_put_end(&txn->writes);
+    pm_txn_put_end(txn, 0);
+}
+
+static void on_reached(void *arg, bool ok)
+{
+    struct pm_lead *l = arg;
+
+    if (!l->leads || !l->reach)
+        return;
+    if (!ok) { /* the watch is slow: keep waiting */
+        pm_store_reach(l->store, l->reach, on_reached, l);
+        return;
+    }
+    l->reach = 0;
+    l->hooks.took(l->hooks.arg, l->mine);
+}
+
+struct attempt {
+    struct pm_lead *lead;
+    uint64_t epoch, tenure;
+    double sent;
+};
+
+static void on_taken(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    struct attempt *attempt = arg;
+    struct pm_lead *l = attempt->lead;
+    double now = pm_clock_steady();
+
+    (void)failed;
+    l->trying = false;
+    l->vacant_since = now; /* the next try waits its turn again */
+    if (status == 200) {
+        l->leads = true;
+        l->mine = l->epoch = attempt->epoch;
+        l->mine_stamp = l->epoch_stamp = edition;
+        l->tenure = attempt->tenure;
+        l->renewed = l->checked = now;
+        l->confirmed = attempt->sent;
+        l->ack_at = majority(l) <= 1 ? now : 0;
+        l->asked = 0;
+        memset(l->acked, 0, sizeof l->acked);
+        l->reach = edition;
+        pm_info("lead.taken", "epoch %llu", (unsigned long long)l->mine);
+        pm_store_reach(l->store, edition, on_reached, l);
+    } else {
+        pm_debug("lead.try", "status %d", status);
+    }
+    g_free(attempt);
+}
+
+static void on_tenure(void *arg, int status, uint64_t tenure)
+{
+    struct pm_lead *l = arg;
+    struct pm_txn txn = {0};
+    struct attempt *attempt;
+
+    if (status != 200) {
+        l->trying = false;
+        l->vacant_since = pm_clock_steady();
+        return;
+    }
+    attempt = g_new0(struct attempt, 1);
+    attempt->lead = l;
+    attempt->epoch = MAX(l->epoch, l->heard) + 1;
+    attempt->tenure = tenure;
+    attempt->sent = pm_clock_steady();
+    pm_txn_if(&txn, "p/epoch", l->epoch_stamp);
+    pm_txn_if(&txn, "p/lead", l->lead_stamp);
+    put_epoch(l, &txn, attempt->epoch);
+    pm_txn_put(&txn, "p/lead");
+    pm_put_map(&txn.writes);
+    pm_put_pair_text(&txn.writes, "leader", l->settings->name);
+    pm_put_pair_text(&txn.writes, "boot", l->boot);
+    pm_put_end(&txn.writes);
+    pm_txn_put_end(&txn, tenure);
+    pm_store_commit(l->store, &txn, on_taken, attempt);
+}
+
+/* Whether nobody leads: p/lead is free, or its holder is a dead predecessor of this process. */
+static bool vacant(const struct pm_lead *l)
+{
+    return !l->lead_stamp ||
+           (!strcmp(l->holder, l->settings->name) && strcmp(l->holder_boot, l->boot));
+}
+
+/* ---- raising the epoch while leading ---- */
+
+static void on_raised(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    struct attempt *attempt = arg;
+    struct pm_lead *l = attempt->lead;
+
+    (void)failed;
+    l->raising = false;
+    if (l->leads && status == 200 && l->mine < attempt->epoch) {
+        l->mine = l->epoch = attempt->epoch;
+        l->mine_stamp = l->epoch_stamp = edition;
+        l->confirmed = MAX(l->confirmed, attempt->sent);
+        pm_info("lead.raised", "epoch %llu", (unsigned long long)l->mine);
+        l->hooks.raised(l->hooks.arg, l->mine);
+    } else if (l->leads && status == 409) {
+        pm_lead_doubt(l);
+    }
+    g_free(attempt);
+}
+
+void pm_lead_raise(struct pm_lead *l)
+{
+    struct pm_txn txn = {0};
+    struct attempt *attempt;
+
+    if (!l->leads || l->raising || l->reach)
+        return;
+    l->raising = true;
+    attempt = g_new0(struct attempt, 1);
+    attempt->lead = l;
+    attempt->epoch = MAX(l->mine, l->heard) + 1;
+    attempt->sent = pm_clock_steady();
+    pm_txn_if(&txn, "p/epoch", l->mine_stamp);
+    put_epoch(l, &txn, attempt->epoch);
+    pm_store_commit(l->store, &txn, on_raised, attempt);
+}
+
+/* ---- confirming it ---- */
+
+/* A transaction failed on our stamp, and the replica has caught up with that: it is another's epoch,
+ * or our own that was raised by a transaction whose answer we never saw (pm_lead_put adopts it). */
+static void on_judged(void *arg, bool ok)
+{
+    struct pm_lead *l = arg;
+
+    if (ok && l->leads && l->epoch > l->mine)
+        step_down(l, "the epoch has moved on");
+}
+
+static void on_checked(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    struct attempt *attempt = arg;
+    struct pm_lead *l = attempt->lead;
+
+    (void)failed;
+    l->check_busy = false;
+    if (l->leads && l->mine == attempt->epoch) {
+        if (status == 200)
+            l->confirmed = MAX(l->confirmed, attempt->sent);
+        else if (status == 409)
+            pm_store_reach(l->store, edition, on_judged, l);
+    }
+    g_free(attempt);
+}
+
+static void check(struct pm_lead *l, double now)
+{
+    struct pm_txn txn = {0};
+    struct attempt *attempt = g_new0(struct attempt, 1);
+
+    l->check_busy = true;
+    l->checked = now;
+    attempt->lead = l;
+    attempt->epoch = l->mine;
+    attempt->sent = now;
+    pm_txn_if(&txn, "p/epoch", l->mine_stamp);
+    pm_store_commit(l->store, &txn, on_checked, attempt);
+}
+
+void pm_lead_doubt(struct pm_lead *l)
+{
+    if (l->leads && !l->check_busy && !l->raising)
+        check(l, pm_clock_steady());
+}
+
+static void on_renewed(void *arg, int status, uint64_t tenure)
+{
+    struct pm_lead *l = arg;
+
+    l->renew_busy = false;
+    if (status == 404 && l->leads && tenure == l->tenure)
+        step_down(l, "the hold has lapsed");
+}
+
+static void on_peer(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct ask *ask = arg;
+    struct pm_lead *l = ask->lead;
+    Pm__PeerTell *tell = status == 200 ? pm__peer_tell__unpack(NULL, size, body) : NULL;
+    int acks = 1;
+
+    if (tell && tell->known > l->heard)
+        l->heard = tell->known;
+    if (tell && l->leads && tell->known >= l->mine) {
+        if (tell->known > l->mine && !l->raising)
+            pm_lead_doubt(l);
+        l->acked[ask->peer] = true;
+        for (int i = 0; i < l->settings->peers; i++)
+            acks += l->acked[i];
+        if (!l->ack_at && acks >= majority(l))
+            l->ack_at = pm_clock_steady();
+    }
+    /* In an outage of the state service, a majority that knows no higher epoch confirms ours. */
+    if (tell && l->leads && tell->ready && tell->known <= l->mine && ask->round == l->ask_round &&
+        l->ask_epoch == l->mine && ++l->ask_yes >= majority(l) && pm_store_refusing(l->store))
+        l->confirmed = MAX(l->confirmed, ask->sent);
+    if (tell)
+        pm__peer_tell__free_unpacked(tell, NULL);
+    g_free(ask);
+}
+
+static void ask_peers(struct pm_lead *l, double now)
+{
+    Pm__PeerAsk message = PM__PEER_ASK__INIT;
+    unsigned char data[256];
+    size_t size;
+
+    l->asked = now;
+    l->ask_round++;
+    l->ask_epoch = l->mine;
+    l->ask_yes = 1; /* ourselves: a leader has read the state */
+    message.from = (char *)l->settings->name;
+    message.epoch = l->mine;
+    if (pm__peer_ask__get_packed_size(&message) > sizeof data)
+        return;
+    size = pm__peer_ask__pack(&message, data);
+    for (int i = 0; i < l->settings->peers; i++) {
+        struct ask *ask = g_new0(struct ask, 1);
+        *ask = (struct ask){l, i, l->ask_round, now};
+        pm_http_call(l->http, l->settings->peer[i].addr, "POST", "/peer", data, size, PEER_S, 4096,
+                     on_peer, ask);
+    }
+}
+
+void pm_lead_peer(struct pm_lead *l, struct pm_http_request *req)
+{
+    Pm__PeerAsk *ask = pm__peer_ask__unpack(NULL, req->body_size, req->body);
+    Pm__PeerTell tell = PM__PEER_TELL__INIT;
+    unsigned char data[256];
+    size_t size = 0;
+
+    if (!ask) {
+        pm_http_reply(req, 400, NULL, 0, 0);
+        return;
+    }
+    if (ask->epoch > l->heard)
+        l->heard = ask->epoch;
+    if (l->leads && ask->epoch > l->mine)
+        pm_lead_doubt(l);
+    pm__peer_ask__free_unpacked(ask, NULL);
+    tell.from = (char *)l->settings->name;
+    tell.known = MAX(l->epoch, l->heard);
+    tell.ready = pm_store_ready(l->store);
+    if (pm__peer_tell__get_packed_size(&tell) <= sizeof data)
+        size = pm__peer_tell__pack(&tell, data);
+    pm_http_reply(req, 200, data, size, 0);
+}
+
+/* ---- time ---- */
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+    struct pm_lead *l = w->data;
+    double now = pm_clock_steady();
+
+    (void)loop;
+    (void)events;
+    if (l->leads) {
+        if (!l->renew_busy && now - l->renewed > l->op->leader_ttl_s / 3.5) {
+            l->renew_busy = true;
+            l->renewed = now;
+            pm_store_renew(l->store, l->tenure, on_renewed, l);
+        }
+        if (!l->check_busy && !l->raising && now - MAX(l->confirmed, l->checked) >
+                                                 l->op->confirm_s / 3)
+            check(l, now);
+        if ((!l->ack_at || pm_store_refusing(l->store)) && now - l->asked > l->op->confirm_s / 4)
+            ask_peers(l, now);
+        return;
+    }
+    if (l->trying || !pm_store_ready(l->store) || !vacant(l)) {
+        l->vacant_since = 0;
+        return;
+    }
+    if (!l->vacant_since)
+        l->vacant_since = now;
+    /* A little apart by name, so that two that see it free at once seldom collide. */
+    if (now - l->vacant_since < 0.02 + 0.15 * (g_str_hash(l->settings->name) % 3))
+        return;
+    l->trying = true;
+    pm_store_hold(l->store, l->op->leader_ttl_s, on_tenure, l);
+}
+
+void pm_lead_put(struct pm_lead *l, const char *key, const cbor_item_t *value, uint64_t stamp)
+{
+    char leader[PM_NAME_MAX] = "", boot[24] = "";
+    uint64_t epoch;
+
+    pm_cbor_text(pm_cbor_get(value, "leader"), leader, sizeof leader);
+    pm_cbor_text(pm_cbor_get(value, "boot"), boot, sizeof boot);
+    if (!strcmp(key, "p/epoch")) {
+        if (stamp < l->epoch_stamp || pm_cbor_count(pm_cbor_get(value, "epoch"), &epoch))
+            return;
+        l->epoch = epoch;
+        l->epoch_stamp = stamp;
+        g_strlcpy(l->leader, leader, sizeof l->leader);
+        g_strlcpy(l->leader_boot, boot, sizeof l->leader_boot);
+        if (l->leads && epoch > l->mine && strcmp(boot, l->boot)) {
+            step_down(l, "another one leads");
+        } else if (l->leads && epoch > l->mine) {
+            l->mine = epoch;
+            l->mine_stamp = stamp;
+            l->hooks.raised(l->hooks.arg, l->mine);
+        }
+    } else if (!strcmp(key, "p/lead") && stamp >= l->lead_stamp) {
+        l->lead_stamp = stamp;
+        g_strlcpy(l->holder, leader, sizeof l->holder);
+        g_strlcpy(l->holder_boot, boot, sizeof l->holder_boot);
+    }
+}
+
+void pm_lead_drop(struct pm_lead *l, const char *key, uint64_t stamp)
+{
+    if (!strcmp(key, "p/lead") && stamp >= l->lead_stamp) {
+        l->lead_stamp = 0;
+        l->holder[0] = 0;
+    }
+}
+
+void pm_lead_relist(struct pm_lead *l)
+{
+    l->lead_stamp = 0;
+    l->holder[0] = 0;
+}
+
+bool pm_lead_leads(const struct pm_lead *l)
+{
+    return l->leads;
+}
+
+uint64_t pm_lead_epoch(const struct pm_lead *l)
+{
+    return l->mine;
+}
+
+uint64_t pm_lead_stamp(const struct pm_lead *l)
+{
+    return l->mine_stamp;
+}
+
+bool pm_lead_confirmed(const struct pm_lead *l, double now)
+{
+    return l->leads && !l->reach && now - l->confirmed < l->op->confirm_s * (1 - PM_DRIFT);
+}
+
+void pm_lead_confirm(struct pm_lead *l, double sent)
+{
+    if (l->leads)
+        l->confirmed = MAX(l->confirmed, sent);
+}
+
+const char *pm_lead_other(const struct pm_lead *l)
+{
+    if (l->leads || !l->lead_stamp || !strcmp(l->holder, l->settings->name))
+        return NULL;
+    return l->holder;
+}
+
+double pm_lead_floor(const struct pm_lead *l)
+{
+    if (!l->leads || !l->ack_at)
+        return INFINITY;
+    return l->ack_at + l->op->confirm_s * (1 + PM_DRIFT);
+}
+
+struct pm_lead *pm_lead_new(struct ev_loop *loop, struct pm_store *store,
+                            struct pm_http_client *http, const struct pm_settings *settings,
+                            const struct pm_operator *op, const struct pm_lead_hooks *hooks)
+{
+    struct pm_lead *l = g_new0(struct pm_lead, 1);
+
+    l->loop = loop;
+    l->store = store;
+    l->http = http;
+    l->settings = settings;
+    l->op = op;
+    l->hooks = *hooks;
+    snprintf(l->boot, sizeof l->boot, "%08x%08x", g_random_int(), g_random_int());
+    ev_timer_init(&l->tick, on_tick, 0.05, 0.1);
+    l->tick.data = l;
+    ev_timer_start(loop, &l->tick);
+    return l;
+}
+
+void pm_lead_free(struct pm_lead *l)
+{
+    ev_timer_stop(l->loop, &l->tick);
+    g_free(l);
+}
--- /dev/null
+++ b/src/leadership/leadership.h
@@ -0,0 +1,57 @@
+/* Who leads: the epoch, its confirmation, and what controllers tell one another.
+ *
+ * Keys:  p/epoch  {epoch, leader, boot}: raised by compare-and-set only; its number is the token
+ *                 that workers obey, and every placement is written on the condition of its stamp
+ *        p/lead   {leader, boot} under a hold: while it is there, the others don't try
+ *
+ * p/lead only saves contests; all safety rests on p/epoch. */
+#ifndef PM_LEADERSHIP_LEADERSHIP_H
+#define PM_LEADERSHIP_LEADERSHIP_H
+
+#include "base/http.h"
+#include "base/settings.h"
+#include "store/store.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct ev_loop;
+struct pm_lead;
+
+struct pm_lead_hooks {
+    void (*took)(void *arg, uint64_t epoch); /* leads, and the replica has caught up with that */
+    void (*lost)(void *arg);
+    void (*raised)(void *arg, uint64_t epoch); /* still leads, with a higher epoch */
+    void *arg;
+};
+
+struct pm_lead *pm_lead_new(struct ev_loop *loop, struct pm_store *store,
+                            struct pm_http_client *http, const struct pm_settings *settings,
+                            const struct pm_operator *op, const struct pm_lead_hooks *hooks);
+void pm_lead_free(struct pm_lead *lead);
+/* The replica's feed, for p/epoch and p/lead. */
+void pm_lead_put(struct pm_lead *lead, const char *key, const cbor_item_t *value, uint64_t stamp);
+void pm_lead_drop(struct pm_lead *lead, const char *key, uint64_t stamp);
+/* A new listing begins: p/lead is free unless it tells otherwise. */
+void pm_lead_relist(struct pm_lead *lead);
+
+bool pm_lead_leads(const struct pm_lead *lead);
+uint64_t pm_lead_epoch(const struct pm_lead *lead);
+uint64_t pm_lead_stamp(const struct pm_lead *lead); /* of p/epoch, as we wrote it */
+/* Whether the epoch was confirmed recently enough to answer a worker. */
+bool pm_lead_confirmed(const struct pm_lead *lead, double now);
+/* A conditional transaction succeeded that was sent at `sent`: a confirmation. */
+void pm_lead_confirm(struct pm_lead *lead, double sent);
+/* Raises the epoch while leading, so that commands under way with the old one die. */
+void pm_lead_raise(struct pm_lead *lead);
+/* A transaction failed on the epoch's stamp. */
+void pm_lead_doubt(struct pm_lead *lead);
+/* The name of the controller that leads as far as known, NULL when nobody does or it is us. */
+const char *pm_lead_other(const struct pm_lead *lead);
+/* Steady time since when no other controller can have answered a worker with 200; INFINITY until a
+ * majority has acknowledged our epoch and A has passed. */
+double pm_lead_floor(const struct pm_lead *lead);
+/* POST /peer on the back address. */
+void pm_lead_peer(struct pm_lead *lead, struct pm_http_request *req);
+
+#endif
--- /dev/null
+++ b/src/placement/plan.c
@@ -0,0 +1,762 @@
+#include "placement/plan.h"
+#include "base/log.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
+#define EPS 1e-6
+#define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
+
+struct ledger { /* a team's occupied machine-seconds in a window of buckets */
+    double bucket[BUCKETS];
+    double sum;
+};
+
+struct pm_plan {
+    struct pm_books *books;
+    struct pm_jobs *jobs;
+    struct pm_workers *workers;
+    const struct pm_operator *op;
+    struct ledger ledger[PM_TEAMS_MAX];
+    long bucket; /* the bucket in force, counted in time of day */
+    double charged_at;
+    double cpus[PM_TEAMS_MAX], gpus[PM_TEAMS_MAX]; /* in use */
+    double production_cpus[PM_TEAMS_MAX];
+    GArray *wants;
+    GPtrArray *queue;
+    double ratio[PM_TEAMS_MAX];
+    double factor[CLASSES_MAX]; /* measured run time over the owner's estimate, 0: unknown */
+    double reserve;             /* processors on ordinary machines kept for services */
+    int steps;
+};
+
+struct pm_plan *pm_plan_new(struct pm_books *books, struct pm_jobs *jobs,
+                            struct pm_workers *workers, const struct pm_operator *op)
+{
+    struct pm_plan *p = g_new0(struct pm_plan, 1);
+
+    p->books = books;
+    p->jobs = jobs;
+    p->workers = workers;
+    p->op = op;
+    p->wants = g_array_new(FALSE, FALSE, sizeof(struct pm_want));
+    p->queue = g_ptr_array_new();
+    return p;
+}
+
+void pm_plan_free(struct pm_plan *p)
+{
+    g_array_free(p->wants, TRUE);
+    g_ptr_array_free(p->queue, TRUE);
+    g_free(p);
+}
+
+void pm_plan_reset(struct pm_plan *p)
+{
+    p->charged_at = 0;
+    g_array_set_size(p->wants, 0);
+}
+
+const GArray *pm_plan_wants(const struct pm_plan *p)
+{
+    return p->wants;
+}
+
+void pm_plan_set_reserve(struct pm_plan *p, double cpus)
+{
+    p->reserve = cpus;
+}
+
+/* ---- the ledger ---- */
+
+/* Best-effort work declares a minimum runtime of zero: it is unallocated and free of charge. */
+static bool unallocated(const struct pm_job *job)
+{
+    return job->spec->priority == PM_BEST_EFFORT;
+}
+
+static double machine_share(const struct pm_books *books, const struct pm_spec *spec,
+                            const struct pm_machine *m)
+{
+    const struct pm_type *t = &books->type[m->type];
+    double share = MAX(spec->cpus / MAX(t->cpus, EPS), spec->ram_gb / MAX(t->ram_gb, EPS));
+
+    return t->gpus > 0 ? MAX(share, spec->gpus / t->gpus) : share;
+}
+
+static void turn_buckets(struct pm_plan *p, double day)
+{
+    double width = p->op->window_h * 3600 / BUCKETS;
+    long bucket = (long)(day / width);
+
+    if (!p->bucket || bucket - p->bucket > BUCKETS)
+        p->bucket = bucket - BUCKETS;
+    while (p->bucket < bucket) {
+        p->bucket++;
+        for (int t = 0; t < p->books->settings->teams; t++) {
+            double *old = &p->ledger[t].bucket[p->bucket % BUCKETS];
+            p->ledger[t].sum -= *old;
+            *old = 0;
+        }
+    }
+}
+
+/* Adds what ran since the last run to the teams' occupied time, and counts what they use now. */
+static void account(struct pm_plan *p, double now, double day)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    double span = p->charged_at ? MIN(now - p->charged_at, 5) : 0;
+
+    turn_buckets(p, day);
+    memset(p->cpus, 0, sizeof p->cpus);
+    memset(p->gpus, 0, sizeof p->gpus);
+    memset(p->production_cpus, 0, sizeof p->production_cpus);
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        for (guint j = 0; m && j < m->places->len; j++) {
+            const struct pm_place *place = g_ptr_array_index(m->places, j);
+            const struct pm_spec *spec = place->job->spec;
+            if (place->state == PM_ENDED)
+                continue;
+            p->cpus[spec->team] += spec->cpus;
+            p->gpus[spec->team] += spec->gpus;
+            if (spec->priority == PM_PRODUCTION)
+                p->production_cpus[spec->team] += spec->cpus;
+            if (!unallocated(place->job) && m->type >= 0 && place->state >= PM_DURABLE) {
+                double charge = span * machine_share(p->books, spec, m);
+                p->ledger[spec->team].bucket[p->bucket % BUCKETS] += charge;
+                p->ledger[spec->team].sum += charge;
+            }
+        }
+    }
+    p->charged_at = now;
+}
+
+double pm_plan_ratio(struct pm_plan *p, int team)
+{
+    const struct pm_settings *s = p->books->settings;
+    double total = 0, mine;
+
+    for (int t = 0; t < s->teams; t++)
+        total += s->team[t].cpus;
+    mine = total > 0 ? s->team[team].cpus / total : 1.0 / s->teams;
+    return p->ledger[team].sum / MAX(mine, 1e-3);
+}
+
+void pm_plan_usage(struct pm_plan *p, int team, double *cpus, double *gpus)
+{
+    *cpus = p->cpus[team];
+    *gpus = p->gpus[team];
+}
+
+void pm_plan_write_ledger(const struct pm_plan *p, double day, struct pm_buf *out)
+{
+    pm_put_map(out);
+    pm_put_pair_number(out, "day", day);
+    pm_put_text(out, "teams");
+    pm_put_map(out);
+    for (int t = 0; t < p->books->settings->teams; t++)
+        pm_put_pair_number(out, p->books->settings->team[t].name, p->ledger[t].sum);
+    pm_put_end(out);
+    pm_put_end(out);
+}
+
+void pm_plan_read_ledger(struct pm_plan *p, const cbor_item_t *value)
+{
+    cbor_item_t *teams = pm_cbor_get(value, "teams");
+    double day;
+
+    if (pm_cbor_number(pm_cbor_get(value, "day"), &day))
+        return;
+    memset(p->ledger, 0, sizeof p->ledger);
+    p->bucket = (long)(day / (p->op->window_h * 3600 / BUCKETS));
+    for (int t = 0; t < p->books->settings->teams; t++) {
+        struct ledger *l = &p->ledger[t];
+        if (pm_cbor_number(pm_cbor_get(teams, p->books->settings->team[t].name), &l->sum))
+            l->sum = 0;
+        /* The total alone is kept: its age is taken to be even over half the window. */
+        for (int b = 0; b < BUCKETS / 2; b++)
+            l->bucket[(p->bucket - b + BUCKETS) % BUCKETS] = l->sum / (BUCKETS / 2);
+    }
+}
+
+/* ---- run times ---- */
+
+void pm_plan_learn(struct pm_plan *p, const struct pm_job *job, double seconds)
+{
+    int c = job->spec->class_index;
+    double ratio;
+
+    if (c >= CLASSES_MAX || job->spec->expected_s <= 0)
+        return;
+    ratio = CLAMP(seconds / job->spec->expected_s, 0.1, 10);
+    p->factor[c] = p->factor[c] > 0 ? p->factor[c] * 0.97 + ratio * 0.03 : ratio * 0.2 + 0.8;
+}
+
+double pm_plan_expected(const struct pm_plan *p, const struct pm_job *job)
+{
+    int c = job->spec->class_index;
+    double factor = c < CLASSES_MAX && p->factor[c] > 0 ? p->factor[c] : 1;
+
+    return job->spec->expected_s * factor;
+}
+
+/* ---- fit ---- */
+
+bool pm_plan_allows(const struct pm_books *books, const struct pm_job *job, int type, int zone,
+                    bool spot)
+{
+    const struct pm_spec *spec = job->spec;
+
+    return type >= 0 && type < books->ntypes && zone >= 0 && (spec->types >> type & 1) &&
+           (spec->zone < 0 || spec->zone == zone) && (!spot || spec->spot);
+}
+
+static bool usable(const struct pm_machine *m, double now)
+{
+    return m->state == PM_UP && m->reported && !m->recall_at && m->errors < 3 &&
+           m->strays->len == 0 && now - m->heard < 12;
+}
+
+static bool has_room(const struct pm_machine *m, const struct pm_spec *spec)
+{
+    return m->cpus + EPS >= spec->cpus && m->gpus + EPS >= spec->gpus &&
+           m->ram_gb + EPS >= spec->ram_gb;
+}
+
+static bool has_image(const struct pm_machine *m, int image)
+{
+    for (int i = 0; i < m->ncached; i++)
+        if (m->cached[i].image == image)
+            return true;
+    return false;
+}
+
+/* Where the job's tasks are that are not proven gone: per zone, and on one machine. */
+struct spread {
+    uint32_t zone[PM_ZONES_MAX];
+    uint32_t total;
+};
+
+static void count_zones(struct pm_plan *p, const struct pm_job *job, struct spread *out)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+
+    memset(out, 0, sizeof *out);
+    if (!job->nplaced)
+        return;
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        for (guint j = 0; m && j < m->places->len; j++) {
+            const struct pm_place *place = g_ptr_array_index(m->places, j);
+            if (place->job != job || place->state == PM_ENDED)
+                continue;
+            if (m->zone >= 0)
+                out->zone[m->zone]++;
+            out->total++;
+        }
+    }
+}
+
+static bool zone_ok(const struct pm_job *job, const struct spread *at, int zone)
+{
+    const struct pm_spec *spec = job->spec;
+
+    if (spec->same_place && at->total && at->zone[zone] < at->total)
+        return false;
+    return !spec->spread || at->zone[zone] < (spec->entries + 1) / 2;
+}
+
+static uint32_t of_job(const struct pm_machine *m, const struct pm_job *job)
+{
+    uint32_t n = 0;
+
+    for (guint j = 0; j < m->places->len; j++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, j);
+        n += place->job == job && place->state != PM_ENDED;
+    }
+    return n;
+}
+
+static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
+{
+    const struct pm_spec *spec = job->spec;
+    const struct pm_type *t = &p->books->type[m->type];
+    double value = 0;
+
+    if (has_image(m, spec->image))
+        value += spec->form == PM_SERVICE ? 10 : 3;
+    if (spec->form == PM_SERVICE)
+        value -= 2.0 * of_job(m, job);
+    else
+        value += m->spot == spec->spot ? 5 : 0; /* ordinary room is dearer and services' */
+    value -= 2 * m->errors;
+    /* Fill what is fullest, so that others come free and can go back. */
+    return value - 2 * (m->cpus - spec->cpus) / MAX(t->cpus, EPS);
+}
+
+/* Processors free on ordinary machines. */
+static double ordinary_free(struct pm_plan *p, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    double sum = 0;
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && !m->spot && usable(m, now))
+            sum += m->cpus;
+    }
+    return sum;
+}
+
+static struct pm_machine *best_machine(struct pm_plan *p, const struct pm_job *job,
+                                       const struct spread *at, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    struct pm_machine *best = NULL;
+    double best_score = -INFINITY;
+    bool keep_off = job->spec->form != PM_SERVICE && job->spec->spot && p->reserve > 0 &&
+                    ordinary_free(p, now) - job->spec->cpus < p->reserve;
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        double value;
+        if (!m || !usable(m, now) || (keep_off && !m->spot) ||
+            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+            !has_room(m, job->spec) || !zone_ok(job, at, m->zone))
+            continue;
+        value = score(p, m, job);
+        if (value > best_score) {
+            best_score = value;
+            best = m;
+        }
+    }
+    return best;
+}
+
+/* ---- placing ---- */
+
+static bool within_limit(const struct pm_plan *p, const struct pm_job *job, uint32_t tasks)
+{
+    const struct pm_team_setting *team = &p->books->settings->team[job->spec->team];
+
+    return p->cpus[job->spec->team] + tasks * job->spec->cpus <= team->cpus_max + EPS &&
+           p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus_max + EPS;
+}
+
+static void put_task(struct pm_plan *p, struct pm_job *job, uint32_t index, struct pm_machine *m,
+                     uint32_t attempt, struct spread *at, double now)
+{
+    pm_workers_place(p->workers, job, index, m, attempt, m->session, PM_INTENT, now);
+    pm_job_touch(job, index);
+    p->cpus[job->spec->team] += job->spec->cpus;
+    p->gpus[job->spec->team] += job->spec->gpus;
+    at->zone[m->zone]++;
+    at->total++;
+    p->steps++;
+    pm_debug("plan.place", "%s/%u try %u on %s", job->id, index, attempt, m->name);
+}
+
+/* The next waiting task from `from` on, or `entries`. Those that rest after errors are skipped. */
+static uint32_t next_waiting(struct pm_job *job, uint32_t from, double now)
+{
+    for (uint32_t i = from; i < job->entries; i++) {
+        const struct pm_task *task = pm_job_peek(job, i);
+        if (!task || (!task->done && !task->place && task->not_before <= now))
+            return i;
+    }
+    return job->entries;
+}
+
+static uint32_t place_tasks(struct pm_plan *p, struct pm_job *job, double now)
+{
+    struct spread at;
+    uint32_t placed = 0, i;
+    const struct pm_task *task;
+
+    while (job->hint < job->entries && (task = pm_job_peek(job, job->hint)) &&
+           (task->done || task->place))
+        job->hint++;
+    i = job->hint;
+    count_zones(p, job, &at);
+    while (p->steps < STEPS_MAX) {
+        struct pm_machine *m;
+        i = next_waiting(job, i, now);
+        if (i >= job->entries || !within_limit(p, job, 1) ||
+            !(m = best_machine(p, job, &at, now)))
+            break;
+        put_task(p, job, i, m, ++job->last_try, &at, now);
+        placed++;
+        i++;
+    }
+    return placed;
+}
+
+/* A gang starts whole: every task gets its machine in this run, or none does. */
+static bool place_gang(struct pm_plan *p, struct pm_job *job, int only_zone, double now)
+{
+    struct spread at = {0};
+    struct pm_machine **chosen;
+    bool ok = true;
+
+    if (!within_limit(p, job, job->entries))
+        return false;
+    chosen = g_new0(struct pm_machine *, job->entries);
+    for (uint32_t i = 0; ok && i < job->entries; i++) {
+        GPtrArray *all = pm_workers_all(p->workers);
+        double best = -INFINITY;
+        for (guint k = 0; k < all->len; k++) {
+            struct pm_machine *m = g_ptr_array_index(all, k);
+            double value;
+            if (!m || !usable(m, now) || (only_zone >= 0 && m->zone != only_zone) ||
+                !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+                !has_room(m, job->spec) || !zone_ok(job, &at, m->zone))
+                continue;
+            value = score(p, m, job);
+            if (value > best) {
+                best = value;
+                chosen[i] = m;
+            }
+        }
+        ok = chosen[i] != NULL;
+        if (ok) { /* taken for the time being, so that the next task sees it */
+            chosen[i]->cpus -= job->spec->cpus;
+            chosen[i]->gpus -= job->spec->gpus;
+            chosen[i]->ram_gb -= job->spec->ram_gb;
+            at.zone[chosen[i]->zone]++;
+            at.total++;
+        }
+    }
+    for (uint32_t i = 0; i < job->entries && chosen[i]; i++) {
+        chosen[i]->cpus += job->spec->cpus;
+        chosen[i]->gpus += job->spec->gpus;
+        chosen[i]->ram_gb += job->spec->ram_gb;
+    }
+    if (ok) {
+        job->last_try++;
+        for (uint32_t i = 0; i < job->entries; i++)
+            put_task(p, job, i, chosen[i], job->last_try, &at, now);
+    }
+    g_free(chosen);
+    return ok;
+}
+
+static uint32_t place_job(struct pm_plan *p, struct pm_job *job, double now)
+{
+    if (job->spec->form != PM_GANG)
+        return place_tasks(p, job, now);
+    /* The old attempt's tasks hold their machines, and their zones, until they are gone. */
+    if (job->nplaced || job->ndone || next_waiting(job, 0, now) > 0)
+        return 0;
+    for (uint32_t i = 0; i < job->entries; i++) {
+        const struct pm_task *task = pm_job_peek(job, i);
+        if (task && task->not_before > now)
+            return 0;
+    }
+    if (!job->spec->same_place)
+        return place_gang(p, job, -1, now) ? job->entries : 0;
+    for (int zone = 0; zone < p->books->settings->zones; zone++)
+        if (place_gang(p, job, zone, now))
+            return job->entries;
+    return 0;
+}
+
+/* ---- preemption ---- */
+
+/* Whether `job` may have `place` stopped to make room.
+ *
+ * The design's ordinary path: unallocated work yields at once to charged work; a charged task is
+ * shielded for its minimum runtime, then yields, if it can resume, to a team of a lower ratio.
+ * The rules add two that come first: work of a lower priority yields to a higher one, and work
+ * beyond its team's guarantee yields to a team that is within its own. They also forbid stopping
+ * work of equal or higher priority in every other case, so ratio alone is not enough. */
+static bool may_preempt(struct pm_plan *p, const struct pm_job *job, const struct pm_place *place,
+                        double now)
+{
+    const struct pm_spec *mine = job->spec, *theirs = place->job->spec;
+    const struct pm_settings *s = p->books->settings;
+    bool is_protected;
+
+    if (place->stop || place->state == PM_ENDED || place->job == job)
+        return false;
+    if (unallocated(place->job) && !unallocated(job))
+        return true;
+    if (unallocated(job))
+        return false;
+    if (mine->team != theirs->team && theirs->priority < PM_PRODUCTION &&
+        p->cpus[mine->team] + mine->cpus <= s->team[mine->team].cpus + EPS &&
+        p->cpus[theirs->team] > s->team[theirs->team].cpus + EPS)
+        return true;
+    if (theirs->priority >= mine->priority)
+        return false;
+    if (mine->priority >= PM_URGENT)
+        return true;
+    is_protected = now - place->since < p->op->min_runtime_s;
+    return !is_protected && theirs->bookmark_s > 0 &&
+           p->ratio[mine->team] < p->ratio[theirs->team];
+}
+
+/* What is lost when the task is stopped now, in seconds of its work. */
+static double loss(const struct pm_place *place, double now)
+{
+    const struct pm_spec *spec = place->job->spec;
+    double ran = place->ran_from ? now - place->ran_from : 0;
+
+    return spec->bookmark_s > 0 ? spec->filing_s + fmod(ran, spec->bookmark_s) : ran;
+}
+
+static double leave_for(const struct pm_place *place, bool hurry)
+{
+    const struct pm_spec *spec = place->job->spec;
+
+    return spec->bookmark_s > 0 && !hurry ? spec->filing_s + LEAVE_EXTRA_S : 0;
+}
+
+struct victim {
+    struct pm_place *place;
+    double loss;
+};
+
+static int by_loss(const void *a, const void *b)
+{
+    const struct victim *x = a, *y = b;
+
+    return x->loss < y->loss ? -1 : x->loss > y->loss;
+}
+
+/* Stops the least on one machine for one task of `job`. A machine where enough is being stopped
+ * already serves without more. */
+static bool preempt_for(struct pm_plan *p, struct pm_job *job, double *promised, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    struct spread at;
+    struct pm_machine *best = NULL;
+    double best_loss = INFINITY;
+    struct victim victims[64];
+    int n;
+
+    count_zones(p, job, &at);
+    for (int round = 0; round < 2; round++) {
+        for (guint i = 0; i < all->len; i++) {
+            struct pm_machine *m = g_ptr_array_index(all, i);
+            double cpus, gpus, ram, cost = 0;
+            if (!m || !usable(m, now) ||
+                !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+                !zone_ok(job, &at, m->zone) || (round == 1 && m != best))
+                continue;
+            cpus = m->cpus - promised[m->index];
+            gpus = m->gpus;
+            ram = m->ram_gb;
+            n = 0;
+            for (guint j = 0; j < m->places->len && n < 64; j++) {
+                struct pm_place *place = g_ptr_array_index(m->places, j);
+                if (place->stop && place->state != PM_ENDED) {
+                    cpus += place->job->spec->cpus;
+                    gpus += place->job->spec->gpus;
+                    ram += place->job->spec->ram_gb;
+                } else if (may_preempt(p, job, place, now)) {
+                    victims[n++] = (struct victim){place, loss(place, now)};
+                }
+            }
+            qsort(victims, (size_t)n, sizeof victims[0], by_loss);
+            for (int v = 0; v < n && (cpus + EPS < job->spec->cpus || gpus + EPS < job->spec->gpus ||
+                                      ram + EPS < job->spec->ram_gb);
+                 v++) {
+                const struct pm_spec *spec = victims[v].place->job->spec;
+                cpus += spec->cpus;
+                gpus += spec->gpus;
+                ram += spec->ram_gb;
+                cost += 1 + victims[v].loss * spec->cpus;
+                if (round == 1) {
+                    pm_info("plan.preempt", "%s/%u on %s for %s", victims[v].place->job->id,
+                            victims[v].place->index, m->name, job->id);
+                    pm_workers_stop(victims[v].place,
+                                    leave_for(victims[v].place,
+                                              job->spec->priority == PM_PRODUCTION),
+                                    now);
+                    p->steps++;
+                }
+            }
+            if (round == 0 && cpus + EPS >= job->spec->cpus && gpus + EPS >= job->spec->gpus &&
+                ram + EPS >= job->spec->ram_gb && cost < best_loss) {
+                best_loss = cost;
+                best = m;
+            }
+        }
+        if (!best)
+            return false;
+    }
+    promised[best->index] += job->spec->cpus;
+    return true;
+}
+
+static void preempt(struct pm_plan *p, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    double *promised = g_new0(double, all->len + 1);
+
+    for (guint i = 0; i < p->wants->len && p->steps < STEPS_MAX; i++) {
+        struct pm_want *want = &g_array_index(p->wants, struct pm_want, i);
+        struct pm_job *job = want->job;
+        uint32_t made = 0;
+        if (job->spec->form == PM_GANG)
+            continue; /* gangs wait for room that others leave, or that is rented */
+        while (made < MIN(want->tasks, 16) && preempt_for(p, job, promised, now))
+            made++;
+    }
+    g_free(promised);
+}
+
+/* ---- notices, gangs that lost a task, cancelled jobs ---- */
+
+static void stop_gang(struct pm_plan *p, struct pm_job *job, double leave_s, double now)
+{
+    for (uint32_t i = 0; i < job->entries; i++) {
+        const struct pm_task *task = pm_job_peek(job, i);
+        if (task && task->place && !task->place->stop) {
+            pm_workers_stop(task->place, leave_s, now);
+            p->steps++;
+        }
+    }
+}
+
+/* A machine that will be taken: what can save does so now, gangs stop whole, a replica moves, and
+ * a task that cannot save runs on only where it may well end in time. */
+static void heed_notice(struct pm_plan *p, struct pm_machine *m, double now)
+{
+    double left = m->recall_at - now;
+
+    for (guint j = 0; j < m->places->len; j++) {
+        struct pm_place *place = g_ptr_array_index(m->places, j);
+        const struct pm_spec *spec = place->job->spec;
+        double remains = pm_plan_expected(p, place->job) -
+                         (place->ran_from ? now - place->ran_from : 0);
+        if (place->stop || place->state == PM_ENDED || place->state == PM_INTENT)
+            continue;
+        /* The notice may be off by half. */
+        if (spec->form != PM_SERVICE && place->ran_from && remains > -10 && remains < left * 0.4)
+            continue;
+        if (spec->form == PM_GANG) {
+            stop_gang(p, place->job, leave_for(place, false), now);
+            continue;
+        }
+        pm_workers_stop(place, leave_for(place, false), now);
+        p->steps++;
+    }
+}
+
+/* One whose job is cancelled goes at once; a gang whose attempt lost a task goes whole. */
+static void stop_the_lost(struct pm_plan *p, double now)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs), *all = pm_workers_all(p->workers);
+
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        if (job->spec && job->spec->form == PM_GANG && job->nplaced && job->state == PM_LIVE &&
+            !job->ndone && job->nplaced < job->entries)
+            stop_gang(p, job, 0, now);
+    }
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        for (guint j = 0; m && j < m->places->len;) {
+            struct pm_place *place = g_ptr_array_index(m->places, j);
+            if (place->state == PM_INTENT && (place->job->state != PM_LIVE || place->stop)) {
+                /* Never launched: nothing needs proof. */
+                uint32_t index = place->index;
+                struct pm_job *job = place->job;
+                pm_workers_unplace(p->workers, place);
+                pm_job_touch(job, index);
+                p->steps++;
+                continue;
+            }
+            if (place->job->state != PM_LIVE && place->state != PM_ENDED &&
+                !(place->stop && place->leave_s <= 0)) {
+                pm_workers_stop(place, 0, now);
+                p->steps++;
+            }
+            j++;
+        }
+        if (m && m->recall_at && m->state == PM_UP)
+            heed_notice(p, m, now);
+    }
+}
+
+/* ---- ranking ---- */
+
+static struct pm_plan *ranking; /* qsort has no argument for its comparison */
+
+static double due_at(const struct pm_job *job)
+{
+    return job->spec->due_s >= 0 ? job->spec->submitted + job->spec->due_s : INFINITY;
+}
+
+static int by_rank(const void *a, const void *b)
+{
+    const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
+    double rx, ry;
+
+    /* Production first, whatever the ratios: the rules let it preempt the rest, so ranking it lower
+     * would only start work in order to stop it. Unallocated work takes what is left. */
+    if ((x->spec->priority == PM_PRODUCTION) != (y->spec->priority == PM_PRODUCTION))
+        return x->spec->priority == PM_PRODUCTION ? -1 : 1;
+    if (unallocated(x) != unallocated(y))
+        return unallocated(x) ? 1 : -1;
+    rx = ranking->ratio[x->spec->team];
+    ry = ranking->ratio[y->spec->team];
+    if (rx != ry)
+        return rx < ry ? -1 : 1;
+    if (x->spec->priority != y->spec->priority)
+        return x->spec->priority > y->spec->priority ? -1 : 1;
+    if (due_at(x) != due_at(y))
+        return due_at(x) < due_at(y) ? -1 : 1;
+    if (x->spec->submitted != y->spec->submitted)
+        return x->spec->submitted < y->spec->submitted ? -1 : 1;
+    return strcmp(x->id, y->id);
+}
+
+int pm_plan_run(struct pm_plan *p, double now, double day)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs);
+    double held_cpus[PM_TEAMS_MAX] = {0};
+
+    p->steps = 0;
+    account(p, now, day);
+    stop_the_lost(p, now);
+    for (int t = 0; t < p->books->settings->teams; t++)
+        p->ratio[t] = pm_plan_ratio(p, t);
+    g_ptr_array_set_size(p->queue, 0);
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        if (pm_job_waiting(job))
+            g_ptr_array_add(p->queue, job);
+    }
+    ranking = p;
+    g_ptr_array_sort(p->queue, by_rank);
+    g_array_set_size(p->wants, 0);
+    for (guint i = 0; i < p->queue->len; i++) {
+        struct pm_job *job = g_ptr_array_index(p->queue, i);
+        const struct pm_team_setting *team = &p->books->settings->team[job->spec->team];
+        uint32_t left;
+        double room;
+        if (p->steps < STEPS_MAX)
+            place_job(p, job, now);
+        left = pm_job_waiting(job);
+        if (!left || (job->spec->form == PM_GANG && job->nplaced))
+            continue;
+        /* More than the team's limit allows is no reason to rent or to stop anything. */
+        room = team->cpus_max - p->cpus[job->spec->team] - held_cpus[job->spec->team];
+        if (job->spec->cpus > 0)
+            left = (uint32_t)MIN((double)left, MAX(0, floor((room + EPS) / job->spec->cpus)));
+        if (job->spec->form == PM_GANG && left < job->entries)
+            continue;
+        if (!left)
+            continue;
+        held_cpus[job->spec->team] += left * job->spec->cpus;
+        g_array_append_vals(p->wants, &(struct pm_want){job, left}, 1);
+    }
+    preempt(p, now);
+    return p->steps;
+}
--- /dev/null
+++ b/src/workers/workers.c
@@ -0,0 +1,524 @@
+#include "workers/workers.h"
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { ORDERS_MAX = 400 }; /* keeps an answer well below 64 KiB */
+
+struct pm_workers {
+    struct pm_books *books;
+    struct pm_jobs *jobs;
+    struct pm_workers_hooks hooks;
+    GPtrArray *all;   /* by machine index of the books */
+    uint64_t ignored; /* entries of jobs that the books don't know */
+};
+
+struct pm_workers *pm_workers_new(struct pm_books *books, struct pm_jobs *jobs,
+                                  const struct pm_workers_hooks *hooks)
+{
+    struct pm_workers *w = g_new0(struct pm_workers, 1);
+
+    w->books = books;
+    w->jobs = jobs;
+    w->hooks = *hooks;
+    w->all = g_ptr_array_new();
+    return w;
+}
+
+GPtrArray *pm_workers_all(struct pm_workers *w)
+{
+    return w->all;
+}
+
+struct pm_machine *pm_workers_find(struct pm_workers *w, const char *name)
+{
+    int index = pm_names_find(w->books->machines, name);
+
+    return index >= 0 && index < (int)w->all->len ? g_ptr_array_index(w->all, index) : NULL;
+}
+
+struct pm_machine *pm_workers_add(struct pm_workers *w, const char *name)
+{
+    int index = pm_names_add(w->books->machines, name);
+    struct pm_machine *m;
+
+    if (index >= (int)w->all->len)
+        g_ptr_array_set_size(w->all, index + 1);
+    m = g_ptr_array_index(w->all, index);
+    if (m)
+        return m;
+    m = g_new0(struct pm_machine, 1);
+    g_strlcpy(m->name, name, sizeof m->name);
+    m->index = index;
+    m->type = m->zone = -1;
+    m->state = PM_BOOTING;
+    m->places = g_ptr_array_new_with_free_func(g_free);
+    m->ended = g_array_new(FALSE, FALSE, sizeof(struct pm_entry));
+    m->strays = g_array_new(FALSE, FALSE, sizeof(struct pm_entry));
+    g_ptr_array_index(w->all, index) = m;
+    return m;
+}
+
+static void machine_free(struct pm_machine *m)
+{
+    g_ptr_array_free(m->places, TRUE);
+    g_array_free(m->ended, TRUE);
+    g_array_free(m->strays, TRUE);
+    g_free(m);
+}
+
+void pm_workers_remove(struct pm_workers *w, struct pm_machine *m)
+{
+    g_ptr_array_index(w->all, m->index) = NULL;
+    machine_free(m);
+}
+
+void pm_workers_free(struct pm_workers *w)
+{
+    for (guint i = 0; i < w->all->len; i++)
+        if (g_ptr_array_index(w->all, i))
+            machine_free(g_ptr_array_index(w->all, i));
+    g_ptr_array_free(w->all, TRUE);
+    g_free(w);
+}
+
+void pm_workers_reset(struct pm_workers *w)
+{
+    for (guint i = 0; i < w->all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(w->all, i);
+        if (m)
+            machine_free(m);
+        g_ptr_array_index(w->all, i) = NULL;
+    }
+}
+
+/* ---- places ---- */
+
+static void take_room(struct pm_machine *m, const struct pm_spec *spec, double sign)
+{
+    m->cpus -= sign * spec->cpus;
+    m->gpus -= sign * spec->gpus;
+    m->ram_gb -= sign * spec->ram_gb;
+}
+
+struct pm_place *pm_workers_place(struct pm_workers *w, struct pm_job *job, uint32_t index,
+                                  struct pm_machine *m, uint32_t attempt, uint64_t session,
+                                  enum pm_place_state state, double now)
+{
+    struct pm_place *place = g_new0(struct pm_place, 1);
+
+    (void)w;
+    place->job = job;
+    place->machine = m;
+    place->machine_index = m->index;
+    place->index = index;
+    place->attempt = attempt;
+    place->session = (uint32_t)session;
+    place->state = state;
+    place->since = now;
+    g_ptr_array_add(m->places, place);
+    take_room(m, job->spec, 1);
+    m->idle_since = 0;
+    pm_job_task(job, index)->place = place;
+    job->nplaced++;
+    return place;
+}
+
+/* The place holds nothing any more: its room and its task are free again. */
+static void release(struct pm_place *place)
+{
+    struct pm_task *task = pm_job_task(place->job, place->index);
+
+    take_room(place->machine, place->job->spec, -1);
+    place->state = PM_ENDED;
+    if (task->place == place)
+        task->place = NULL;
+    place->job->nplaced--;
+    if (place->index < place->job->hint)
+        place->job->hint = place->index;
+}
+
+void pm_workers_unplace(struct pm_workers *w, struct pm_place *place)
+{
+    (void)w;
+    if (place->state != PM_ENDED)
+        release(place);
+    g_ptr_array_remove_fast(place->machine->places, place);
+}
+
+static void end_place(struct pm_workers *w, struct pm_place *place, enum pm_end end, bool saved,
+                      double now)
+{
+    struct pm_job *job = place->job;
+    uint32_t index = place->index;
+
+    if (end == PM_END_DONE) {
+        struct pm_task *task = pm_job_task(job, index);
+        if (!task->done) {
+            task->done = true;
+            job->ndone++;
+        }
+    }
+    release(place);
+    pm_job_touch(job, index);
+    w->hooks.ended(w->hooks.arg, place, end, saved, now);
+    pm_workers_unplace(w, place);
+}
+
+void pm_workers_stop(struct pm_place *place, double leave_s, double now)
+{
+    if (place->stop && place->leave_s <= leave_s)
+        return;
+    place->stop = true;
+    place->stop_sent = false;
+    place->leave_s = leave_s;
+    place->stop_at = now;
+}
+
+void pm_workers_gone(struct pm_workers *w, struct pm_machine *m, double now)
+{
+    while (m->places->len)
+        end_place(w, g_ptr_array_index(m->places, m->places->len - 1), PM_END_GONE, false, now);
+    g_array_set_size(m->ended, 0);
+    g_array_set_size(m->strays, 0);
+    m->least_session = m->session + 1;
+    m->doubtful = 0;
+}
+
+/* ---- reports ---- */
+
+static const char *const states[] = {"fetching", "waiting", "running", "saving", "ended"};
+
+static bool read_entry(const char *text, char *id, uint32_t *index)
+{
+    const char *slash = strchr(text, '/');
+    char *end;
+    unsigned long value;
+
+    if (!slash || (size_t)(slash - text) >= PM_ID_MAX)
+        return false;
+    memcpy(id, text, (size_t)(slash - text));
+    id[slash - text] = 0;
+    value = strtoul(slash + 1, &end, 10);
+    if (end == slash + 1 || *end || value >= PM_ENTRIES_MAX)
+        return false;
+    *index = (uint32_t)value;
+    return true;
+}
+
+static enum pm_end read_end(const cbor_item_t *entry)
+{
+    char cause[32];
+
+    if (pm_cbor_text(pm_cbor_get(entry, "cause"), cause, sizeof cause))
+        return PM_END_ERROR;
+    if (!strcmp(cause, "done"))
+        return PM_END_DONE;
+    if (!strcmp(cause, "stopped"))
+        return PM_END_STOPPED;
+    if (!strcmp(cause, "mates_gone") || !strcmp(cause, "incomplete"))
+        return PM_END_GANG;
+    if (!strcmp(cause, "error"))
+        return PM_END_ERROR;
+    return PM_END_REFUSED;
+}
+
+static void note_image(struct pm_workers *w, struct pm_machine *m, const struct pm_spec *spec)
+{
+    struct pm_cached entry = {spec->image, spec->image_gb};
+    double room = m->type >= 0 ? w->books->type[m->type].local_gb : 0;
+    int i;
+
+    for (i = 0; i < m->ncached && m->cached[i].image != spec->image; i++)
+        ;
+    if (i == 0 && m->ncached)
+        return;
+    if (i == m->ncached && m->ncached < PM_CACHE_MAX)
+        m->ncached++;
+    if (i == PM_CACHE_MAX)
+        i--;
+    memmove(m->cached + 1, m->cached, (size_t)i * sizeof m->cached[0]);
+    m->cached[0] = entry;
+    for (i = 0; i < m->ncached; i++) { /* the least recently used give way */
+        room -= m->cached[i].gb;
+        if (i > 0 && room < 0)
+            m->ncached = i;
+    }
+}
+
+static void read_task(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *item,
+                      double now)
+{
+    char text[64], id[PM_ID_MAX], status[16];
+    struct pm_entry entry;
+    struct pm_place *place = NULL;
+    uint64_t attempt;
+    bool saved = false;
+    int state;
+
+    if (pm_cbor_text(pm_cbor_get(item, "entry"), text, sizeof text) ||
+        !read_entry(text, id, &entry.index) || pm_cbor_count(pm_cbor_get(item, "try"), &attempt) ||
+        pm_cbor_text(pm_cbor_get(item, "status"), status, sizeof status)) {
+        pm_error("workers.entry", "unreadable entry from %s", m->name);
+        return;
+    }
+    for (state = 0; state < 5 && strcmp(states[state], status); state++)
+        ;
+    entry.job = pm_jobs_find(w->jobs, id);
+    entry.attempt = (uint32_t)attempt;
+    if (!entry.job || state == 5 || entry.index >= entry.job->entries) {
+        if (w->ignored++ == 0)
+            pm_error("workers.entry", "%s reports %s, unknown here", m->name, text);
+        return;
+    }
+    if (entry.job->spec && entry.job->chunk) {
+        const struct pm_task *task = pm_job_peek(entry.job, entry.index);
+        if (task && task->place && task->place->machine == m &&
+            task->place->attempt == entry.attempt && task->place->session == m->session)
+            place = task->place;
+    }
+    if (!place) {
+        g_array_append_val(*(state == 4 ? &m->ended : &m->strays), entry);
+        if (state != 4)
+            pm_info("workers.stray", "%s has %s try %u, not in the books", m->name, text,
+                    entry.attempt);
+        return;
+    }
+    place->seen = true;
+    if (state >= 1 && state <= 3)
+        note_image(w, m, entry.job->spec);
+    if (state == 4) {
+        pm_cbor_flag(pm_cbor_get(item, "stored"), &saved);
+        g_array_append_val(m->ended, entry);
+        end_place(w, place, read_end(item), saved, now);
+        return;
+    }
+    place->state = (enum pm_place_state)(PM_FETCHING + state);
+    if (place->state == PM_RUNNING && !place->ran_from) {
+        place->ran_from = now;
+        w->hooks.ran(w->hooks.arg, place, now);
+    }
+}
+
+/* What a fresh message does not list. Absence proves nothing while a copy of the launch may still
+ * arrive: one in a /do without an answer (until the worker has seen a later token, or a later
+ * session), or one in an answer to a report (until the next report, for the worker has one report
+ * in flight and drops late answers). */
+static void read_absence(struct pm_workers *w, struct pm_machine *m, enum pm_message kind,
+                         uint64_t epoch, double now)
+{
+    for (guint i = 0; i < m->places->len;) {
+        struct pm_place *place = g_ptr_array_index(m->places, i);
+        bool in_answer = place->replied && (kind != PM_REPORT || m->tally <= place->replied);
+        bool in_direct = place->direct && (m->direct_busy || m->doubtful);
+
+        if (place->seen || place->state == PM_INTENT || m->mandate < epoch || in_answer ||
+            in_direct) {
+            i++;
+            continue;
+        }
+        place->replied = place->direct = 0; /* no copy is under way any more */
+        if (place->stop || place->state > PM_DURABLE) {
+            /* Not there, and nothing can bring it. */
+            end_place(w, place, PM_END_GONE, false, now);
+            i = 0;
+            continue;
+        }
+        i++; /* never arrived: launched anew, as the same attempt */
+    }
+}
+
+static int read_identity(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *report)
+{
+    char type[PM_NAME_MAX], zone[PM_NAME_MAX];
+
+    if (pm_cbor_text(pm_cbor_get(report, "endpoint"), m->endpoint, sizeof m->endpoint) ||
+        pm_cbor_text(pm_cbor_get(report, "model"), type, sizeof type) ||
+        pm_cbor_text(pm_cbor_get(report, "room"), zone, sizeof zone))
+        return -1;
+    m->zone = -1;
+    for (int i = 0; i < w->books->settings->zones; i++)
+        if (!strcmp(w->books->settings->zone_name[i], zone))
+            m->zone = i;
+    m->spot = false;
+    pm_cbor_flag(pm_cbor_get(report, "borrowed"), &m->spot);
+    if (m->type < 0 && (m->type = pm_names_find(w->books->types, type)) >= 0 &&
+        m->type < w->books->ntypes) {
+        const struct pm_type *t = &w->books->type[m->type];
+        m->cpus += t->cpus; /* places found before are taken off already */
+        m->gpus += t->gpus;
+        m->ram_gb += t->ram_gb;
+    }
+    return 0;
+}
+
+struct pm_machine *pm_workers_report(struct pm_workers *w, const cbor_item_t *report,
+                                     enum pm_message kind, uint64_t epoch, double now, bool *fresh)
+{
+    char name[PM_NAME_MAX];
+    uint64_t session, tally, mandate;
+    struct pm_machine *m;
+    cbor_item_t *entries = pm_cbor_get(report, "entries");
+    double recall;
+
+    *fresh = false;
+    if (pm_cbor_text(pm_cbor_get(report, "host"), name, sizeof name) || !name[0] ||
+        pm_cbor_count(pm_cbor_get(report, "shift"), &session) ||
+        pm_cbor_count(pm_cbor_get(report, "tally"), &tally) ||
+        pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate) ||
+        (entries && !cbor_isa_array(entries)))
+        return NULL;
+    m = pm_workers_add(w, name);
+    if (read_identity(w, m, report))
+        return NULL;
+    if (session < m->session || session < m->least_session ||
+        (session == m->session && tally <= m->tally))
+        return m; /* late: its list is as old as itself */
+    *fresh = true;
+    if (session > m->session) {
+        /* A later session: what an earlier one held was killed. Places found in the state service
+         * may be of this session already: those stay. */
+        for (guint i = 0; i < m->places->len;) {
+            struct pm_place *place = g_ptr_array_index(m->places, i);
+            if (place->session < session) {
+                end_place(w, place, PM_END_GONE, false, now);
+                i = 0;
+            } else {
+                i++;
+            }
+        }
+        if (m->session)
+            m->ncached = 0;
+    }
+    m->session = session;
+    m->tally = tally;
+    m->mandate = mandate;
+    m->heard = now;
+    m->reported = true;
+    m->absent_since = 0;
+    if (m->state == PM_BOOTING)
+        m->state = PM_UP;
+    if (m->doubtful && (mandate > m->doubtful || session > m->doubtful_session))
+        m->doubtful = 0;
+    m->recall_at = pm_cbor_number(pm_cbor_get(report, "recall_s"), &recall) ? 0 : now + recall;
+    for (guint i = 0; i < m->places->len; i++)
+        ((struct pm_place *)g_ptr_array_index(m->places, i))->seen = false;
+    g_array_set_size(m->ended, 0);
+    g_array_set_size(m->strays, 0);
+    for (size_t i = 0; i < pm_cbor_length(entries); i++)
+        read_task(w, m, pm_cbor_at(entries, i), now);
+    read_absence(w, m, kind, epoch, now);
+    return m;
+}
+
+/* ---- orders ---- */
+
+static void put_order(struct pm_buf *out, const char *verb, const struct pm_job *job,
+                      uint32_t index, uint32_t attempt, double leave_s)
+{
+    char text[64];
+
+    snprintf(text, sizeof text, "%s/%u", job->id, index);
+    pm_put_map(out);
+    pm_put_pair_text(out, "verb", verb);
+    pm_put_pair_text(out, "entry", text);
+    pm_put_pair_count(out, "try", attempt);
+    if (leave_s >= 0)
+        pm_put_pair_number(out, "leave_s", leave_s);
+    pm_put_end(out);
+}
+
+static bool launch_due(const struct pm_place *place, const struct pm_machine *m, bool direct)
+{
+    return place->state == PM_DURABLE && !place->stop && place->session == m->session &&
+           m->state == PM_UP && (!direct || (!place->direct && !place->replied));
+}
+
+static bool kill_due(const struct pm_place *place, const struct pm_machine *m, bool direct)
+{
+    return place->stop && place->state >= PM_DURABLE && place->state < PM_ENDED &&
+           place->session == m->session && (!direct || !place->stop_sent);
+}
+
+bool pm_workers_direct_due(const struct pm_machine *m)
+{
+    for (guint i = 0; i < m->places->len; i++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, i);
+        if (launch_due(place, m, true) || kill_due(place, m, true))
+            return true;
+    }
+    return false;
+}
+
+/* No forget while a copy of a launch may be under way: it would start the task anew. That is so
+ * while a /do is open or in doubt, and while the worker would still obey an earlier token. Nor
+ * before the end is durable: a forgotten end that nobody wrote down is lost. */
+static bool may_forget(const struct pm_machine *m, const struct pm_entry *entry, uint64_t epoch)
+{
+    const struct pm_chunk *chunk;
+
+    if (m->direct_busy || m->doubtful || m->mandate < epoch)
+        return false;
+    if (!entry->job->chunk)
+        return true; /* over, durably */
+    chunk = entry->job->chunk[entry->index / PM_CHUNK];
+    return !chunk || (!chunk->dirty && !chunk->in_flight);
+}
+
+int pm_workers_orders(struct pm_machine *m, bool direct, uint64_t epoch, struct pm_buf *out)
+{
+    int n = 0;
+
+    pm_put_list(out);
+    for (guint i = 0; i < m->places->len && n < ORDERS_MAX; i++) {
+        struct pm_place *place = g_ptr_array_index(m->places, i);
+        if (launch_due(place, m, direct)) {
+            put_order(out, "launch", place->job, place->index, place->attempt, -1);
+            if (direct)
+                place->direct = epoch, m->direct_launches = true;
+            else
+                place->replied = m->tally;
+            n++;
+        } else if (kill_due(place, m, direct)) {
+            put_order(out, "kill", place->job, place->index, place->attempt, place->leave_s);
+            if (direct)
+                place->stop_sent = true;
+            n++;
+        }
+    }
+    for (guint i = 0; !direct && i < m->strays->len && n < ORDERS_MAX; i++, n++) {
+        struct pm_entry *entry = &g_array_index(m->strays, struct pm_entry, i);
+        put_order(out, "kill", entry->job, entry->index, entry->attempt, 0);
+    }
+    for (guint i = 0; !direct && i < m->ended->len && n < ORDERS_MAX; i++) {
+        struct pm_entry *entry = &g_array_index(m->ended, struct pm_entry, i);
+        if (!may_forget(m, entry, epoch))
+            continue;
+        put_order(out, "forget", entry->job, entry->index, entry->attempt, -1);
+        n++;
+    }
+    pm_put_end(out);
+    return n;
+}
+
+void pm_workers_direct_done(struct pm_machine *m, uint64_t epoch, int status)
+{
+    bool launched = m->direct_launches;
+
+    m->direct_busy = m->direct_launches = false;
+    for (guint i = 0; i < m->places->len; i++) {
+        struct pm_place *place = g_ptr_array_index(m->places, i);
+        if (status != PM_HTTP_LOST && place->direct == epoch)
+            place->direct = 0; /* 200: listed from now on; 409 or not sent: never executed */
+        if (status != 200)
+            place->stop_sent = false;
+    }
+    /* Whatever became of the launches it carried, a copy may still arrive minutes late. */
+    if (status == PM_HTTP_LOST && launched) {
+        m->doubtful = epoch;
+        m->doubtful_session = m->session;
+    }
+}
--- /dev/null
+++ b/src/workers/workers.h
@@ -0,0 +1,109 @@
+/* Machines, their workers' reports, the orders to them, and what is proven gone.
+ *
+ * A place is freed only by proof (safety invariant 3): a newer report of a worker that has seen our
+ * epoch, a later session, a confirmed release, or a lease that nobody can have renewed. */
+#ifndef PM_WORKERS_WORKERS_H
+#define PM_WORKERS_WORKERS_H
+
+#include "base/http.h"
+#include "jobs/jobs.h"
+
+enum pm_machine_state {
+    PM_BOOTING,  /* rented, not reported yet */
+    PM_UP,       /* reports */
+    PM_RELEASING /* being returned: never used again */
+};
+
+enum pm_end { PM_END_NONE, PM_END_DONE, PM_END_STOPPED, PM_END_ERROR, PM_END_REFUSED,
+              PM_END_GANG, PM_END_GONE };
+
+enum { PM_CACHE_MAX = 32 };
+
+struct pm_machine {
+    char name[PM_NAME_MAX];
+    char endpoint[64];
+    int index, type, zone;
+    bool spot;
+    enum pm_machine_state state;
+    GPtrArray *places; /* of struct pm_place, owned */
+    double cpus, gpus, ram_gb; /* free */
+    /* From the worker. */
+    uint64_t session, tally, mandate;
+    uint64_t least_session; /* earlier ones are proven over */
+    bool reported;          /* at least once to this leader */
+    double heard;           /* steady: its latest message */
+    double recall_at;       /* steady: when the cloud takes it, 0: no notice */
+    int ncached;            /* images that it holds, latest use first, as far as we know */
+    struct pm_cached {
+        int image;
+        double gb;
+    } cached[PM_CACHE_MAX];
+    GArray *ended;  /* of struct pm_entry: ended there, to be forgotten */
+    GArray *strays; /* of struct pm_entry: there, but not by our books: to be killed */
+    /* Leases. */
+    double answered; /* steady: when this leader last answered a report of it with 200 */
+    /* Direct commands. */
+    bool direct_busy, direct_launches; /* a /do is open; it carries launches */
+    double direct_retry;
+    uint64_t doubtful; /* epoch of a /do with launches that got no answer, 0: none */
+    uint64_t doubtful_session;
+    /* Cloud (fleet slice). */
+    double rented, idle_since, absent_since;
+    bool listed, failed;
+    double release_retry;
+    uint32_t errors; /* in a row, of tasks that ended with an error */
+};
+
+struct pm_entry {
+    struct pm_job *job;
+    uint32_t index, attempt;
+};
+
+struct pm_workers;
+
+struct pm_workers_hooks {
+    /* A place's task ended or is proven gone; the place stays until its chunk is durable, and holds
+     * nothing any more. */
+    void (*ended)(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now);
+    void (*ran)(void *arg, struct pm_place *place, double now); /* first seen running */
+    void *arg;
+};
+
+struct pm_workers *pm_workers_new(struct pm_books *books, struct pm_jobs *jobs,
+                                  const struct pm_workers_hooks *hooks);
+void pm_workers_free(struct pm_workers *workers);
+/* All machines, by index; entries may be NULL. */
+GPtrArray *pm_workers_all(struct pm_workers *workers);
+struct pm_machine *pm_workers_find(struct pm_workers *workers, const char *name);
+struct pm_machine *pm_workers_add(struct pm_workers *workers, const char *name);
+void pm_workers_remove(struct pm_workers *workers, struct pm_machine *machine);
+/* Forgets all places and what was heard: on taking or losing the lead. */
+void pm_workers_reset(struct pm_workers *workers);
+
+/* The books' record of a place: an intent of ours, or one found in the state service. */
+struct pm_place *pm_workers_place(struct pm_workers *workers, struct pm_job *job, uint32_t index,
+                                  struct pm_machine *machine, uint32_t attempt, uint64_t session,
+                                  enum pm_place_state state, double now);
+/* Removes a place that is ended, or was an intent that never became durable. */
+void pm_workers_unplace(struct pm_workers *workers, struct pm_place *place);
+
+/* What sort of message carries the worker's task list. */
+enum pm_message { PM_REPORT, PM_DIRECT };
+
+/* Takes in a worker's report. Returns NULL when malformed. `fresh` tells whether it was newer than
+ * what we had. `epoch` is the one in force. */
+struct pm_machine *pm_workers_report(struct pm_workers *workers, const cbor_item_t *report,
+                                     enum pm_message kind, uint64_t epoch, double now,
+                                     bool *fresh);
+/* Writes the orders due for a machine as a CBOR list. With `direct`, launches and kills only; the
+ * places told to launch are marked. Returns how many orders. */
+int pm_workers_orders(struct pm_machine *machine, bool direct, uint64_t epoch, struct pm_buf *out);
+/* Whether /do would carry something. */
+bool pm_workers_direct_due(const struct pm_machine *machine);
+/* A /do sent at `epoch` came to this; on no answer, launches it carried stay in doubt. */
+void pm_workers_direct_done(struct pm_machine *machine, uint64_t epoch, int status);
+/* Everything on the machine is gone, its session over: the lease lapsed, or it was released. */
+void pm_workers_gone(struct pm_workers *workers, struct pm_machine *machine, double now);
+void pm_workers_stop(struct pm_place *place, double leave_s, double now);
+
+#endif
