--- /dev/null
+++ b/src/jobs/tests/test_commit.c
@@ -0,0 +1,390 @@
+/* Safety invariants 1, 2 and 6, against a state service in this process: a placement is durable before
+ * it may be launched, on the condition of the epoch and of the job; accepted and cancelled are durable
+ * before they are answered. */
+#include "../../store/tests/fake_state.h"
+#include "base/clock.h"
+#include "intake/intake.h"
+#include "jobs/commit.h"
+#include "workers/workers.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+static struct ev_loop *loop;
+static struct fake_state *state;
+static struct pm_settings settings;
+static struct pm_operator op;
+static struct pm_books books;
+static struct pm_http_client *http;
+static struct pm_http_server *front;
+static struct pm_store *store;
+static struct pm_jobs *jobs;
+static struct pm_workers *workers;
+static struct pm_commit *commit;
+static struct pm_intake *intake;
+static int durable, doubts;
+static char front_addr[64];
+
+static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+{
+    (void)arg;
+    pm_jobs_put(jobs, key, value, stamp);
+}
+
+static void on_drop(void *arg, const char *key, uint64_t stamp)
+{
+    (void)arg;
+    pm_jobs_drop(jobs, key, stamp);
+}
+
+static void on_nothing(void *arg)
+{
+    (void)arg;
+}
+
+static void on_caught_up(void *arg, uint64_t edition)
+{
+    (void)arg;
+    (void)edition;
+}
+
+static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)end;
+    (void)saved;
+    (void)now;
+}
+
+static void on_ran(void *arg, struct pm_place *place, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)now;
+}
+
+static void on_durable(void *arg, struct pm_place *place)
+{
+    (void)arg;
+    (void)place;
+    durable++;
+}
+
+static void on_commit_confirmed(void *arg, double sent)
+{
+    (void)arg;
+    (void)sent;
+}
+
+static void on_doubt(void *arg)
+{
+    (void)arg;
+    doubts++;
+}
+
+static void on_front(void *arg, struct pm_http_request *req)
+{
+    (void)arg;
+    pm_intake_request(intake, req);
+}
+
+static bool is_ready(void *arg)
+{
+    (void)arg;
+    return pm_store_ready(store);
+}
+
+static int set_up(void **arg)
+{
+    (void)arg;
+    loop = ev_loop_new(EVFLAG_AUTO);
+    state = fake_state_new(loop);
+    memset(&settings, 0, sizeof settings);
+    memset(&books, 0, sizeof books);
+    durable = doubts = 0;
+    pm_operator_defaults(&op);
+    settings.txn_ops = 12;
+    settings.value_kb = 16;
+    settings.teams = 1;
+    strcpy(settings.team[0].name, "vision");
+    settings.team[0].cpus_max = settings.team[0].gpus_max = 1e12;
+    settings.zones = 1;
+    strcpy(settings.zone_name[0], "a");
+    books.settings = &settings;
+    books.classes = pm_names_new();
+    books.images = pm_names_new();
+    books.types = pm_names_new();
+    books.machines = pm_names_new();
+    pm_names_add(books.types, "g8");
+    books.type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64};
+    books.ntypes = 1;
+    http = pm_http_client_new(loop, 64);
+    jobs = pm_jobs_new(&books);
+    workers = pm_workers_new(&books, jobs, &(struct pm_workers_hooks){on_ended, on_ran, NULL});
+    store = pm_store_new(loop, http, fake_state_addr(state), 1000,
+                         &(struct pm_store_feed){on_put, on_drop, on_nothing, on_nothing,
+                                                 on_caught_up, NULL});
+    commit = pm_commit_new(&books, jobs, store,
+                           &(struct pm_commit_hooks){on_durable, on_commit_confirmed, on_doubt,
+                                                     NULL});
+    intake = pm_intake_new(loop, store, jobs, &books, &op);
+    do {
+        snprintf(front_addr, sizeof front_addr, "127.0.0.1:%d", fake_free_port());
+        front = pm_http_server_new(loop, front_addr, 64, on_front, NULL);
+    } while (!front);
+    assert_true(fake_run_until(loop, is_ready, NULL));
+    return 0;
+}
+
+/* ---- users' requests ---- */
+
+struct answer {
+    int status, calls;
+    char now[16];
+};
+
+static void on_answer(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct answer *a = arg;
+    cbor_item_t *item = size ? pm_cbor_parse(body, size) : NULL;
+
+    a->status = status;
+    a->calls++;
+    a->now[0] = 0;
+    pm_cbor_text(pm_cbor_get(item, "status"), a->now, sizeof a->now);
+    pm_cbor_free(item);
+}
+
+static bool is_answered(void *arg)
+{
+    return ((struct answer *)arg)->calls > 0;
+}
+
+static struct answer ask(const char *method, const char *target, const struct pm_buf *body)
+{
+    struct answer a = {0};
+
+    pm_http_call(http, front_addr, method, target, body ? body->data : NULL, body ? body->size : 0,
+                 30, 65536, on_answer, &a);
+    assert_true(fake_run_until(loop, is_answered, &a));
+    return a;
+}
+
+static struct answer submit(const char *id)
+{
+    struct pm_buf buf = {0};
+    struct answer a;
+
+    pm_put_map(&buf);
+    pm_put_pair_text(&buf, "name_id", id);
+    pm_put_pair_text(&buf, "ledger", "train");
+    pm_put_pair_text(&buf, "desk", "vision");
+    pm_put_pair_text(&buf, "bundle", "img");
+    pm_put_pair_text(&buf, "form", "array");
+    pm_put_pair_text(&buf, "urgency", "normal");
+    pm_put_pair_count(&buf, "entries", 2);
+    pm_put_pair_number(&buf, "cpus", 4);
+    pm_put_pair_number(&buf, "accelerators", 0);
+    pm_put_pair_number(&buf, "ram_gb", 4);
+    pm_put_pair_number(&buf, "size_gb", 1);
+    pm_put_pair_number(&buf, "expected_s", 10);
+    pm_put_pair_number(&buf, "bookmark_s", 0);
+    pm_put_pair_number(&buf, "filing_s", 0);
+    pm_put_end(&buf);
+    a = ask("POST", "/work", &buf);
+    pm_buf_free(&buf);
+    return a;
+}
+
+static void accepted_and_cancelled_are_durable(void **arg)
+{
+    struct answer a;
+
+    (void)arg;
+    assert_int_equal(ask("GET", "/work/job-1", NULL).status, 404);
+    assert_int_equal(submit("job-1").status, 201);
+    assert_true(fake_state_stamp(state, "p/j/job-1") > 0);
+    assert_int_equal(submit("job-1").status, 200); /* a repeat */
+    a = ask("GET", "/work/job-1", NULL);
+    assert_int_equal(a.status, 200);
+    assert_string_equal(a.now, "queued");
+    a = ask("POST", "/work/job-1/abort", NULL);
+    assert_string_equal(a.now, "cancelled");
+    a = ask("GET", "/work/job-1", NULL);
+    assert_string_equal(a.now, "cancelled");
+    /* A final state is told from memory, for ever; what would have to be fresh is unsure. */
+    assert_int_equal(submit("job-2").status, 201);
+    fake_state_outage(state, true);
+    assert_string_equal(ask("GET", "/work/job-1", NULL).now, "cancelled");
+    assert_string_equal(submit("job-1").now, "cancelled");
+    assert_int_equal(ask("GET", "/work/job-2", NULL).status, 503);
+    assert_int_equal(ask("GET", "/work/job-3", NULL).status, 503);
+    assert_int_equal(submit("job-3").status, 503);
+    assert_int_equal(fake_state_stamp(state, "p/j/job-3"), 0);
+}
+
+static void a_lost_answer_is_not_a_lost_job(void **arg)
+{
+    (void)arg;
+    fake_state_swallow(state);
+    assert_int_equal(submit("job-1").status, 503); /* it may have been written */
+    assert_int_equal(submit("job-1").status, 200); /* it was */
+}
+
+static void turns_away_what_is_malformed(void **arg)
+{
+    struct pm_buf junk = {0};
+
+    (void)arg;
+    pm_buf_add(&junk, "\xa1\x61", 2);
+    assert_int_equal(ask("POST", "/work", &junk).status, 400);
+    assert_int_equal(ask("DELETE", "/work", NULL).status, 405);
+    assert_int_equal(ask("GET", "/work/job-1/else", NULL).status, 404);
+    assert_int_equal(ask("GET", "/work/nonsense", NULL).status, 404);
+    while (junk.size <= PM_HTTP_BODY_MAX)
+        pm_buf_add(&junk, "aaaaaaaaaaaaaaaa", 16);
+    assert_int_equal(ask("POST", "/work", &junk).status, 413);
+    pm_buf_free(&junk);
+}
+
+/* ---- placements ---- */
+
+static const struct pm_grounds *grounds(void)
+{
+    static struct pm_grounds g;
+
+    g.epoch_stamp = fake_state_stamp(state, "p/epoch");
+    return &g;
+}
+
+static bool known(void *arg)
+{
+    return pm_jobs_find(jobs, arg) != NULL;
+}
+
+static struct pm_job *accepted(const char *id)
+{
+    assert_int_equal(submit(id).status, 201);
+    assert_true(fake_run_until(loop, known, (void *)id));
+    return pm_jobs_find(jobs, id);
+}
+
+static struct pm_place *place(struct pm_job *job)
+{
+    struct pm_machine *m = pm_workers_add(workers, "i-000001");
+    struct pm_place *p;
+
+    m->state = PM_UP;
+    m->session = 1;
+    p = pm_workers_place(workers, job, 0, m, ++job->last_try, 1, PM_INTENT, pm_clock_steady());
+    pm_job_touch(job, 0);
+    return p;
+}
+
+static bool wrote(void *arg)
+{
+    int *before = arg;
+
+    pm_commit_run(commit, grounds(), pm_clock_steady());
+    return fake_state_txns(state) > *before;
+}
+
+static bool became_durable(void *arg)
+{
+    (void)arg;
+    pm_commit_run(commit, grounds(), pm_clock_steady());
+    return durable > 0;
+}
+
+static void placements_are_durable_before_they_launch(void **arg)
+{
+    struct pm_place *p = place(accepted("job-1"));
+
+    (void)arg;
+    assert_int_equal(p->state, PM_INTENT);
+    assert_true(fake_run_until(loop, became_durable, NULL));
+    assert_int_equal(p->state, PM_DURABLE);
+    assert_true(fake_state_stamp(state, "p/t/job-1/0") > 0);
+}
+
+static void a_lost_transaction_is_written_again(void **arg)
+{
+    struct pm_place *p = place(accepted("job-1"));
+    uint64_t stamp;
+
+    (void)arg;
+    fake_state_swallow(state); /* applied, but nobody says so: it may not be launched on that */
+    assert_true(fake_run_until(loop, became_durable, NULL));
+    stamp = fake_state_stamp(state, "p/t/job-1/0");
+    assert_int_equal(p->state, PM_DURABLE);
+    assert_int_equal(durable, 1);
+    assert_true(stamp > fake_state_stamp(state, "p/j/job-1") + 1); /* the second copy holds */
+}
+
+static bool is_doubted(void *arg)
+{
+    static struct pm_grounds wrong;
+
+    (void)arg;
+    wrong.epoch_stamp = fake_state_stamp(state, "p/epoch") + 99;
+    pm_commit_run(commit, &wrong, pm_clock_steady());
+    return doubts > 0;
+}
+
+static void a_deposed_leader_places_nothing(void **arg)
+{
+    struct pm_place *p = place(accepted("job-1"));
+
+    (void)arg;
+    assert_true(fake_run_until(loop, is_doubted, NULL));
+    assert_int_equal(p->state, PM_INTENT);
+    assert_int_equal(fake_state_stamp(state, "p/t/job-1/0"), 0);
+}
+
+static void a_cancelled_job_is_not_placed(void **arg)
+{
+    struct pm_job *job = accepted("job-1");
+    struct pm_place *p = place(job);
+    uint64_t old = job->stamp;
+    int before;
+
+    (void)arg;
+    assert_string_equal(ask("POST", "/work/job-1/abort", NULL).now, "cancelled");
+    /* The placement was decided on the job as it was before. */
+    job->stamp = old;
+    before = fake_state_txns(state);
+    assert_true(fake_run_until(loop, wrote, &before));
+    before = fake_state_txns(state);
+    job->stamp = old;
+    assert_int_equal(p->state, PM_INTENT);
+    assert_int_equal(fake_state_stamp(state, "p/t/job-1/0"), 0);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup(accepted_and_cancelled_are_durable, set_up),
+        cmocka_unit_test_setup(a_lost_answer_is_not_a_lost_job, set_up),
+        cmocka_unit_test_setup(turns_away_what_is_malformed, set_up),
+        cmocka_unit_test_setup(placements_are_durable_before_they_launch, set_up),
+        cmocka_unit_test_setup(a_lost_transaction_is_written_again, set_up),
+        cmocka_unit_test_setup(a_deposed_leader_places_nothing, set_up),
+        cmocka_unit_test_setup(a_cancelled_job_is_not_placed, set_up),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
+
+/* The controllers of a test live until the process ends, as those of a daemon do. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
--- /dev/null
+++ b/src/leadership/tests/test_leadership.c
@@ -0,0 +1,238 @@
+/* The epoch, its confirmation and the replica, against a state service in this process. Nothing here
+ * depends on how fast it runs: every step waits for what it expects. */
+#include "../../store/tests/fake_state.h"
+#include "base/clock.h"
+#include "leadership/leadership.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+struct controller {
+    struct pm_settings settings;
+    struct pm_operator op;
+    struct pm_http_client *http;
+    struct pm_http_server *back;
+    struct pm_store *store;
+    struct pm_lead *lead;
+    uint64_t took, raised;
+    int lost;
+};
+
+static struct ev_loop *loop;
+static struct fake_state *state;
+
+static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+{
+    pm_lead_put(((struct controller *)arg)->lead, key, value, stamp);
+}
+
+static void on_drop(void *arg, const char *key, uint64_t stamp)
+{
+    pm_lead_drop(((struct controller *)arg)->lead, key, stamp);
+}
+
+static void on_begin(void *arg)
+{
+    pm_lead_relist(((struct controller *)arg)->lead);
+}
+
+static void on_listed(void *arg)
+{
+    (void)arg;
+}
+
+static void on_caught_up(void *arg, uint64_t edition)
+{
+    (void)arg;
+    (void)edition;
+}
+
+static void on_took(void *arg, uint64_t epoch)
+{
+    ((struct controller *)arg)->took = epoch;
+}
+
+static void on_lost(void *arg)
+{
+    ((struct controller *)arg)->lost++;
+}
+
+static void on_raised(void *arg, uint64_t epoch)
+{
+    ((struct controller *)arg)->raised = epoch;
+}
+
+static void on_confirmed(void *arg)
+{
+    (void)arg;
+}
+
+static void on_peer(void *arg, struct pm_http_request *req)
+{
+    pm_lead_peer(((struct controller *)arg)->lead, req);
+}
+
+/* Names and addresses of `n` controllers that know one another. */
+static void acquaint(struct controller *all, int n)
+{
+    for (int i = 0; i < n; i++) {
+        memset(&all[i], 0, sizeof all[i]);
+        pm_operator_defaults(&all[i].op);
+        all[i].settings.size = n;
+        snprintf(all[i].settings.name, PM_NAME_MAX, "n%d", i);
+        snprintf(all[i].settings.peer_listen, 64, "127.0.0.1:%d", fake_free_port());
+    }
+    for (int i = 0; i < n; i++)
+        for (int j = 0; j < n; j++) {
+            struct pm_peer_setting *peer;
+            if (i == j)
+                continue;
+            peer = &all[i].settings.peer[all[i].settings.peers++];
+            g_strlcpy(peer->name, all[j].settings.name, sizeof peer->name);
+            g_strlcpy(peer->addr, all[j].settings.peer_listen, sizeof peer->addr);
+        }
+}
+
+static void start(struct controller *c)
+{
+    c->http = pm_http_client_new(loop, 64);
+    c->store = pm_store_new(loop, c->http, fake_state_addr(state), 1000,
+                            &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed,
+                                                    on_caught_up, c});
+    c->lead = pm_lead_new(loop, c->store, c->http, &c->settings, &c->op,
+                          &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_confirmed, c});
+    c->back = pm_http_server_new(loop, c->settings.peer_listen, 16, on_peer, c);
+    assert_non_null(c->back);
+}
+
+static int set_up(void **arg)
+{
+    (void)arg;
+    loop = ev_loop_new(EVFLAG_AUTO);
+    state = fake_state_new(loop);
+    return 0;
+}
+
+static bool has_taken(void *arg)
+{
+    return ((struct controller *)arg)->took > 0;
+}
+
+static bool is_confirmed(void *arg)
+{
+    return pm_lead_confirmed(((struct controller *)arg)->lead, pm_clock_steady());
+}
+
+static bool is_unconfirmed(void *arg)
+{
+    return !is_confirmed(arg);
+}
+
+static bool knows_floor(void *arg)
+{
+    return isfinite(pm_lead_floor(((struct controller *)arg)->lead, 0));
+}
+
+static void one_leads_and_a_successor_has_a_higher_epoch(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 2);
+    uint64_t first;
+
+    (void)arg;
+    acquaint(all, 2);
+    start(&all[0]);
+    assert_true(fake_run_until(loop, has_taken, &all[0]));
+    assert_true(is_confirmed(&all[0]));
+    first = pm_lead_epoch(all[0].lead);
+    /* Of two controllers one is no majority: nobody else is known to have learned of the epoch. */
+    assert_false(knows_floor(&all[0]));
+    start(&all[1]);
+    assert_true(fake_run_until(loop, knows_floor, &all[0]));
+    assert_int_equal(all[1].took, 0); /* p/lead is held */
+    assert_string_equal(pm_lead_other(all[1].lead), "n0");
+    /* The hold lapses: somebody takes over, with a higher epoch, and no two lead in the same. */
+    all[0].took = 0;
+    fake_state_lapse(state);
+    for (int i = 0; !all[0].took && !all[1].took && i < 4000; i++)
+        fake_run_until(loop, has_taken, &all[1]);
+    assert_true(all[1].took > first);
+    assert_true(pm_lead_epoch(all[1].lead) > first);
+}
+
+static bool has_raised(void *arg)
+{
+    return ((struct controller *)arg)->raised > 0;
+}
+
+static void a_raise_without_an_answer_is_found_again(void **arg)
+{
+    struct controller *c = g_new0(struct controller, 1);
+    uint64_t first, stamp;
+
+    (void)arg;
+    acquaint(c, 1);
+    start(c);
+    assert_true(fake_run_until(loop, has_taken, c));
+    first = pm_lead_epoch(c->lead);
+    stamp = fake_state_stamp(state, "p/epoch");
+    /* Carried out, but its answer is lost: the watch tells that the epoch is ours. */
+    fake_state_swallow(state);
+    pm_lead_raise(c->lead, NULL, 0);
+    assert_true(fake_run_until(loop, has_raised, c));
+    assert_int_equal(c->lost, 0);
+    assert_true(pm_lead_epoch(c->lead) > first);
+    assert_true(pm_lead_stamp(c->lead) > stamp);
+    assert_int_equal(pm_lead_stamp(c->lead), fake_state_stamp(state, "p/epoch"));
+}
+
+static void an_outage_needs_a_majority(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+
+    (void)arg;
+    acquaint(all, 3);
+    start(&all[0]);
+    start(&all[1]);
+    assert_true(fake_run_until(loop, has_taken, &all[0]) || all[1].took);
+    if (!all[0].took) { /* the other one was first */
+        struct controller *leader = &all[1];
+        assert_true(fake_run_until(loop, knows_floor, leader));
+        return;
+    }
+    assert_true(fake_run_until(loop, knows_floor, &all[0]));
+    fake_state_outage(state, true);
+    /* Two of three that have read the state confirm it for longer than one confirmation lasts. */
+    for (double until = pm_clock_steady() + 2 * all[0].op.confirm_s; pm_clock_steady() < until;)
+        assert_true(fake_run_until(loop, is_confirmed, &all[0]));
+    /* The third was started in the outage: it has read nothing, so its word counts for nothing. */
+    pm_http_server_free(all[1].back);
+    all[1].back = NULL;
+    start(&all[2]);
+    assert_true(fake_run_until(loop, is_unconfirmed, &all[0]));
+    assert_int_equal(all[2].took, 0);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup(one_leads_and_a_successor_has_a_higher_epoch, set_up),
+        cmocka_unit_test_setup(a_raise_without_an_answer_is_found_again, set_up),
+        cmocka_unit_test_setup(an_outage_needs_a_majority, set_up),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
+
+/* The controllers of a test live until the process ends, as those of a daemon do. */
+const char *__asan_default_options(void);
+const char *__asan_default_options(void)
+{
+    return "detect_leaks=0";
+}
--- /dev/null
+++ b/src/store/tests/fake_state.c
@@ -0,0 +1,362 @@
+#include "fake_state.h"
+#include "base/cbor.h"
+#include "base/clock.h"
+#include "base/http.h"
+
+#include <arpa/inet.h>
+#include <ev.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct value {
+    struct pm_buf data; /* as CBOR */
+    uint64_t stamp, tenure;
+};
+
+struct change {
+    char key[256];
+    uint64_t stamp;
+    bool put;
+};
+
+struct watch {
+    struct pm_http_request *req;
+    uint64_t since;
+};
+
+struct fake_state {
+    struct ev_loop *loop;
+    struct pm_http_server *server;
+    char addr[64];
+    GTree *keys; /* text to struct value, in order */
+    GArray *changes, *watches;
+    uint64_t edition, tenures;
+    bool out, swallow;
+    int txns;
+};
+
+static void value_free(gpointer data)
+{
+    struct value *value = data;
+
+    pm_buf_free(&value->data);
+    g_free(value);
+}
+
+static int by_text(gconstpointer a, gconstpointer b, gpointer arg)
+{
+    (void)arg;
+    return strcmp(a, b);
+}
+
+static void reply_buf(struct pm_http_request *req, int status, struct pm_buf *buf)
+{
+    pm_http_reply(req, status, buf->data, buf->size, 0);
+    pm_buf_free(buf);
+}
+
+static void put_data(struct pm_buf *out, const char *name, const struct value *value)
+{
+    pm_put_text(out, name);
+    pm_buf_add(out, value->data.data, value->data.size);
+}
+
+/* ---- watches ---- */
+
+static bool answer_watch(struct fake_state *s, struct watch *w)
+{
+    struct pm_buf out = {0};
+    int n = 0;
+
+    if (s->out || w->since >= s->edition)
+        return false;
+    pm_put_map(&out);
+    pm_put_pair_count(&out, "edition", s->edition);
+    pm_put_text(&out, "events");
+    pm_put_list(&out);
+    for (guint i = 0; i < s->changes->len; i++) {
+        struct change *c = &g_array_index(s->changes, struct change, i);
+        const struct value *value;
+        if (c->stamp <= w->since)
+            continue;
+        n++;
+        value = c->put ? g_tree_lookup(s->keys, c->key) : NULL;
+        if (c->put && (!value || value->stamp != c->stamp))
+            continue; /* changed again since: the later change tells */
+        pm_put_map(&out);
+        pm_put_pair_text(&out, c->put ? "put" : "drop", c->key);
+        if (c->put)
+            put_data(&out, "data", value);
+        pm_put_pair_count(&out, "stamp", c->stamp);
+        pm_put_end(&out);
+    }
+    pm_put_end(&out);
+    pm_put_end(&out);
+    reply_buf(w->req, 200, &out);
+    return n >= 0;
+}
+
+static void tell(struct fake_state *s)
+{
+    for (guint i = 0; i < s->watches->len;) {
+        if (answer_watch(s, &g_array_index(s->watches, struct watch, i)))
+            g_array_remove_index(s->watches, i);
+        else
+            i++;
+    }
+}
+
+static void note(struct fake_state *s, const char *key, bool put)
+{
+    struct change c = {.stamp = s->edition, .put = put};
+
+    g_strlcpy(c.key, key, sizeof c.key);
+    g_array_append_val(s->changes, c);
+}
+
+/* ---- requests ---- */
+
+static uint64_t stamp_of(struct fake_state *s, const char *key)
+{
+    const struct value *value = g_tree_lookup(s->keys, key);
+
+    return value ? value->stamp : 0;
+}
+
+static void do_txn(struct fake_state *s, struct pm_http_request *req)
+{
+    cbor_item_t *body = pm_cbor_parse(req->body, req->body_size);
+    cbor_item_t *conditions = pm_cbor_get(body, "if"), *writes = pm_cbor_get(body, "writes");
+    struct pm_buf failed = {0}, out = {0};
+    char key[256];
+    uint64_t stamp;
+    int nfailed = 0;
+
+    s->txns++;
+    for (size_t i = 0; i < pm_cbor_length(conditions); i++) {
+        const cbor_item_t *c = pm_cbor_at(conditions, i);
+        if (pm_cbor_text(pm_cbor_get(c, "key"), key, sizeof key) ||
+            pm_cbor_count(pm_cbor_get(c, "stamp"), &stamp) || stamp_of(s, key) != stamp) {
+            pm_put_text(&failed, key);
+            nfailed++;
+        }
+    }
+    pm_put_map(&out);
+    if (nfailed) {
+        pm_put_text(&out, "failed");
+        pm_put_list(&out);
+        pm_buf_add(&out, failed.data, failed.size);
+        pm_put_end(&out);
+    } else if (pm_cbor_length(writes)) {
+        s->edition++;
+    }
+    for (size_t i = 0; !nfailed && i < pm_cbor_length(writes); i++) {
+        const cbor_item_t *w = pm_cbor_at(writes, i);
+        if (!pm_cbor_text(pm_cbor_get(w, "put"), key, sizeof key)) {
+            struct value *value = g_new0(struct value, 1);
+            pm_put_item(&value->data, pm_cbor_get(w, "data"));
+            value->stamp = s->edition;
+            pm_cbor_count(pm_cbor_get(w, "tenure"), &value->tenure);
+            g_tree_replace(s->keys, g_strdup(key), value);
+            note(s, key, true);
+        } else if (!pm_cbor_text(pm_cbor_get(w, "drop"), key, sizeof key) &&
+                   g_tree_remove(s->keys, key)) {
+            note(s, key, false);
+        }
+    }
+    pm_put_pair_count(&out, "edition", s->edition);
+    pm_put_end(&out);
+    pm_buf_free(&failed);
+    pm_cbor_free(body);
+    if (s->swallow) { /* carried out, but the answer is no answer */
+        s->swallow = false;
+        pm_buf_free(&out);
+        pm_http_reply(req, 200, "?", 1, 0);
+    } else {
+        reply_buf(req, nfailed ? 409 : 200, &out);
+    }
+    tell(s);
+}
+
+struct listing {
+    struct pm_buf *out;
+    const char *since;
+};
+
+static gboolean list_one(gpointer key, gpointer data, gpointer arg)
+{
+    struct listing *l = arg;
+    const struct value *value = data;
+
+    if (strcmp(key, l->since) <= 0)
+        return FALSE;
+    pm_put_map(l->out);
+    pm_put_pair_text(l->out, "key", key);
+    put_data(l->out, "data", value);
+    pm_put_pair_count(l->out, "stamp", value->stamp);
+    pm_put_end(l->out);
+    return FALSE;
+}
+
+static void do_list(struct fake_state *s, struct pm_http_request *req)
+{
+    struct pm_buf out = {0};
+    struct listing l = {&out, ""};
+
+    pm_put_map(&out);
+    pm_put_text(&out, "items");
+    pm_put_list(&out);
+    g_tree_foreach(s->keys, list_one, &l);
+    pm_put_end(&out);
+    pm_put_pair_flag(&out, "has_next", false);
+    pm_put_pair_count(&out, "edition", s->edition);
+    pm_put_end(&out);
+    reply_buf(req, 200, &out);
+}
+
+static void on_request(void *arg, struct pm_http_request *req)
+{
+    struct fake_state *s = arg;
+    struct pm_buf out = {0};
+
+    if (!strcmp(req->path, "/watch")) {
+        struct watch w = {req, 0};
+        const char *since = strstr(req->query, "since=");
+        w.since = since ? strtoull(since + 6, NULL, 10) : 0;
+        if (!answer_watch(s, &w))
+            g_array_append_val(s->watches, w);
+    } else if (s->out) {
+        pm_http_reply(req, 503, NULL, 0, 0);
+    } else if (!strcmp(req->path, "/txn")) {
+        do_txn(s, req);
+    } else if (!strcmp(req->path, "/kv")) {
+        do_list(s, req);
+    } else if (!strncmp(req->path, "/kv/", 4)) { /* only ever asked for what does not exist */
+        pm_put_map(&out);
+        pm_put_pair_count(&out, "edition", s->edition);
+        pm_put_end(&out);
+        reply_buf(req, 404, &out);
+    } else if (!strcmp(req->path, "/holds")) {
+        pm_put_map(&out);
+        pm_put_pair_count(&out, "tenure", ++s->tenures);
+        pm_put_end(&out);
+        reply_buf(req, 200, &out);
+    } else {
+        pm_http_reply(req, 200, NULL, 0, 0);
+    }
+}
+
+int fake_free_port(void)
+{
+    struct sockaddr_in sa = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof sa;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    if (bind(fd, (struct sockaddr *)&sa, sizeof sa) ||
+        getsockname(fd, (struct sockaddr *)&sa, &size))
+        abort();
+    close(fd);
+    return ntohs(sa.sin_port);
+}
+
+struct fake_state *fake_state_new(struct ev_loop *loop)
+{
+    struct fake_state *s = g_new0(struct fake_state, 1);
+
+    s->loop = loop;
+    s->keys = g_tree_new_full(by_text, NULL, g_free, value_free);
+    s->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+    s->watches = g_array_new(FALSE, FALSE, sizeof(struct watch));
+    do {
+        snprintf(s->addr, sizeof s->addr, "127.0.0.1:%d", fake_free_port());
+        s->server = pm_http_server_new(loop, s->addr, 64, on_request, s);
+    } while (!s->server);
+    return s;
+}
+
+void fake_state_free(struct fake_state *s)
+{
+    for (guint i = 0; i < s->watches->len; i++)
+        pm_http_reply(g_array_index(s->watches, struct watch, i).req, 503, NULL, 0, 0);
+    pm_http_server_free(s->server);
+    g_tree_destroy(s->keys);
+    g_array_free(s->changes, TRUE);
+    g_array_free(s->watches, TRUE);
+    g_free(s);
+}
+
+const char *fake_state_addr(const struct fake_state *s)
+{
+    return s->addr;
+}
+
+uint64_t fake_state_stamp(const struct fake_state *s, const char *key)
+{
+    const struct value *value = g_tree_lookup(s->keys, key);
+
+    return value ? value->stamp : 0;
+}
+
+void fake_state_outage(struct fake_state *s, bool out)
+{
+    s->out = out;
+    tell(s);
+}
+
+void fake_state_swallow(struct fake_state *s)
+{
+    s->swallow = true;
+}
+
+int fake_state_txns(const struct fake_state *s)
+{
+    return s->txns;
+}
+
+static gboolean held(gpointer key, gpointer data, gpointer arg)
+{
+    if (((struct value *)data)->tenure)
+        g_ptr_array_add(arg, key);
+    return FALSE;
+}
+
+void fake_state_lapse(struct fake_state *s)
+{
+    GPtrArray *keys = g_ptr_array_new();
+
+    g_tree_foreach(s->keys, held, keys);
+    for (guint i = 0; i < keys->len; i++) {
+        char *key = g_strdup(g_ptr_array_index(keys, i));
+        s->edition++;
+        g_tree_remove(s->keys, key);
+        note(s, key, false);
+        g_free(key);
+    }
+    g_ptr_array_free(keys, TRUE);
+    tell(s);
+}
+
+static void on_nap(struct ev_loop *loop, ev_timer *w, int events)
+{
+    (void)w;
+    (void)events;
+    ev_break(loop, EVBREAK_ONE);
+}
+
+bool fake_run_until(struct ev_loop *loop, bool (*done)(void *arg), void *arg)
+{
+    double until = pm_clock_steady() + 60;
+    ev_timer nap;
+
+    ev_timer_init(&nap, on_nap, 0.005, 0.005);
+    ev_timer_start(loop, &nap);
+    while (!done(arg) && pm_clock_steady() < until)
+        ev_run(loop, 0);
+    ev_timer_stop(loop, &nap);
+    return done(arg);
+}
--- /dev/null
+++ b/src/store/tests/fake_state.h
@@ -0,0 +1,28 @@
+/* A state service for tests, on a loopback port of its own choice: keys with stamps, transactions,
+ * listing, watches, holds (which end only when told to), outages. No time, no chance. */
+#ifndef PM_STORE_FAKE_STATE_H
+#define PM_STORE_FAKE_STATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct ev_loop;
+struct fake_state;
+
+struct fake_state *fake_state_new(struct ev_loop *loop);
+void fake_state_free(struct fake_state *state);
+const char *fake_state_addr(const struct fake_state *state);
+uint64_t fake_state_stamp(const struct fake_state *state, const char *key); /* 0: no such key */
+/* Every answer is a 503 from now on, or no more; open watches wait. */
+void fake_state_outage(struct fake_state *state, bool out);
+/* Executes the next transaction but never answers it. */
+void fake_state_swallow(struct fake_state *state);
+/* Ends all holds, and drops their keys. */
+void fake_state_lapse(struct fake_state *state);
+int fake_state_txns(const struct fake_state *state);
+
+/* A free loopback port, and running the loop until `done` says so (false: never within a minute). */
+int fake_free_port(void);
+bool fake_run_until(struct ev_loop *loop, bool (*done)(void *arg), void *arg);
+
+#endif
