--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -679,7 +679,8 @@
         else
             pm_http_reply(req, 405, NULL, 0, 0);
     } else if (!strcmp(req->path, "/ready")) {
-        pm_intake_ready(n->intake, req);
+        pm_intake_ready(n->intake, req,
+                        pm_lead_refused_alone(n->lead, pm_clock_steady()));
     } else if (!strcmp(req->path, "/work") || !strncmp(req->path, "/work/", 6)) {
         pm_intake_request(n->intake, req);
     } else {
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -393,7 +393,7 @@
     (void)ok;
 }
 
-void pm_intake_ready(struct pm_intake *in, struct pm_http_request *req)
+void pm_intake_ready(struct pm_intake *in, struct pm_http_request *req, bool refused_alone)
 {
     double now = pm_clock_steady(), silent = now - pm_store_served(in->store);
     bool ready;
@@ -402,9 +402,11 @@
         reply_error(req, 405, "method");
         return;
     }
-    /* The state service refusing everybody is no reason to turn users away from every node; being
-     * out of its reach is one to send them elsewhere. */
-    ready = pm_store_ready(in->store) && (silent < SERVED_S || pm_store_refusing(in->store));
+    /* The state service refusing everybody is no reason to turn users away from every node, and to
+     * have them wait for the load balancer when it is back: they hear 503, and when to return. Being
+     * out of its reach, or refused alone, is one to send them elsewhere. */
+    ready = pm_store_refusing(in->store) ? !refused_alone
+                                         : pm_store_ready(in->store) && silent < SERVED_S;
     if (silent > 1 && now - in->probed > 1) {
         in->probed = now;
         pm_store_fresh(in->store, on_probed, in);
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -29,7 +29,7 @@
 void pm_intake_free(struct pm_intake *intake);
 /* Takes a request whose path is /work or below, and answers it now or later. */
 void pm_intake_request(struct pm_intake *intake, struct pm_http_request *req);
-/* GET /ready. */
-void pm_intake_ready(struct pm_intake *intake, struct pm_http_request *req);
+/* GET /ready. `refused_alone`: the state service refuses us, but not the others. */
+void pm_intake_ready(struct pm_intake *intake, struct pm_http_request *req, bool refused_alone);
 
 #endif
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define RESIGNED_S 15.0 /* who resigned leaves the lead to the others for so long */
+#define SERVED_S 6.0   /* a quiet watch answers within this */
 #define PEER_S 1.0      /* a peer's answer counts only within this */
 
 struct pm_lead {
@@ -40,6 +41,7 @@
     char block_key[PM_NAME_MAX + 8];
     uint64_t block_stamp;
     double resigned_until;
+    double peer_served; /* steady: a peer last said that the state service answers it */
     int ask_round, ask_yes;
     uint64_t ask_epoch;
 };
@@ -306,6 +308,8 @@
     Pm__PeerTell *tell = status == 200 ? pm__peer_tell__unpack(NULL, size, body) : NULL;
     int acks = 1;
 
+    if (tell && tell->served)
+        l->peer_served = pm_clock_steady();
     if (tell && tell->known > l->heard)
         l->heard = tell->known;
     if (tell && l->leads && tell->known >= l->mine) {
@@ -371,6 +375,8 @@
     tell.from = (char *)l->settings->name;
     tell.known = MAX(l->epoch, l->heard);
     tell.ready = pm_store_ready(l->store);
+    tell.served = !pm_store_refusing(l->store) &&
+                  pm_clock_steady() - pm_store_served(l->store) < SERVED_S;
     if (pm__peer_tell__get_packed_size(&tell) <= sizeof data)
         size = pm__peer_tell__pack(&tell, data);
     pm_http_reply(req, 200, data, size, 0);
@@ -392,6 +398,9 @@
     if (acts(l) && !l->check_busy && !l->raising &&
         now - MAX(l->confirmed, l->checked) > l->op->confirm_s / 3)
         check(l, now);
+    /* Who neither leads nor holds a block asks as well, to tell an outage from being refused alone. */
+    if (!acts(l) && pm_store_refusing(l->store) && now - l->asked > 1)
+        ask_peers(l, now);
     if (acts(l) && ((l->leads && !l->ack_at) || pm_store_refusing(l->store)) &&
         now - l->asked > l->op->confirm_s / 4)
         ask_peers(l, now);
@@ -482,6 +491,11 @@
     return l->leads ? l->mine_stamp : l->epoch_stamp;
 }
 
+bool pm_lead_refused_alone(const struct pm_lead *l, double now)
+{
+    return pm_store_refusing(l->store) && l->peer_served > 0 && now - l->peer_served < 2.5;
+}
+
 const char *pm_lead_boot(const struct pm_lead *l)
 {
     return l->boot;
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -49,6 +49,8 @@
 /* Not leading, but holding a block: the key and stamp that stand for it, stamp 0: none. The epoch
  * is then confirmed together with that stamp. */
 void pm_lead_hold(struct pm_lead *lead, const char *key, uint64_t stamp);
+/* Whether the state service refuses us while it serves another controller. */
+bool pm_lead_refused_alone(const struct pm_lead *lead, double now);
 /* The name of this process, unlike that of any other that has run or will run. */
 const char *pm_lead_boot(const struct pm_lead *lead);
 /* Leaves the lead to the others, and does not try for it itself for a while. */
