--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -247,7 +247,7 @@
         if (n->leading && pm_lead_confirmed(n->lead, pm_clock_steady())) {
             pm_blocks_run(n->blocks, pm_clock_steady());
             pm_fleet_set_writable(n->fleet, writable(n, pm_clock_steady()), pm_clock_steady());
-            pm_fleet_run(n->fleet, pm_clock_steady());
+            pm_fleet_run(n->fleet, pm_clock_steady(), pm_clock_day());
         }
     }
 }
@@ -679,8 +679,7 @@
         else
             pm_http_reply(req, 405, NULL, 0, 0);
     } else if (!strcmp(req->path, "/ready")) {
-        pm_intake_ready(n->intake, req,
-                        pm_lead_refused_alone(n->lead, pm_clock_steady()));
+        pm_intake_ready(n->intake, req, pm_lead_refused_alone(n->lead, pm_clock_steady()));
     } else if (!strcmp(req->path, "/work") || !strncmp(req->path, "/work/", 6)) {
         pm_intake_request(n->intake, req);
     } else {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,7 +1,6 @@
 #include "fleet/fleet.h"
 #include "base/log.h"
 
-#include <ev.h>
 #include <limits.h>
 #include <math.h>
 #include <stdio.h>
@@ -658,7 +657,8 @@
            spec->submitted + spec->due_s - s->day < pm_plan_expected(s->f->plan, job);
 }
 
-/* Of the tasks, the first `dear` may have ordinary machines, the rest spot ones only. With `used_up`, machines that are up are left out: the planner found no room on them. */
+/* Of the tasks, the first `dear` may have ordinary machines, the rest spot ones only. With
+ * `used_up`, machines that are up are left out: the planner found no room on them. */
 static void fill(struct sizing *s, const struct pm_job *job, int tasks, int dear, bool used_up)
 {
     struct pm_rent rent;
@@ -686,13 +686,13 @@
     }
 }
 
-int pm_fleet_size(struct pm_fleet *f, double now, struct pm_rent *out, int max)
+int pm_fleet_size(struct pm_fleet *f, double now, double day, struct pm_rent *out, int max)
 {
     static struct sizing sizing; /* large; one planner */
     struct sizing *s = &sizing;
     const GArray *wants = pm_plan_wants(f->plan);
     GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
-    double day = ev_time(), service_cpus = 0, spare = 0;
+    double service_cpus = 0, spare = 0;
     struct pm_job *typical = NULL;
     struct flow flow, dear_flow;
 
@@ -735,7 +735,8 @@
         for (int i = 0; i < s->bins; i++)
             if (!s->bin[i].spot && !s->bin[i].up && s->bin[i].cpus > 0)
                 spare += s->bin[i].cpus;
-        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), INT_MAX, true);
+        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), INT_MAX,
+             true);
     }
     pm_plan_set_reserve(f->plan, f->spare_want);
     return s->n;
@@ -856,7 +857,7 @@
     }
 }
 
-void pm_fleet_run(struct pm_fleet *f, double now)
+void pm_fleet_run(struct pm_fleet *f, double now, double day)
 {
     struct pm_rent rents[RENT_MAX];
     int n;
@@ -868,7 +869,7 @@
         release_due(f, now);
     /* Sized only with no request under way: its machines are not in the books yet. */
     if (f->in_flight == 0) {
-        n = pm_fleet_size(f, now, rents, RENT_MAX);
+        n = pm_fleet_size(f, now, day, rents, RENT_MAX);
         for (int i = 0; i < n && f->in_flight < IN_FLIGHT_MAX && may_call(f, now); i++) {
             rents[i].count = MIN(rents[i].count, 50);
             rent(f, &rents[i], now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -29,7 +29,7 @@
 /* Whether placements can be written; while they can't, nothing that runs is given up. */
 void pm_fleet_set_writable(struct pm_fleet *fleet, bool writable, double now);
 /* Leader only: decides, and sends what the cloud's limit has room for. */
-void pm_fleet_run(struct pm_fleet *fleet, double now);
+void pm_fleet_run(struct pm_fleet *fleet, double now, double day);
 
 /* One thing to rent. */
 struct pm_rent {
@@ -38,6 +38,6 @@
     int count;
 };
 /* What the waiting work and the reserve need beyond the machines that are up or booting. */
-int pm_fleet_size(struct pm_fleet *fleet, double now, struct pm_rent *out, int max);
+int pm_fleet_size(struct pm_fleet *fleet, double now, double day, struct pm_rent *out, int max);
 
 #endif
--- /dev/null
+++ b/src/fleet/tests/test_fleet.c
@@ -0,0 +1,252 @@
+/* What is rented for what waits: the cheapest that fits, enough to be in time, and no more than the
+ * machines that there are leave undone. */
+#include "fleet/fleet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+enum { NOW = 500 };
+
+static struct pm_settings settings;
+static struct pm_operator op;
+static struct pm_books books;
+static struct pm_jobs *jobs;
+static struct pm_workers *workers;
+static struct pm_plan *plan;
+static struct pm_fleet *fleet;
+static uint64_t stamp;
+
+static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)end;
+    (void)saved;
+    (void)now;
+}
+
+static void on_ran(void *arg, struct pm_place *place, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)now;
+}
+
+static int set_up(void **state)
+{
+    (void)state;
+    memset(&settings, 0, sizeof settings);
+    memset(&books, 0, sizeof books);
+    stamp = 0;
+    pm_operator_defaults(&op);
+    settings.report_s = 2;
+    settings.teams = 1;
+    strcpy(settings.team[0].name, "vision");
+    settings.team[0].cpus_max = settings.team[0].gpus_max = 1e12;
+    settings.zones = 1;
+    strcpy(settings.zone_name[0], "a");
+    books.settings = &settings;
+    books.classes = pm_names_new();
+    books.images = pm_names_new();
+    books.types = pm_names_new();
+    books.machines = pm_names_new();
+    pm_names_add(books.types, "small");
+    pm_names_add(books.types, "large");
+    books.type[0] = (struct pm_type){
+        .cpus = 8, .ram_gb = 32, .price = 0.4, .spot_price = 0.1, .ready_s = 20, .zones = 1};
+    books.type[1] = (struct pm_type){
+        .cpus = 32, .ram_gb = 128, .price = 2, .spot_price = 0.6, .ready_s = 20, .zones = 1};
+    books.ntypes = 2;
+    jobs = pm_jobs_new(&books);
+    workers = pm_workers_new(&books, jobs, &(struct pm_workers_hooks){on_ended, on_ran, NULL});
+    plan = pm_plan_new(&books, jobs, workers, &op);
+    fleet = pm_fleet_new(NULL, &books, jobs, workers, plan, &op, &(struct pm_fleet_hooks){0});
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    pm_fleet_free(fleet);
+    pm_plan_free(plan);
+    pm_workers_free(workers);
+    pm_jobs_free(jobs);
+    pm_names_free(books.classes);
+    pm_names_free(books.images);
+    pm_names_free(books.types);
+    pm_names_free(books.machines);
+    return 0;
+}
+
+static void wait_for(const char *id, enum pm_form form, uint32_t entries, double cpus,
+                     double expected_s, double due_s)
+{
+    struct pm_spec spec = {.zone = -1,
+                           .types = ~(uint64_t)0,
+                           .form = form,
+                           .priority = form == PM_SERVICE ? PM_PRODUCTION : PM_NORMAL,
+                           .entries = entries,
+                           .cpus = cpus,
+                           .ram_gb = 1,
+                           .spot = form == PM_ARRAY,
+                           .expected_s = expected_s,
+                           .due_s = due_s,
+                           .submitted = NOW};
+    struct pm_buf buf = {0};
+    cbor_item_t *value;
+    char key[64];
+
+    spec.class_index = pm_names_add(books.classes, "train");
+    spec.image = pm_names_add(books.images, "img");
+    pm_jobs_write(&books, &spec, entries, PM_LIVE, true, &buf);
+    value = pm_cbor_parse(buf.data, buf.size);
+    snprintf(key, sizeof key, "p/j/%s", id);
+    pm_jobs_put(jobs, key, value, ++stamp);
+    pm_cbor_free(value);
+    pm_buf_free(&buf);
+}
+
+static void boot(const char *name, int type, bool spot)
+{
+    struct pm_machine *m = pm_workers_add(workers, name);
+
+    pm_workers_set_type(workers, m, type);
+    m->zone = 0;
+    m->spot = spot;
+    m->rented = NOW - 5;
+}
+
+/* How many machines of that kind are asked for, and in all. */
+static int asked(int type, bool spot, int *all)
+{
+    struct pm_rent rents[16];
+    int n, of_kind = 0;
+
+    pm_plan_run(plan, NOW, NOW);
+    n = pm_fleet_size(fleet, NOW, NOW, rents, 16);
+    *all = 0;
+    for (int i = 0; i < n; i++) {
+        *all += rents[i].count;
+        if (rents[i].type == type && rents[i].spot == spot)
+            of_kind += rents[i].count;
+    }
+    return of_kind;
+}
+
+static void nothing_waits_nothing_is_rented(void **state)
+{
+    int all;
+
+    (void)state;
+    asked(0, true, &all);
+    assert_int_equal(all, 0);
+}
+
+static void array_work_gets_the_cheapest_spot_machines(void **state)
+{
+    int all;
+
+    (void)state;
+    wait_for("job-1", PM_ARRAY, 8, 4, 60, 120); /* hardly more time than one run takes */
+    assert_int_equal(asked(0, true, &all), 4);  /* two tasks each */
+    assert_int_equal(all, 4);
+}
+
+static void what_can_follow_on_the_same_machines_rents_none(void **state)
+{
+    int all, hurried, relaxed;
+
+    (void)state;
+    wait_for("job-1", PM_ARRAY, 8, 4, 20, 60);
+    hurried = asked(0, true, &all);
+    tear_down(state);
+    set_up(state);
+    wait_for("job-1", PM_ARRAY, 8, 4, 20, 600);
+    relaxed = asked(0, true, &all);
+    assert_true(relaxed >= 1); /* somebody has to do it */
+    assert_true(relaxed < hurried);
+}
+
+static void booting_machines_count(void **state)
+{
+    int all;
+
+    (void)state;
+    wait_for("job-1", PM_ARRAY, 8, 4, 60, 120);
+    for (int i = 0; i < 4; i++) {
+        char name[16];
+        snprintf(name, sizeof name, "i-%06d", i);
+        boot(name, 0, true);
+    }
+    asked(0, true, &all);
+    assert_int_equal(all, 0);
+}
+
+static void services_get_ordinary_machines(void **state)
+{
+    int all;
+
+    (void)state;
+    wait_for("job-1", PM_SERVICE, 4, 2, 0, -1);
+    assert_true(asked(0, false, &all) >= 1);
+    assert_int_equal(asked(0, true, &all), 0);
+    assert_int_equal(asked(1, true, &all), 0);
+}
+
+static void reads_machine_types(void **state)
+{
+    struct pm_buf buf = {0};
+    cbor_item_t *models;
+
+    (void)state;
+    pm_put_list(&buf);
+    pm_put_map(&buf);
+    pm_put_pair_text(&buf, "sku", "g8");
+    pm_put_pair_number(&buf, "cpus", 96);
+    pm_put_pair_count(&buf, "accelerators", 8); /* whole numbers are numbers too */
+    pm_put_pair_number(&buf, "ram_gb", 768);
+    pm_put_pair_number(&buf, "price", 12);
+    pm_put_text(&buf, "rooms");
+    pm_put_list(&buf);
+    pm_put_text(&buf, "a");
+    pm_put_text(&buf, "elsewhere");
+    pm_put_end(&buf);
+    pm_put_end(&buf);
+    pm_put_end(&buf);
+    models = pm_cbor_parse(buf.data, buf.size);
+    assert_true(pm_fleet_read_types(&books, models));
+    assert_int_equal(books.ntypes, 3);
+    assert_true(books.type[2].gpus == 8);
+    assert_int_equal(books.type[2].zones, 1);
+    assert_true(books.type[2].spot_price == 12); /* none told: as dear as the other */
+    pm_cbor_free(models);
+    pm_buf_free(&buf);
+    pm_put_list(&buf);
+    pm_put_map(&buf);
+    pm_put_end(&buf);
+    pm_put_end(&buf);
+    models = pm_cbor_parse(buf.data, buf.size);
+    assert_false(pm_fleet_read_types(&books, models));
+    pm_cbor_free(models);
+    pm_buf_free(&buf);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(nothing_waits_nothing_is_rented, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(array_work_gets_the_cheapest_spot_machines, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(what_can_follow_on_the_same_machines_rents_none, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(booting_machines_count, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(services_get_ordinary_machines, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(reads_machine_types, set_up, tear_down),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/intake/tests/test_limit.c
@@ -0,0 +1,74 @@
+/* The limit on requests in progress follows the times that are measured, within its bounds. */
+#include "intake/intake.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+/* `n` requests at a time, each taking that long. */
+static void load(struct pm_limit *limit, unsigned n, double seconds)
+{
+    unsigned inside = 0;
+
+    while (inside < n && pm_limit_enter(limit))
+        inside++;
+    while (inside--)
+        pm_limit_leave(limit, seconds);
+}
+
+static void follows_measured_times(void **state)
+{
+    struct pm_limit *limit = pm_limit_new(8, 256);
+    unsigned usual, slow;
+
+    (void)state;
+    for (int i = 0; i < 50; i++)
+        load(limit, 1000, 0.01);
+    usual = pm_limit_now(limit);
+    assert_int_equal(usual, 256); /* quick answers, as many as asked for: up to the bound */
+    for (int i = 0; i < 50; i++)
+        load(limit, 1000, 2.0);
+    slow = pm_limit_now(limit);
+    assert_int_equal(slow, 8); /* much slower than usual: down to the other bound */
+    for (int i = 0; i < 200; i++)
+        load(limit, 1000, 0.01);
+    assert_true(pm_limit_now(limit) > slow);
+    pm_limit_free(limit);
+}
+
+static void turns_away_beyond_it(void **state)
+{
+    struct pm_limit *limit = pm_limit_new(2, 2);
+
+    (void)state;
+    assert_true(pm_limit_enter(limit));
+    assert_true(pm_limit_enter(limit));
+    assert_false(pm_limit_enter(limit));
+    pm_limit_leave(limit, 0.01);
+    assert_true(pm_limit_enter(limit));
+    pm_limit_free(limit);
+}
+
+static void does_not_grow_while_hardly_used(void **state)
+{
+    struct pm_limit *limit = pm_limit_new(8, 256);
+    unsigned before = pm_limit_now(limit);
+
+    (void)state;
+    for (int i = 0; i < 100; i++)
+        load(limit, 1, 0.01);
+    assert_int_equal(pm_limit_now(limit), before);
+    pm_limit_free(limit);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(follows_measured_times),
+        cmocka_unit_test(turns_away_beyond_it),
+        cmocka_unit_test(does_not_grow_while_hardly_used),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
