--- a/src/base/http.c
+++ b/src/base/http.c
@@ -56,10 +56,12 @@
 struct pm_http_server {
     struct ev_loop *loop;
     ev_io accept_io;
+    ev_prepare before_wait;
     int conns, conns_max;
     pm_http_handler *handler;
     void *arg;
-    GQueue open; /* of struct conn, for closing */
+    GQueue open; /* of struct conn, by their latest request: the head's is longest ago */
+    GQueue due;  /* of struct conn, with something to send */
 };
 
 struct conn {
@@ -77,6 +79,7 @@
     struct server_request *req; /* being handled */
     int refuse;                 /* status that ends the connection */
     bool close_after, keep, complete;
+    bool due; /* among the server's `due` */
 };
 
 static void conn_close(struct conn *c)
@@ -92,6 +95,8 @@
     pm_buf_free(&c->body);
     pm_buf_free(&c->send);
     g_queue_delete_link(&s->open, c->link);
+    if (c->due)
+        g_queue_remove(&s->due, c);
     s->conns--;
     g_free(c);
 }
@@ -117,7 +122,10 @@
         pm_buf_add(&c->send, "Connection: close\r\n", 19);
     pm_buf_add(&c->send, "\r\n", 2);
     pm_buf_add(&c->send, body, size);
-    ev_io_start(c->server->loop, &c->out);
+    if (!c->due) {
+        c->due = true;
+        g_queue_push_tail(&c->server->due, c);
+    }
 }
 
 void pm_http_reply(struct pm_http_request *pub, int status, const void *body, size_t size,
@@ -156,6 +164,8 @@
                                                         : PM_HTTP_OTHER;
     req->conn = c;
     c->req = req;
+    g_queue_unlink(&c->server->open, c->link);
+    g_queue_push_tail_link(&c->server->open, c->link);
     c->server->handler(c->server->arg, &req->pub);
 }
 
@@ -288,20 +298,19 @@
         conn_idle(c, PARTIAL_S); /* runs on from the first byte: slow clients end here */
 }
 
-static void on_conn_writable(struct ev_loop *loop, ev_io *w, int events)
+static void conn_send(struct ev_loop *loop, struct conn *c)
 {
-    struct conn *c = w->data;
     ssize_t n = send(c->fd, c->send.data + c->sent, c->send.size - c->sent, MSG_NOSIGNAL);
 
-    (void)events;
-    if (n < 0) {
-        if (errno != EAGAIN && errno != EINTR)
-            conn_close(c);
+    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+        conn_close(c);
         return;
     }
-    c->sent += (size_t)n;
-    if (c->sent < c->send.size)
+    c->sent += n > 0 ? (size_t)n : 0;
+    if (c->sent < c->send.size) {
+        ev_io_start(loop, &c->out);
         return;
+    }
     c->send.size = c->sent = 0;
     if (c->send.room > 8192)
         pm_buf_free(&c->send);
@@ -317,6 +326,26 @@
     }
 }
 
+static void on_conn_writable(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)events;
+    conn_send(loop, w->data);
+}
+
+/* Before the loop waits: what was queued since goes out. Most of it fits the socket's buffer, and
+ * then nothing has to be registered for it. */
+static void send_due(struct ev_loop *loop, ev_prepare *w, int events)
+{
+    struct pm_http_server *s = w->data;
+    struct conn *c;
+
+    (void)events;
+    while ((c = g_queue_pop_head(&s->due))) {
+        c->due = false;
+        conn_send(loop, c);
+    }
+}
+
 static void on_conn_idle(struct ev_loop *loop, ev_timer *w, int events)
 {
     (void)loop;
@@ -336,8 +365,13 @@
         if (fd < 0)
             return;
         if (s->conns >= s->conns_max) {
-            close(fd);
-            continue;
+            /* The one that has been quiet for longest gives way: it can come again. */
+            struct conn *oldest = s->open.head->data;
+            if (oldest->req || oldest->send.size) {
+                close(fd);
+                continue;
+            }
+            conn_close(oldest);
         }
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
         c = g_new0(struct conn, 1);
@@ -372,7 +406,7 @@
     if (fd < 0)
         return NULL;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    if (bind(fd, (struct sockaddr *)&sa, sizeof sa) || listen(fd, 128)) {
+    if (bind(fd, (struct sockaddr *)&sa, sizeof sa) || listen(fd, SOMAXCONN)) {
         int saved = errno;
         close(fd);
         errno = saved;
@@ -384,6 +418,11 @@
     s->handler = handler;
     s->arg = arg;
     g_queue_init(&s->open);
+    g_queue_init(&s->due);
+    ev_prepare_init(&s->before_wait, send_due);
+    s->before_wait.data = s;
+    ev_prepare_start(loop, &s->before_wait);
+    ev_unref(loop);
     ev_io_init(&s->accept_io, on_accept, fd, EV_READ);
     s->accept_io.data = s;
     ev_io_start(loop, &s->accept_io);
@@ -395,6 +434,8 @@
     while (s->open.head)
         conn_close(s->open.head->data);
     ev_io_stop(s->loop, &s->accept_io);
+    ev_ref(s->loop);
+    ev_prepare_stop(s->loop, &s->before_wait);
     close(s->accept_io.fd);
     g_free(s);
 }
@@ -419,12 +460,17 @@
     pm_http_done *done;
     void *arg;
     bool busy, connected, complete, keep;
+    bool due;       /* among the client's `due` */
+    GList idle_link; /* in the client's `idle`, while not busy */
 };
 
 struct pm_http_client {
     struct ev_loop *loop;
+    ev_prepare before_wait;
     GHashTable *targets;
     int conns, conns_max;
+    GQueue idle; /* of struct call with no request, the latest used first */
+    GQueue due;  /* of struct call, with something to send */
 };
 
 static void call_free(struct call *c)
@@ -434,8 +480,12 @@
     ev_timer_stop(c->client->loop, &c->timer);
     if (c->fd >= 0)
         close(c->fd);
-    if (!c->busy)
+    if (!c->busy) {
         g_queue_remove(&c->target->idle, c);
+        g_queue_unlink(&c->client->idle, &c->idle_link);
+    }
+    if (c->due)
+        g_queue_remove(&c->client->due, c);
     pm_buf_free(&c->send);
     pm_buf_free(&c->body);
     c->client->conns--;
@@ -455,6 +505,8 @@
         c->busy = false;
         c->send.size = c->sent = 0;
         g_queue_push_head(&c->target->idle, c);
+        c->idle_link = (GList){.data = c};
+        g_queue_push_head_link(&c->client->idle, &c->idle_link);
     } else {
         call_free(c);
     }
@@ -526,10 +578,24 @@
     }
 }
 
+static void call_send(struct ev_loop *loop, struct call *c)
+{
+    ssize_t n = send(c->fd, c->send.data + c->sent, c->send.size - c->sent, MSG_NOSIGNAL);
+
+    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+        call_fail(c);
+        return;
+    }
+    c->sent += n > 0 ? (size_t)n : 0;
+    if (c->sent == c->send.size)
+        ev_io_stop(loop, &c->out);
+    else
+        ev_io_start(loop, &c->out);
+}
+
 static void on_call_writable(struct ev_loop *loop, ev_io *w, int events)
 {
     struct call *c = w->data;
-    ssize_t n;
 
     (void)events;
     if (!c->connected) {
@@ -542,15 +608,19 @@
         c->connected = true;
         ev_io_start(loop, &c->in);
     }
-    n = send(c->fd, c->send.data + c->sent, c->send.size - c->sent, MSG_NOSIGNAL);
-    if (n < 0) {
-        if (errno != EAGAIN && errno != EINTR)
-            call_fail(c);
-        return;
+    call_send(loop, c);
+}
+
+static void send_calls(struct ev_loop *loop, ev_prepare *w, int events)
+{
+    struct pm_http_client *client = w->data;
+    struct call *c;
+
+    (void)events;
+    while ((c = g_queue_pop_head(&client->due))) {
+        c->due = false;
+        call_send(loop, c);
     }
-    c->sent += (size_t)n;
-    if (c->sent == c->send.size)
-        ev_io_stop(loop, &c->out);
 }
 
 static void on_call_timeout(struct ev_loop *loop, ev_timer *w, int events)
@@ -567,6 +637,12 @@
     client->loop = loop;
     client->conns_max = conns_max;
     client->targets = g_hash_table_new(g_str_hash, g_str_equal);
+    g_queue_init(&client->idle);
+    g_queue_init(&client->due);
+    ev_prepare_init(&client->before_wait, send_calls);
+    client->before_wait.data = client;
+    ev_prepare_start(loop, &client->before_wait);
+    ev_unref(loop);
     return client;
 }
 
@@ -586,6 +662,8 @@
 {
     g_hash_table_foreach_remove(client->targets, target_free, NULL);
     g_hash_table_destroy(client->targets);
+    ev_ref(client->loop);
+    ev_prepare_stop(client->loop, &client->before_wait);
     g_free(client);
 }
 
@@ -593,6 +671,10 @@
 {
     struct call *c = g_new0(struct call, 1);
 
+    /* Of more targets than connections may be open, those not called for longest are let go of: one
+     * kept open to each worker must not shut out the state service. */
+    if (client->conns >= client->conns_max && client->idle.tail)
+        call_free(client->idle.tail->data);
     c->client = client;
     c->target = t;
     c->fd = client->conns < client->conns_max ? new_socket() : -1;
@@ -627,7 +709,9 @@
         g_hash_table_insert(client->targets, t->addr, t);
     }
     c = g_queue_pop_head(&t->idle);
-    if (!c)
+    if (c)
+        g_queue_unlink(&client->idle, &c->idle_link);
+    else
         c = call_open(client, t);
     c->busy = true;
     c->done = done;
@@ -650,5 +734,10 @@
     }
     ev_timer_set(&c->timer, timeout_s, 0.);
     ev_timer_start(client->loop, &c->timer);
-    ev_io_start(client->loop, &c->out);
+    if (c->connected) {
+        c->due = true;
+        g_queue_push_tail(&client->due, c);
+    } else {
+        ev_io_start(client->loop, &c->out);
+    }
 }
--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -470,15 +470,15 @@
 
 /* Tasks of the job that whole machines of the leader's own block have room for now; those it takes
  * are marked. */
-static uint32_t whole_room(struct pm_blocks *b, const struct pm_job *job, bool *taken, double now)
+static uint32_t whole_room(struct pm_blocks *b, const struct pm_job *job, const GPtrArray *whole,
+                           bool *taken, double now)
 {
-    GPtrArray *all = pm_workers_all(b->workers);
     uint32_t n = 0;
 
-    for (guint i = 0; i < all->len && n < job->width; i++) {
-        struct pm_machine *m = g_ptr_array_index(all, i);
+    for (guint i = 0; i < whole->len && n < job->width; i++) {
+        struct pm_machine *m = g_ptr_array_index(whole, i);
         double room[3];
-        if (!m || taken[i] || !pm_plan_whole(b->plan, m, job, pm_lead_epoch(b->lead), now))
+        if (taken[i] || !pm_plan_whole(b->plan, m, job, now))
             continue;
         room[0] = m->cpus;
         room[1] = m->gpus;
@@ -494,7 +494,8 @@
 void pm_blocks_assign(struct pm_blocks *b, double now)
 {
     GPtrArray *active = pm_jobs_active(b->jobs);
-    bool *taken = g_new0(bool, pm_workers_all(b->workers)->len + 1);
+    const GPtrArray *whole = pm_plan_find_whole(b->plan, pm_lead_epoch(b->lead), now);
+    bool *taken = g_new0(bool, whole->len + 1);
 
     widen(b);
     for (guint i = 0; i < active->len; i++) {
@@ -511,7 +512,7 @@
             break;
         /* Its width counts against the team's limit as long as it is away. */
         job->width = MIN(pm_plan_lease_tasks(b->plan, job->spec, KEPT_SHARE), job->entries);
-        if (!job->width || whole_room(b, job, taken, now) < job->width) {
+        if (!job->width || whole_room(b, job, whole, taken, now) < job->width) {
             job->width = UINT32_MAX;
             continue;
         }
@@ -591,7 +592,7 @@
 {
     while (s->waiting && alive(s->block, now) && has_space(b, s->block)) {
         struct pm_machine *m =
-            pm_plan_whole_machine(b->plan, s->job, s->waiting, pm_lead_epoch(b->lead), now);
+            pm_plan_whole_machine(b->plan, s->job, s->waiting, now);
         struct entry e = {.state = ADDING};
         uint32_t n;
         if (!m)
@@ -681,6 +682,7 @@
     double(*room)[3] = room_away(b, tasks_on);
     struct shortage *short_of;
 
+    pm_plan_find_whole(b->plan, pm_lead_epoch(b->lead), now);
     for (int i = 0; i < b->n - 1; i++)
         for (guint j = 0; j < b->block[i].given->len; j++) {
             struct pm_job *job = g_ptr_array_index(b->block[i].given, j);
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -223,6 +223,7 @@
     (void)arg;
     round_of_leader();
     return holder.granted && pm_workers_find(holder.workers, "i-000001") &&
+           pm_blocks_holder(leader.blocks, "i-000001") &&
            !pm_jobs_find(holder.jobs, "job-1")->away;
 }
 
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -24,9 +24,14 @@
 
 #define DIRECT_S 3.0     /* a /do with no answer by then is in doubt */
 #define PROBE_S 1.5      /* one without orders asks only whether the worker is there */
-#define PLAN_PACE_S 0.03 /* plans no more often than this */
+#define PLAN_PACE_S 0.03 /* plans no more often than this, */
+#define PLAN_REST 4      /* nor before this many times as long as the last one took, */
+#define PLAN_REST_S 0.6  /* if that is not longer than this */
+#define FLEET_REST 6     /* the same for the sizing of the fleet */
 #define ROUND_S 0.5
+#define ASK_MAX 150 /* workers that are asked for a report at a time */
 #define LEDGER_S 5.0
+#define STORE_SHARE 0.36 /* of the state service's requests: for the watches, and for freshness */
 #define YIELDED_S 1.0 /* a task that was stopped to make room rests for this long */
 
 struct pm_node {
@@ -60,7 +65,9 @@
     bool due;
     ev_async planned;
     ev_timer pace, round, commit_timer;
-    double plan_at;
+    double plan_at, plan_cost;   /* when the last one was due, how long they take */
+    double fleet_at, fleet_cost; /* when the last sizing ended, how long it took */
+    int directs;                 /* /do under way */
 };
 
 /* ---- planning ---- */
@@ -96,8 +103,11 @@
         n->due = false;
         g_mutex_unlock(&n->wake_lock);
         g_mutex_lock(&n->lock);
-        if (n->ruling && n->books.ntypes)
+        if (n->ruling && n->books.ntypes) {
+            double began = pm_clock_steady();
             plan(n);
+            n->plan_cost = n->plan_cost * 0.7 + (pm_clock_steady() - began) * 0.3;
+        }
         g_mutex_unlock(&n->lock);
         ev_async_send(n->loop, &n->planned);
     }
@@ -124,7 +134,9 @@
 
     if (!n->ruling || ev_is_active(&n->pace))
         return;
-    left = n->plan_at + PLAN_PACE_S - pm_clock_steady();
+    /* On a large fleet, or a slow machine, plans take long: workers and users must not wait. */
+    left = n->plan_at + MIN(MAX(PLAN_PACE_S, PLAN_REST * n->plan_cost), PLAN_REST_S) -
+           pm_clock_steady();
     ev_timer_set(&n->pace, MAX(left, 0.002), 0.);
     ev_timer_start(n->loop, &n->pace);
 }
@@ -176,6 +188,7 @@
     cbor_item_t *report;
     bool fresh;
 
+    n->directs--;
     if (m && m->direct_busy) {
         report = status == 200 || status == 409 ? pm_cbor_parse(body, size) : NULL;
         pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
@@ -203,7 +216,7 @@
     struct direct *direct;
     double timeout;
 
-    if (m->direct_busy || !m->endpoint[0] || m->direct_retry > pm_clock_steady() ||
+    if (m->direct_busy || n->directs >= n->settings->sockets / 5 || !m->endpoint[0] || m->direct_retry > pm_clock_steady() ||
         (!probe && !pm_workers_direct_due(m)) || !pm_lead_confirmed(n->lead, pm_clock_steady()))
         return;
     direct = g_new0(struct direct, 1);
@@ -215,6 +228,7 @@
     timeout = pm_workers_orders(m, true, direct->epoch, &body) ? DIRECT_S : PROBE_S;
     pm_put_end(&body);
     m->direct_busy = true;
+    n->directs++;
     pm_http_call(n->http, m->endpoint, "POST", "/do", body.data, body.size, timeout, 1024 * 1024,
                  on_direct, direct);
     pm_buf_free(&body);
@@ -231,6 +245,18 @@
     }
 }
 
+static void fleet_run(struct pm_node *n)
+{
+    double now = pm_clock_steady();
+
+    if (now < n->fleet_at + MIN(FLEET_REST * n->fleet_cost, 1))
+        return;
+    pm_fleet_set_writable(n->fleet, writable(n, now), now);
+    pm_fleet_run(n->fleet, now, pm_clock_day());
+    n->fleet_at = pm_clock_steady();
+    n->fleet_cost = n->fleet_at - now;
+}
+
 static void on_planned(struct ev_loop *loop, ev_async *w, int events)
 {
     struct pm_node *n = w->data;
@@ -242,8 +268,7 @@
         all_direct(n);
         if (n->leading && pm_lead_confirmed(n->lead, pm_clock_steady())) {
             pm_blocks_run(n->blocks, pm_clock_steady());
-            pm_fleet_set_writable(n->fleet, writable(n, pm_clock_steady()), pm_clock_steady());
-            pm_fleet_run(n->fleet, pm_clock_steady(), pm_clock_day());
+            fleet_run(n);
         }
     }
 }
@@ -438,18 +463,26 @@
     pm_cbor_free(ledger);
     n->ruling = n->leading = true;
     n->took_at = now;
-    pm_store_set_share(n->store, 0.6);
+    pm_store_set_share(n->store, 0.5, 0.9);
     pm_info("node.rules", "epoch %llu, %u jobs, %d places", (unsigned long long)epoch, active->len,
             places);
     plan_soon(n);
 }
 
+/* Who does not lead writes users' requests and its block's placements. */
+static void share_of_others(struct pm_node *n)
+{
+    double share = 0.8 / MAX(2, n->settings->size - 1);
+
+    pm_store_set_share(n->store, share, share);
+}
+
 static void on_lost(void *arg)
 {
     struct pm_node *n = arg;
 
     n->ruling = n->leading = false;
-    pm_store_set_share(n->store, 0.4);
+    share_of_others(n);
     pm_fleet_reset(n->fleet, 0);
     pm_blocks_lose(n->blocks);
     start_anew(n);
@@ -726,6 +759,7 @@
 {
     GPtrArray *all = pm_workers_all(n->workers);
     bool doubtful = false;
+    int asked = 0;
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
@@ -735,10 +769,13 @@
                     m->doubtful >= pm_lead_epoch(n->lead) && now - m->heard < 3;
         /* A worker that has not come to us yet is asked: the answer is its report, and it learns
          * our token. A wrong session is refused, with the report all the same. */
+        if (asked >= ASK_MAX)
+            continue; /* the others are asked next time: not all workers at once */
         if (!m->reported && m->endpoint[0] && m->listed)
             direct_due(n, m, true);
-        else if (m->state == PM_UP && now - m->heard > 1.35 * n->settings->report_s + 0.3)
+        else if (m->state == PM_UP && now - m->heard > 1.25 * n->settings->report_s + 0.4)
             direct_due(n, m, true); /* silent: perhaps it reaches another controller only */
+        asked += m->direct_busy;
     }
     if (doubtful && n->leading && now - n->raised_at > 6) {
         n->raised_at = now;
@@ -816,7 +853,7 @@
     ev_set_loop_release_cb(loop, before_wait, after_wait);
     g_mutex_init(&n->wake_lock);
     g_cond_init(&n->wake);
-    n->http = pm_http_client_new(loop, settings->sockets / 4);
+    n->http = pm_http_client_new(loop, settings->sockets * 3 / 10);
     n->jobs = pm_jobs_new(&n->books);
     n->workers =
         pm_workers_new(&n->books, n->jobs, &(struct pm_workers_hooks){on_ended, on_ran, n});
@@ -826,7 +863,8 @@
     n->store = pm_store_new(
         loop, n->http, settings->state, settings->state_write_rps,
         &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed, on_caught_up, n});
-    pm_store_set_share(n->store, 0.4);
+    share_of_others(n);
+    pm_store_set_pace(n->store, STORE_SHARE * settings->state_rps / settings->size);
     n->lead =
         pm_lead_new(loop, n->store, n->http, settings, op,
                     &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_lead_confirmed, n});
@@ -845,7 +883,7 @@
     n->planned.data = n->pace.data = n->commit_timer.data = n->round.data = n;
     ev_async_start(loop, &n->planned);
     ev_timer_start(loop, &n->round);
-    n->front = pm_http_server_new(loop, settings->listen, settings->sockets / 2, on_front, n);
+    n->front = pm_http_server_new(loop, settings->listen, settings->sockets * 6 / 10, on_front, n);
     if (!n->front) {
         pm_error("node.listen", "%s: %s", settings->listen, strerror(errno));
         return NULL;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -6,14 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-enum {
-    SILENT_MAX = 5,
-    RENT_MAX = 16,
-    BINS_MAX = 512,
-    RELEASE_MAX = 100,
-    IN_FLIGHT_MAX = 3,
-    PAGE = 500
-};
+enum { RENT_MAX = 64, RENT_COUNT_MAX = 50, RELEASE_MAX = 100, PAGE = 500 };
 #define EPS 1e-6
 #define CALL_S 5.0
 #define REFUSED_S 6.0 /* no room of a kind: not asked for again within this */
@@ -39,10 +32,17 @@
     GHashTable *seen; /* names of the listing under way */
     GHashTable *gone; /* names whose release was confirmed: a list that lags still has them */
     double spare_want, emptied;
+    GArray *bins; /* of struct bin, of the sizing under way */
     bool writable;
     double wrote_at; /* steady: placements could be written then */
 };
 
+struct bin { /* a machine, up, booting or to be rented, and the room left on it */
+    double cpus, gpus, ram_gb;
+    int type, zone;
+    bool spot, up;
+};
+
 struct call {
     struct pm_fleet *fleet;
     uint64_t round;
@@ -70,6 +70,7 @@
     f->tokens = 1;
     f->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     f->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    f->bins = g_array_new(FALSE, FALSE, sizeof(struct bin));
     return f;
 }
 
@@ -77,6 +78,7 @@
 {
     g_hash_table_destroy(f->seen);
     g_hash_table_destroy(f->gone);
+    g_array_free(f->bins, TRUE);
     g_free(f);
 }
 
@@ -466,33 +468,28 @@
 
 /* ---- sizing ---- */
 
-struct bin {
-    double cpus, gpus, ram_gb;
-    int type, zone;
-    bool spot, up;
-};
-
 struct sizing {
     struct pm_fleet *f;
-    struct bin bin[BINS_MAX];
-    int bins;
+    GArray *bins; /* of struct bin */
     struct pm_rent *out;
     int n, max;
     double now, day;
 };
 
-static bool bin_takes(const struct sizing *s, struct bin *bin, const struct pm_job *job)
+/* How many of so many tasks of the job the bin takes; their room is taken off. */
+static int bin_takes(const struct sizing *s, struct bin *bin, const struct pm_job *job, int tasks)
 {
     const struct pm_spec *spec = job->spec;
+    int n;
 
-    if (!pm_plan_allows(s->f->books, job, bin->type, bin->zone, bin->spot) ||
-        bin->cpus + EPS < spec->cpus || bin->gpus + EPS < spec->gpus ||
-        bin->ram_gb + EPS < spec->ram_gb)
-        return false;
-    bin->cpus -= spec->cpus;
-    bin->gpus -= spec->gpus;
-    bin->ram_gb -= spec->ram_gb;
-    return true;
+    if (tasks <= 0 || bin->cpus + EPS < spec->cpus ||
+        !pm_plan_allows(s->f->books, job, bin->type, bin->zone, bin->spot))
+        return 0;
+    n = (int)MIN(pm_spec_fit(spec, bin->cpus, bin->gpus, bin->ram_gb), (uint32_t)tasks);
+    bin->cpus -= n * spec->cpus;
+    bin->gpus -= n * spec->gpus;
+    bin->ram_gb -= n * spec->ram_gb;
+    return n;
 }
 
 /* The kind that runs `left` such tasks at the least cost each; false when none is to be had. */
@@ -529,10 +526,9 @@
 static void add_rent(struct sizing *s, const struct pm_rent *rent)
 {
     const struct pm_type *t = &s->f->books->type[rent->type];
+    struct bin bin = {t->cpus, t->gpus, t->ram_gb, rent->type, rent->zone, rent->spot, false};
 
-    if (s->bins < BINS_MAX)
-        s->bin[s->bins++] =
-            (struct bin){t->cpus, t->gpus, t->ram_gb, rent->type, rent->zone, rent->spot, false};
+    g_array_append_val(s->bins, bin);
     for (int i = 0; i < s->n; i++) {
         if (s->out[i].type == rent->type && s->out[i].zone == rent->zone &&
             s->out[i].spot == rent->spot) {
@@ -637,33 +633,38 @@
 static void fill(struct sizing *s, const struct pm_job *job, int tasks, int dear, bool used_up)
 {
     struct pm_rent rent;
-    bool late = too_late(s, job), spot_only = late;
+    bool late = too_late(s, job);
     int zone = job->spec->same_place && job->spec->form == PM_GANG ? -2 : -1;
 
-    while (tasks > 0) {
-        bool held = false;
-        for (int i = 0; i < s->bins && !held; i++)
-            if (!(used_up && s->bin[i].up) && !(spot_only && !s->bin[i].spot) &&
-                (zone < 0 || s->bin[i].zone == zone))
-                held = bin_takes(s, &s->bin[i], job);
-        if (held) {
-            tasks--;
-            dear--;
+    for (guint i = 0; i < s->bins->len && tasks > 0; i++) {
+        struct bin *bin = &g_array_index(s->bins, struct bin, i);
+        int n;
+        if ((used_up && bin->up) || (!bin->spot && (late || dear <= 0)) ||
+            (zone >= 0 && bin->zone != zone))
             continue;
-        }
-        spot_only = late || dear <= 0;
-        if (s->bins >= BINS_MAX ||
-            !cheapest(s, job, tasks, zone >= 0 ? zone : -1, spot_only, &rent))
+        n = bin_takes(s, bin, job, bin->spot ? tasks : MIN(tasks, dear));
+        tasks -= n;
+        dear -= n;
+    }
+    while (tasks > 0) {
+        int n;
+        if (!cheapest(s, job, tasks, zone >= 0 ? zone : -1, late || dear <= 0, &rent))
             return;
         if (zone == -2)
             zone = rent.zone;
         add_rent(s, &rent);
+        n = bin_takes(s, &g_array_index(s->bins, struct bin, s->bins->len - 1), job, tasks);
+        if (n < 1)
+            return;
+        tasks -= n;
+        dear -= n;
     }
 }
 
 int pm_fleet_size(struct pm_fleet *f, double now, double day, struct pm_rent *out, int max)
 {
-    static struct sizing sizing; /* large; one planner */
+    struct sizing sizing = {
+        .f = f, .bins = f->bins, .out = out, .max = max, .now = now, .day = day};
     struct sizing *s = &sizing;
     const GArray *wants = pm_plan_wants(f->plan);
     GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
@@ -671,8 +672,8 @@
     struct pm_job *typical = NULL;
     struct flow flow, dear_flow;
 
-    *s = (struct sizing){.f = f, .out = out, .max = max, .now = now, .day = day};
-    for (guint i = 0; i < all->len && s->bins < BINS_MAX; i++) {
+    g_array_set_size(s->bins, 0);
+    for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->type < 0 || m->zone < 0)
             continue;
@@ -682,8 +683,11 @@
         if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
             continue;
-        s->bin[s->bins++] =
-            (struct bin){m->cpus, m->gpus, m->ram_gb, m->type, m->zone, m->spot, m->state == PM_UP};
+        if (m->cpus > EPS)
+            g_array_append_vals(s->bins,
+                                &(struct bin){m->cpus, m->gpus, m->ram_gb, m->type, m->zone,
+                                              m->spot, m->state == PM_UP},
+                                1);
     }
     flow.work = running_work(f, now);
     flow.pool = pm_plan_pool(f->plan, now);
@@ -707,9 +711,11 @@
     if (typical && typical->spec->cpus > 0) {
         /* What array tasks use on ordinary machines yields at once, so it counts as spare. */
         spare = pm_plan_spare(f->plan, now);
-        for (int i = 0; i < s->bins; i++)
-            if (!s->bin[i].spot && !s->bin[i].up && s->bin[i].cpus > 0)
-                spare += s->bin[i].cpus;
+        for (guint i = 0; i < s->bins->len; i++) {
+            const struct bin *bin = &g_array_index(s->bins, struct bin, i);
+            if (!bin->spot && !bin->up && bin->cpus > 0)
+                spare += bin->cpus;
+        }
         fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), INT_MAX,
              true);
     }
@@ -734,12 +740,13 @@
 static void give_up_silent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
-    double limit = MAX(SILENT_S, 1.6 * f->books->settings->report_s + 1.6);
-    struct pm_machine *silent[SILENT_MAX];
-    int n = 0, heard[PM_ZONES_MAX] = {0}, missed[PM_ZONES_MAX] = {0};
+    double limit = MAX(SILENT_S, 1.25 * f->books->settings->report_s + 2.4);
+    GPtrArray *silent;
+    int heard[PM_ZONES_MAX] = {0}, missed[PM_ZONES_MAX] = {0};
 
     if (!f->writable)
         return;
+    silent = g_ptr_array_new();
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         double since;
@@ -753,15 +760,16 @@
         }
         missed[m->zone]++;
         if ((m->lent || (m->places->len && m->unreached > m->heard)) &&
-            now - since > (m->lent ? limit * 0.6 : limit)) {
-            if (n == SILENT_MAX)
-                return;
-            silent[n++] = m;
-        }
+            now - since > (m->lent ? limit * 0.6 : limit))
+            g_ptr_array_add(silent, m);
+    }
+    /* However many they are: by its zone alone is the network told from deaths. */
+    for (guint i = 0; i < silent->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(silent, i);
+        if (missed[m->zone] <= heard[m->zone])
+            give_back(m, "silent, while its zone is heard");
     }
-    for (int i = 0; i < n; i++)
-        if (missed[silent[i]->zone] <= heard[silent[i]->zone])
-            give_back(silent[i], "silent, while its zone is heard");
+    g_ptr_array_free(silent, TRUE);
 }
 
 static void review(struct pm_fleet *f, double now)
@@ -835,20 +843,23 @@
 void pm_fleet_run(struct pm_fleet *f, double now, double day)
 {
     struct pm_rent rents[RENT_MAX];
-    int n;
+    int n, in_flight_max = (int)CLAMP(f->books->settings->cloud_rps * 0.6, 3, 8);
 
     if (!f->books->ntypes)
         return;
     review(f, now);
-    if (f->in_flight < IN_FLIGHT_MAX)
+    if (f->in_flight < in_flight_max)
         release_due(f, now);
     /* Sized only with no request under way: its machines are not in the books yet. */
     if (f->in_flight == 0) {
         n = pm_fleet_size(f, now, day, rents, RENT_MAX);
-        for (int i = 0; i < n && f->in_flight < IN_FLIGHT_MAX && may_call(f, now); i++) {
-            rents[i].count = MIN(rents[i].count, 50);
-            rent(f, &rents[i], now);
-        }
+        for (int i = 0; i < n; i++)
+            for (int left = rents[i].count;
+                 left > 0 && f->in_flight < in_flight_max && may_call(f, now);
+                 left -= RENT_COUNT_MAX) {
+                rents[i].count = MIN(left, RENT_COUNT_MAX);
+                rent(f, &rents[i], now);
+            }
     }
     list_start(f, now);
     if (now - f->types_asked > 60)
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -312,6 +312,13 @@
     return found;
 }
 
+/* What no launch waits for gives way: the ends of tasks go with the next launch of their chunk, or
+ * with the job's final state, unless the budget has room to spare. */
+static bool room_for_lazy(struct pm_commit *c, double now)
+{
+    return pm_store_room(c->store, now) >= 0.3 * c->books->settings->state_write_rps;
+}
+
 double pm_commit_run(struct pm_commit *c, const struct pm_grounds *grounds, double now)
 {
     int txn_ops = c->books->settings->txn_ops;
@@ -328,7 +335,7 @@
         f = flight_new(c, grounds, now);
         add_pass(c, f, 0, room, now, &next);
         add_pass(c, f, 1, room, now, &next);
-        if (c->lazy_since && now - c->lazy_since >= BATCH_S) {
+        if (c->lazy_since && now - c->lazy_since >= BATCH_S && room_for_lazy(c, now)) {
             lazy = add_pass(c, f, 2, room, now, &next);
             c->lazy_since = 0;
         } else {
@@ -347,8 +354,10 @@
         }
         if (!f->parts->len) {
             flight_free(f);
-            if (c->lazy_since)
-                next = next ? MIN(next, c->lazy_since + BATCH_S) : c->lazy_since + BATCH_S;
+            if (c->lazy_since) {
+                double at = MAX(c->lazy_since + BATCH_S, now + 0.05);
+                next = next ? MIN(next, at) : at;
+            }
             return next;
         }
         c->in_flight++;
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -41,6 +41,22 @@
     double day;        /* time of day of the run under way */
     double cold_until; /* steady: no service ran a while before this */
     bool cold;
+    /* Of the run under way, so that its work goes with what can change, not with all there is. */
+    GPtrArray *room;  /* machines that may be used and are not full */
+    GArray *hopeless; /* of struct need: found no room, and room only shrinks within a run */
+    bool soon[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* one boots: type, zone, spot */
+    double spare;                             /* see pm_plan_spare, below 0: not counted yet */
+    GPtrArray *whole;                         /* see pm_plan_find_whole */
+};
+
+/* What decides whether a task finds room, as far as jobs share it. */
+struct need {
+    uint64_t types;
+    uint32_t zones; /* bit i: may start in zone i */
+    int team;       /* -1: whichever */
+    enum pm_priority priority;
+    bool spot;
+    double cpus, gpus, ram_gb;
 };
 
 struct pm_plan *pm_plan_new(struct pm_books *books, struct pm_jobs *jobs,
@@ -55,6 +71,10 @@
     p->sees_all = p->writable = true;
     p->wants = g_array_new(FALSE, FALSE, sizeof(struct pm_want));
     p->queue = g_ptr_array_new();
+    p->room = g_ptr_array_new();
+    p->whole = g_ptr_array_new();
+    p->hopeless = g_array_new(FALSE, TRUE, sizeof(struct need));
+    p->spare = -1;
     return p;
 }
 
@@ -62,6 +82,9 @@
 {
     g_array_free(p->wants, TRUE);
     g_ptr_array_free(p->queue, TRUE);
+    g_ptr_array_free(p->room, TRUE);
+    g_ptr_array_free(p->whole, TRUE);
+    g_array_free(p->hopeless, TRUE);
     g_free(p);
 }
 
@@ -353,23 +376,18 @@
     uint32_t total;
 };
 
-static void count_zones(struct pm_plan *p, const struct pm_job *job, struct spread *out)
+static void count_zones(const struct pm_job *job, struct spread *out)
 {
-    GPtrArray *all = pm_workers_all(p->workers);
-
     memset(out, 0, sizeof *out);
-    if (!job->nplaced)
-        return;
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        for (guint j = 0; m && j < m->places->len; j++) {
-            const struct pm_place *place = g_ptr_array_index(m->places, j);
-            if (place->job != job || place->state == PM_ENDED)
-                continue;
-            if (m->zone >= 0)
-                out->zone[m->zone]++;
-            out->total++;
-        }
+    if (!job->nplaced || !(job->spec->spread || job->spec->same_place))
+        return; /* nobody asks */
+    for (uint32_t i = 0; i < job->entries; i++) {
+        const struct pm_task *task = pm_job_peek(job, i);
+        if (!task || !task->place || task->place->state == PM_ENDED)
+            continue;
+        if (task->place->machine->zone >= 0)
+            out->zone[task->place->machine->zone]++;
+        out->total++;
     }
 }
 
@@ -382,6 +400,34 @@
     return !spec->spread || at->zone[zone] < (spec->entries + 1) / 2;
 }
 
+static struct need need_of(const struct pm_plan *p, const struct pm_job *job,
+                           const struct spread *at, int team)
+{
+    const struct pm_spec *spec = job->spec;
+    struct need need;
+
+    memset(&need, 0, sizeof need); /* compared byte by byte */
+    need.types = spec->types;
+    need.team = team;
+    need.priority = spec->priority;
+    need.spot = spec->spot;
+    need.cpus = spec->cpus;
+    need.gpus = spec->gpus;
+    need.ram_gb = spec->ram_gb;
+    for (int z = 0; z < p->books->settings->zones; z++)
+        if ((spec->zone < 0 || spec->zone == z) && zone_ok(job, at, z))
+            need.zones |= 1u << z;
+    return need;
+}
+
+static bool hopeless(const struct pm_plan *p, const struct need *need)
+{
+    for (guint i = 0; i < p->hopeless->len; i++)
+        if (!memcmp(&g_array_index(p->hopeless, struct need, i), need, sizeof *need))
+            return true;
+    return false;
+}
+
 static uint32_t of_job(const struct pm_machine *m, const struct pm_job *job)
 {
     uint32_t n = 0;
@@ -443,27 +489,24 @@
 }
 
 /* Whether a machine that the job may run on is to come up soon. */
-static bool boot_expected(struct pm_plan *p, const struct pm_job *job, double now)
-{
-    GPtrArray *all = pm_workers_all(p->workers);
-
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (m && m->state == PM_BOOTING && m->type >= 0 &&
-            pm_plan_allows(p->books, job, m->type, m->zone, m->spot) &&
-            pm_plan_boots_soon(p->books, m, now))
-            return true;
-    }
+static bool boot_expected(const struct pm_plan *p, const struct pm_job *job)
+{
+    for (int type = 0; type < p->books->ntypes; type++)
+        for (int zone = 0; zone < p->books->settings->zones; zone++)
+            for (int spot = 0; spot < 2; spot++)
+                if (p->soon[type][zone][spot] &&
+                    pm_plan_allows(p->books, job, type, zone, spot))
+                    return true;
     return false;
 }
 
 /* On a cold start a replica, late already, rather waits for a machine that boots than crowds the
  * first ones that are up: they would take all, and most machines would never hold most images. */
-static bool rather_waits(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
-                         double now)
+static bool rather_waits(const struct pm_plan *p, const struct pm_machine *m,
+                         const struct pm_job *job)
 {
     return job->spec->form == PM_SERVICE && p->cold && crowded(p, m, job->spec) &&
-           p->day - job->spec->submitted >= promise(p, job) && boot_expected(p, job, now);
+           p->day - job->spec->submitted >= promise(p, job) && boot_expected(p, job);
 }
 
 static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
@@ -512,15 +555,14 @@
 static struct pm_machine *best_machine(struct pm_plan *p, const struct pm_job *job,
                                        const struct spread *at, int only_zone, double now)
 {
-    GPtrArray *all = pm_workers_all(p->workers);
     struct pm_machine *best = NULL;
     double best_score = -INFINITY;
 
-    for (guint i = 0; i < all->len; i++) {
-        struct pm_machine *m = g_ptr_array_index(all, i);
+    for (guint i = 0; i < p->room->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(p->room, i);
         double value;
-        if (!m || !usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
-            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) || !has_room(m, job->spec) ||
+        if (!has_room(m, job->spec) || (only_zone >= 0 && m->zone != only_zone) ||
+            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
             !zone_ok(job, at, m->zone) || claimed_by_other(m, job, now))
             continue;
         value = score(p, m, job);
@@ -544,7 +586,8 @@
         return false;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *other = g_ptr_array_index(all, i);
-        if (other && usable(p, other, now) && has_image(other, job->spec->image) &&
+        if (other && other->ncached && has_image(other, job->spec->image) &&
+            usable(p, other, now) &&
             pm_plan_allows(p->books, job, other->type, other->zone, other->spot) &&
             zone_ok(job, at, other->zone) && yielding_room(other) + EPS >= job->spec->cpus)
             return true;
@@ -581,6 +624,8 @@
     at->zone[m->zone]++;
     at->total++;
     p->steps++;
+    if (m->cpus < EPS)
+        g_ptr_array_remove(p->room, m);
     pm_debug("plan.place", "%s/%u try %u on %s, %s uses %g", job->id, index, attempt, m->name,
              p->books->settings->team[job->spec->team].name, p->cpus[job->spec->team]);
 }
@@ -598,6 +643,7 @@
 
 static uint32_t place_tasks(struct pm_plan *p, struct pm_job *job, bool guarantee, double now)
 {
+    struct pm_machine *m = NULL;
     struct spread at;
     uint32_t placed = 0, i;
     const struct pm_task *task;
@@ -606,13 +652,22 @@
            (task->done || task->place))
         job->hint++;
     i = job->hint;
-    count_zones(p, job, &at);
+    count_zones(job, &at);
     while (p->steps < STEPS_MAX) {
-        struct pm_machine *m;
+        struct need need;
         i = next_waiting(job, i, now);
-        if (i >= job->entries || !within(p, job, 1, guarantee) ||
-            !(m = best_machine(p, job, &at, -1, now)) || better_cleared(p, m, job, &at, now) ||
-            rather_waits(p, m, job, now))
+        if (i >= job->entries || !within(p, job, 1, guarantee))
+            break;
+        /* Array tasks fill a machine before the next one is looked for. */
+        if (!m || job->spec->form != PM_ARRAY || job->spec->spread || !has_room(m, job->spec)) {
+            need = need_of(p, job, &at, -1);
+            if (hopeless(p, &need))
+                break;
+            m = best_machine(p, job, &at, -1, now);
+            if (!m)
+                g_array_append_val(p->hopeless, need);
+        }
+        if (!m || better_cleared(p, m, job, &at, now) || rather_waits(p, m, job))
             break;
         put_task(p, job, i, m, ++job->last_try, &at, now);
         placed++;
@@ -860,13 +915,42 @@
     }
 }
 
+/* The lowest priority of anything that runs. */
+static enum pm_priority lowest_priority(struct pm_plan *p)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+    enum pm_priority lowest = PM_PRODUCTION;
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        for (guint j = 0; m && j < m->places->len; j++) {
+            const struct pm_place *place = g_ptr_array_index(m->places, j);
+            lowest = MIN(lowest, place->job->spec->priority);
+        }
+    }
+    return lowest;
+}
+
+/* Whether a team other than this one uses more than its guarantee. */
+static bool beyond_others(const struct pm_plan *p, int team)
+{
+    const struct pm_settings *s = p->books->settings;
+
+    for (int t = 0; t < s->teams; t++)
+        if (t != team && p->actual[t] - p->yielding[t] > s->team[t].cpus + EPS)
+            return true;
+    return false;
+}
+
 void pm_plan_preempt(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
+    enum pm_priority lowest;
     spoken *spoken_for;
 
     if (!p->writable)
         return;
+    lowest = lowest_priority(p);
     spoken_for = g_malloc0(sizeof(spoken) * (all->len + 1));
     for (guint i = 0; i < p->wants->len && p->steps < STEPS_MAX; i++) {
         struct pm_want *want = &g_array_index(p->wants, struct pm_want, i);
@@ -875,7 +959,7 @@
         uint32_t made = 0;
         /* A replica that rather waits than crowds a machine (rather_waits) would not take the room:
          * what was stopped for it would take it again, and so on without end. */
-        if (p->cold && job->spec->form == PM_SERVICE && boot_expected(p, job, now))
+        if (p->cold && job->spec->form == PM_SERVICE && boot_expected(p, job))
             continue;
         if (job->away)
             continue; /* the leader calls machines back for it */
@@ -883,9 +967,19 @@
             clear_gang(p, job, spoken_for, now);
             continue;
         }
-        count_zones(p, job, &at);
-        while (made < MIN(want->tasks, 16) && clear_one(p, job, spoken_for, &at, -1, false, now))
+        if (job->spec->priority <= lowest && !(p->sees_all && beyond_others(p, job->spec->team)))
+            continue; /* nothing that runs may be stopped for it */
+        count_zones(job, &at);
+        while (made < MIN(want->tasks, 16)) {
+            struct need need = need_of(p, job, &at, job->spec->team);
+            if (hopeless(p, &need))
+                break;
+            if (!clear_one(p, job, spoken_for, &at, -1, false, now)) {
+                g_array_append_val(p->hopeless, need);
+                break;
+            }
             made++;
+        }
     }
     g_free(spoken_for);
 }
@@ -1078,6 +1172,26 @@
     p->cold = true;
 }
 
+/* What the run at hand looks at again and again, looked at once. */
+static void survey(struct pm_plan *p, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+
+    g_ptr_array_set_size(p->room, 0);
+    g_array_set_size(p->hopeless, 0);
+    memset(p->soon, 0, sizeof p->soon);
+    p->spare = -1;
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->type < 0 || m->zone < 0)
+            continue;
+        if (m->state == PM_BOOTING && pm_plan_boots_soon(p->books, m, now))
+            p->soon[m->type][m->zone][m->spot] = true;
+        else if (m->cpus > EPS && usable(p, m, now))
+            g_ptr_array_add(p->room, m);
+    }
+}
+
 void pm_plan_begin(struct pm_plan *p, double now, double day)
 {
     p->steps = 0;
@@ -1086,6 +1200,7 @@
     stop_the_lost(p, now);
     give_up_deadlines(p, now);
     note_cold_start(p, now);
+    survey(p, now);
     for (int t = 0; t < p->books->settings->teams; t++)
         p->ratio[t] = pm_plan_ratio(p, t);
 }
@@ -1198,13 +1313,13 @@
     const struct pm_spec *spec = place->job->spec;
     struct spread at;
 
-    count_zones(p, place->job, &at);
+    count_zones(place->job, &at);
     at.zone[from->zone]--;
     at.total--;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!m || m == from || m->spot || !usable(p, m, now) || !m->places->len ||
-            !has_image(m, spec->image) || spec->gpus > 0 ||
+        if (!m || m == from || m->spot || !m->places->len || !has_image(m, spec->image) ||
+            !usable(p, m, now) || spec->gpus > 0 ||
             room[i][0] - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS ||
             room[i][1] + EPS < spec->ram_gb || !zone_ok(place->job, &at, m->zone) ||
             !pm_plan_allows(p->books, place->job, m->type, m->zone, m->spot))
@@ -1222,14 +1337,18 @@
 {
     GPtrArray *all = pm_workers_all(p->workers);
     struct pm_place *best = NULL;
-    double best_gain = 0;
+    double best_gain = 0, *room = g_new(double, all->len + 1); /* NAN: not to be used */
 
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        room[i] = m && !m->spot && usable(p, m, now) ? yielding_room(m) : NAN;
+    }
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *from = g_ptr_array_index(all, i);
         double here;
-        if (!from || from->spot || !usable(p, from, now))
+        if (isnan(room[i]))
             continue;
-        here = yielding_room(from);
+        here = room[i];
         for (guint j = 0; j < from->places->len; j++) {
             struct pm_place *place = g_ptr_array_index(from->places, j);
             const struct pm_spec *spec = place->job->spec;
@@ -1239,20 +1358,17 @@
             for (guint k = 0; k < all->len; k++) {
                 const struct pm_machine *to = g_ptr_array_index(all, k);
                 double gain;
-                if (!to || to == from || to->spot || !usable(p, to, now) ||
-                    !has_image(to, spec->image) || !has_room(to, spec) ||
+                gain = room[k] - here - 2 * spec->cpus - p->books->type[from->type].cpus * 0.25;
+                if (!(gain > best_gain) || !has_image(to, spec->image) || !has_room(to, spec) ||
                     !pm_plan_allows(p->books, place->job, to->type, to->zone, to->spot) ||
                     of_job(to, place->job) >= of_job(from, place->job))
                     continue;
-                gain = yielding_room(to) - here - 2 * spec->cpus -
-                       p->books->type[from->type].cpus * 0.25;
-                if (gain > best_gain) {
-                    best_gain = gain;
-                    best = place;
-                }
+                best_gain = gain;
+                best = place;
             }
         }
     }
+    g_free(room);
     if (!best)
         return;
     pm_debug("plan.balance", "%s/%u leaves %s", best->job->id, best->index, best->machine->name);
@@ -1364,25 +1480,44 @@
     return n;
 }
 
+GPtrArray *pm_plan_find_whole(struct pm_plan *p, uint64_t epoch, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+
+    g_ptr_array_set_size(p->whole, 0);
+    p->spare = -1;
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && m->type >= 0 && m->zone >= 0 && !m->places->len && usable(p, m, now) &&
+            pm_workers_clean(m, epoch))
+            g_ptr_array_add(p->whole, m);
+    }
+    return p->whole;
+}
+
 bool pm_plan_whole(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
-                   uint64_t epoch, double now)
+                   double now)
 {
-    return usable(p, m, now) && pm_workers_clean(m, epoch) && m->type >= 0 &&
-           pm_plan_allows(p->books, job, m->type, m->zone, m->spot) && has_room(m, job->spec) &&
-           (m->spot || pm_plan_spare(p, now) - m->cpus >= p->reserve);
+    if (m->lent || !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+        !has_room(m, job->spec))
+        return false;
+    if (m->spot)
+        return true;
+    if (p->spare < 0)
+        p->spare = pm_plan_spare(p, now);
+    return p->spare - m->cpus >= p->reserve;
 }
 
 struct pm_machine *pm_plan_whole_machine(struct pm_plan *p, const struct pm_job *job,
-                                         uint32_t tasks, uint64_t epoch, double now)
+                                         uint32_t tasks, double now)
 {
-    GPtrArray *all = pm_workers_all(p->workers);
     struct pm_machine *best = NULL;
     double best_score = -INFINITY;
 
-    for (guint i = 0; i < all->len; i++) {
-        struct pm_machine *m = g_ptr_array_index(all, i);
+    for (guint i = 0; i < p->whole->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(p->whole, i);
         double value;
-        if (!m || !pm_plan_whole(p, m, job, epoch, now))
+        if (!pm_plan_whole(p, m, job, now))
             continue;
         value = (has_image(m, job->spec->image) ? 3 : 0) + (m->spot ? 5 : 0) -
                 2 * MAX(0, m->cpus - tasks * job->spec->cpus) / MAX(m->cpus, EPS);
@@ -1391,6 +1526,8 @@
             best = m;
         }
     }
+    if (best && !best->spot)
+        p->spare -= best->cpus; /* leased from now on */
     return best;
 }
 
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -26,12 +26,14 @@
 uint32_t pm_plan_within_guarantee(struct pm_plan *plan, const struct pm_job *job);
 void pm_plan_rank(struct pm_plan *plan, GPtrArray *jobs);
 void pm_plan_add_want(struct pm_plan *plan, struct pm_job *job, uint32_t tasks);
-/* Whether the machine is empty, and may be leased out whole for the job. */
+/* The machines that are empty, with nothing to them under way: kept until the next call or run. */
+GPtrArray *pm_plan_find_whole(struct pm_plan *plan, uint64_t epoch, double now);
+/* Whether one of those may be leased out whole for the job. */
 bool pm_plan_whole(struct pm_plan *plan, const struct pm_machine *machine, const struct pm_job *job,
-                   uint64_t epoch, double now);
-/* An empty machine that can be leased out for the job, NULL: none. */
+                   double now);
+/* The best of them to lease out for the job, NULL: none. */
 struct pm_machine *pm_plan_whole_machine(struct pm_plan *plan, const struct pm_job *job,
-                                         uint32_t tasks, uint64_t epoch, double now);
+                                         uint32_t tasks, double now);
 /* Whether all that the replica says runs on a lent machine is beyond its team's guarantee. */
 bool pm_plan_may_clear(struct pm_plan *plan, const struct pm_job *job, int machine);
 /* Stops a place in an orderly way. */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -4,13 +4,14 @@
 
 #include <ev.h>
 #include <glib.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 #define CALL_S 2.0 /* a request with no answer by then counts as lost */
 #define WATCH_WAIT_MS 5000
-#define WATCH_PACE_S 0.03 /* watches opened count as requests: no more than this often */
-#define FRESH_PACE_S 0.03
+#define LEAST_PACE_S 0.03 /* watches opened and freshness reads count as requests: see set_pace */
+#define OTHERS_S 3.0      /* over which the others' writes are measured */
 #define FRESH_S 1.6 /* users wait 2 s for a poll's answer */
 #define ANSWER_MAX (4u << 20)
 
@@ -41,7 +42,9 @@
     bool fresh_busy;
     double fresh_sent;
     /* Write budget: a bucket of one second's worth. */
-    double write_rps, share, tokens, filled;
+    double write_rps, share, most, tokens, filled;
+    double others, others_at; /* changes told that were not ours, fading over OTHERS_S */
+    double pace;
 };
 
 struct step {
@@ -180,6 +183,14 @@
     list_next(s);
 }
 
+static void note_others(struct pm_store *s, double changes)
+{
+    double now = pm_clock_steady();
+
+    s->others = s->others * exp((s->others_at - now) / OTHERS_S) + changes;
+    s->others_at = now;
+}
+
 static void on_watch(void *arg, int status, const unsigned char *body, size_t size)
 {
     struct step *step = arg;
@@ -188,6 +199,7 @@
     uint64_t edition, stamp;
     uint64_t round = step->round;
     char key[256];
+    size_t n;
 
     g_free(step);
     if (round != s->round)
@@ -204,7 +216,9 @@
         return;
     }
     events = pm_cbor_get(answer, "events");
-    for (size_t i = 0; i < pm_cbor_length(events); i++) {
+    n = pm_cbor_length(events);
+    note_others(s, (double)n);
+    for (size_t i = 0; i < n; i++) {
         const cbor_item_t *event = pm_cbor_at(events, i);
         if (pm_cbor_has(event, "put"))
             tell_put(s, event, "put");
@@ -215,7 +229,7 @@
     pm_cbor_free(answer);
     caught_up(s, edition);
     if (round == s->round) { /* no new listing was asked for meanwhile */
-        double left = s->watch_opened + WATCH_PACE_S - pm_clock_steady();
+        double left = s->watch_opened + s->pace - pm_clock_steady();
         if (left > 0.001)
             again_in(s, left);
         else
@@ -293,7 +307,7 @@
 
     g_array_append_val(s->next, w);
     ev_timer_again(s->loop, &s->tick); /* runs only while somebody waits */
-    if (w.until - FRESH_S - s->fresh_sent > FRESH_PACE_S)
+    if (w.until - FRESH_S - s->fresh_sent > s->pace)
         fresh_start(s);
 }
 
@@ -327,7 +341,7 @@
 
     (void)loop;
     (void)events;
-    if (s->next->len && now - s->fresh_sent > FRESH_PACE_S)
+    if (s->next->len && now - s->fresh_sent > s->pace)
         fresh_start(s);
     if (s->waiting->len && s->ready && now - s->watch_opened > 0.8) {
         /* Somebody waits for a change that the watch should have told: it may hang on a dead
@@ -390,6 +404,7 @@
 
 struct commit {
     struct pm_store *store;
+    int nwrites;
     pm_txn_done *done;
     void *arg;
 };
@@ -406,6 +421,8 @@
         if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &edition))
             status = PM_HTTP_LOST; /* a malformed answer counts as none */
     }
+    if (status == 200)
+        note_others(commit->store, -commit->nwrites); /* the watch tells these too */
     if (status == 429)
         commit->store->tokens = MIN(commit->store->tokens, 0);
     commit->done(commit->arg, status, edition, pm_cbor_get(answer, "failed"));
@@ -418,7 +435,7 @@
     struct commit *commit = g_new(struct commit, 1);
     struct pm_buf body = {0};
 
-    *commit = (struct commit){s, done, arg};
+    *commit = (struct commit){s, t->nwrites, done, arg};
     pm_put_map(&body);
     pm_put_text(&body, "if");
     pm_put_list(&body);
@@ -438,16 +455,24 @@
 
 int pm_store_room(struct pm_store *s, double now)
 {
-    double rate = s->write_rps * s->share;
+    double others = MAX(0, s->others) * exp((s->others_at - now) / OTHERS_S) / OTHERS_S,
+           share = MAX(s->share, MIN(s->most, 0.95 - others / s->write_rps)),
+           rate = s->write_rps * share;
 
     s->tokens = MIN(s->tokens + (now - s->filled) * rate, rate);
     s->filled = now;
     return s->tokens < 1 ? 0 : (int)s->tokens;
 }
 
-void pm_store_set_share(struct pm_store *s, double share)
+void pm_store_set_share(struct pm_store *s, double share, double most)
 {
     s->share = share;
+    s->most = most;
+}
+
+void pm_store_set_pace(struct pm_store *s, double requests_per_s)
+{
+    s->pace = MAX(LEAST_PACE_S, 1 / MAX(requests_per_s, 0.1));
 }
 
 /* ---- holds ---- */
@@ -551,7 +576,8 @@
     snprintf(s->addr, sizeof s->addr, "%s", addr);
     s->feed = *feed;
     s->write_rps = write_rps;
-    s->share = 0.5;
+    s->share = s->most = 0.5;
+    s->pace = LEAST_PACE_S;
     s->tokens = write_rps * s->share;
     s->filled = pm_clock_steady();
     s->next = g_array_new(FALSE, FALSE, sizeof(struct waiter));
@@ -559,7 +585,7 @@
     s->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiter));
     ev_init(&s->retry, on_retry);
     s->retry.data = s;
-    ev_timer_init(&s->tick, on_tick, 0., FRESH_PACE_S);
+    ev_timer_init(&s->tick, on_tick, 0., LEAST_PACE_S);
     s->tick.data = s;
     list_next(s);
     return s;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -60,7 +60,11 @@
 void pm_store_commit(struct pm_store *store, struct pm_txn *txn, pm_txn_done *done, void *arg);
 /* How many changes may be written now within the share of the write budget. */
 int pm_store_room(struct pm_store *store, double now);
-void pm_store_set_share(struct pm_store *store, double share);
+/* The share that is this controller's in any case, and what it may rise to while the watch shows
+ * that the others leave so much. */
+void pm_store_set_share(struct pm_store *store, double share, double most);
+/* How many watches, and how many reads of `edition`, it may open a second. */
+void pm_store_set_pace(struct pm_store *store, double requests_per_s);
 
 /* `ok` once the replica is at least as new as the state service was at the time of this call. */
 typedef void pm_fresh_done(void *arg, bool ok);
