--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -373,6 +373,7 @@
 /* Where the job's tasks are that are not proven gone: per zone, and on one machine. */
 struct spread {
     uint32_t zone[PM_ZONES_MAX];
+    uint32_t unknown; /* on machines that a new leader has not heard of yet: in any zone */
     uint32_t total;
 };
 
@@ -387,6 +388,8 @@
             continue;
         if (task->place->machine->zone >= 0)
             out->zone[task->place->machine->zone]++;
+        else
+            out->unknown++;
         out->total++;
     }
 }
@@ -397,7 +400,7 @@
 
     if (spec->same_place && at->total && at->zone[zone] < at->total)
         return false;
-    return !spec->spread || at->zone[zone] < (spec->entries + 1) / 2;
+    return !spec->spread || at->zone[zone] + at->unknown < (spec->entries + 1) / 2;
 }
 
 static struct need need_of(const struct pm_plan *p, const struct pm_job *job,
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -185,6 +185,20 @@
     m->rented = w->now;
 }
 
+/* found JOB/INDEX:TRY HOST shift=N: a place as a new leader reads it from the state service */
+static void do_found(struct world *w, char **words)
+{
+    char **part = g_strsplit_set(words[1], "/:", 3);
+    struct pm_machine *m = pm_workers_add(w->workers, words[2]);
+
+    pm_workers_place(w->workers, pm_jobs_find(w->jobs, part[0]), (uint32_t)atoi(part[1]), m,
+                     (uint32_t)atoi(part[2]), (uint64_t)number(words, "shift", 1), PM_DURABLE,
+                     w->now);
+    m->state = PM_UP;
+    m->heard = w->now;
+    g_strfreev(part);
+}
+
 static void do_cancel(struct world *w, char **words)
 {
     struct pm_job *job = pm_jobs_find(w->jobs, words[1]);
@@ -323,6 +337,8 @@
         do_job(w, words);
     else if (!strcmp(verb, "booting"))
         do_booting(w, words);
+    else if (!strcmp(verb, "found"))
+        do_found(w, words);
     else if (!strcmp(verb, "cancel"))
         do_cancel(w, words);
     else if (!strcmp(verb, "report"))
