--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -25,9 +25,9 @@
 #define DIRECT_S 3.0     /* a /do with no answer by then is in doubt */
 #define PROBE_S 1.5      /* one without orders asks only whether the worker is there */
 #define PLAN_PACE_S 0.03 /* plans no more often than this, */
-#define PLAN_REST 4      /* nor before this many times as long as the last one took, */
+#define PLAN_REST 8      /* nor before this many times as long as the last one took, */
 #define PLAN_REST_S 0.6  /* if that is not longer than this */
-#define FLEET_REST 6     /* the same for the sizing of the fleet */
+#define FLEET_REST 15    /* the same for the sizing of the fleet */
 #define ROUND_S 0.5
 #define ASK_MAX 150 /* workers that are asked for a report at a time */
 #define LEDGER_S 5.0
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -45,7 +45,10 @@
     GPtrArray *room;  /* machines that may be used and are not full */
     GArray *hopeless; /* of struct need: found no room, and room only shrinks within a run */
     bool soon[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* one boots: type, zone, spot */
-    double spare;                             /* see pm_plan_spare, below 0: not counted yet */
+    double spare;                             /* see pm_plan_whole, below 0: not counted yet */
+    struct totals {
+        double at, spare, largest, pool; /* as of that time; see pm_plan_spare and its kin */
+    } totals;
     GPtrArray *whole;                         /* see pm_plan_find_whole */
 };
 
@@ -533,17 +536,48 @@
     return value - 2 * (m->cpus - spec->cpus) / MAX(t->cpus, EPS);
 }
 
-double pm_plan_spare(struct pm_plan *p, double now)
+/* One walk over the machines counts them all: whoever sizes the fleet asks for each of them. */
+static const struct totals *count_totals(struct pm_plan *p, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    double sum = 0;
+    struct totals *t = &p->totals;
 
+    if (t->at == now)
+        return t;
+    *t = (struct totals){.at = now};
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (m && !m->spot && usable(p, m, now))
-            sum += yielding_room(m);
+        const struct pm_type *type = m && m->type >= 0 ? &p->books->type[m->type] : NULL;
+        double room;
+        if (!type || m->state == PM_RELEASING)
+            continue;
+        if (m->lent || (m->state == PM_BOOTING && pm_plan_boots_soon(p->books, m, now)))
+            t->pool += type->cpus;
+        if (!usable(p, m, now))
+            continue;
+        room = yielding_room(m);
+        t->pool += room;
+        if (m->spot)
+            continue;
+        t->spare += room;
+        t->largest = MAX(t->largest, type->cpus - room);
     }
-    return sum;
+    return t;
+}
+
+double pm_plan_spare(struct pm_plan *p, double now)
+{
+    return count_totals(p, now)->spare;
+}
+
+double pm_plan_largest(struct pm_plan *p, double now)
+{
+    return count_totals(p, now)->largest;
+}
+
+double pm_plan_pool(struct pm_plan *p, double now)
+{
+    return count_totals(p, now)->pool;
 }
 
 /* Whether the machine's room is being cleared for a gang that comes before the job. */
@@ -1198,6 +1232,7 @@
 void pm_plan_begin(struct pm_plan *p, double now, double day)
 {
     p->steps = 0;
+    p->totals.at = -1;
     p->day = day;
     account(p, now, day);
     stop_the_lost(p, now);
@@ -1260,37 +1295,6 @@
     return p->steps;
 }
 
-double pm_plan_largest(struct pm_plan *p, double now)
-{
-    GPtrArray *all = pm_workers_all(p->workers);
-    double most = 0;
-
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (m && !m->spot && m->type >= 0 && usable(p, m, now))
-            most = MAX(most, p->books->type[m->type].cpus - yielding_room(m));
-    }
-    return most;
-}
-
-double pm_plan_pool(struct pm_plan *p, double now)
-{
-    GPtrArray *all = pm_workers_all(p->workers);
-    double sum = 0;
-
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        const struct pm_type *t = m && m->type >= 0 ? &p->books->type[m->type] : NULL;
-        if (!t || m->state == PM_RELEASING)
-            continue;
-        if (m->lent || (m->state == PM_BOOTING && pm_plan_boots_soon(p->books, m, now)))
-            sum += t->cpus;
-        else if (usable(p, m, now))
-            sum += yielding_room(m);
-    }
-    return sum;
-}
-
 /* ---- emptying machines ---- */
 
 /* Whether all that runs on the machine are array tasks and replicas that may move: a start counts
@@ -1506,8 +1510,10 @@
         return false;
     if (m->spot)
         return true;
-    if (p->spare < 0)
+    if (p->spare < 0) {
+        p->totals.at = -1; /* counted anew: this run has placed since */
         p->spare = pm_plan_spare(p, now);
+    }
     return p->spare - m->cpus >= p->reserve;
 }
 
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -27,8 +27,7 @@
 enum { PM_CACHE_MAX = 32 };
 
 struct pm_machine {
-    char name[PM_NAME_MAX];
-    char endpoint[64];
+    /* What every plan looks at comes first, the texts and the images last. */
     int index, type, zone;
     bool spot;
     enum pm_machine_state state;
@@ -40,11 +39,6 @@
     bool reported;          /* at least once to this leader */
     double heard;           /* steady: its latest message */
     double recall_at;       /* steady: when the cloud takes it, 0: no notice */
-    int ncached;            /* images that it holds, latest use first, as far as we know */
-    struct pm_cached {
-        int image;
-        double gb;
-    } cached[PM_CACHE_MAX];
     GArray *ended;              /* of struct pm_entry: ended there, to be forgotten */
     GArray *strays;             /* of struct pm_entry: there, but not by our books: to be killed */
     const struct pm_job *claim; /* a gang whose room is being cleared here (placement) */
@@ -70,6 +64,13 @@
     bool listed, failed;
     double release_retry;
     uint32_t errors; /* in a row, of tasks that ended with an error */
+    int ncached;     /* images that it holds, latest use first, as far as we know */
+    struct pm_cached {
+        int image;
+        double gb;
+    } cached[PM_CACHE_MAX];
+    char name[PM_NAME_MAX];
+    char endpoint[64];
 };
 
 struct pm_entry {
