--- a/src/store/store.c
+++ b/src/store/store.c
@@ -459,7 +459,8 @@
            share = MAX(s->share, MIN(s->most, 0.95 - others / s->write_rps)),
            rate = s->write_rps * share;
 
-    s->tokens = MIN(s->tokens + (now - s->filled) * rate, rate);
+    /* However small the share: a transaction of some changes has to fit sometime. */
+    s->tokens = MIN(s->tokens + (now - s->filled) * rate, MAX(rate, 0.4 * s->write_rps));
     s->filled = now;
     return s->tokens < 1 ? 0 : (int)s->tokens;
 }
