--- a/src/base/http.c
+++ b/src/base/http.c
@@ -460,7 +460,7 @@
     pm_http_done *done;
     void *arg;
     bool busy, connected, complete, keep;
-    bool due;       /* among the client's `due` */
+    bool due;        /* among the client's `due` */
     GList idle_link; /* in the client's `idle`, while not busy */
 };
 
--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -591,8 +591,7 @@
                     double now)
 {
     while (s->waiting && alive(s->block, now) && has_space(b, s->block)) {
-        struct pm_machine *m =
-            pm_plan_whole_machine(b->plan, s->job, s->waiting, now);
+        struct pm_machine *m = pm_plan_whole_machine(b->plan, s->job, s->waiting, now);
         struct entry e = {.state = ADDING};
         uint32_t n;
         if (!m)
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -32,7 +32,7 @@
 #define ASK_MAX 150 /* workers that are asked for a report at a time */
 #define LEDGER_S 5.0
 #define STORE_SHARE 0.36 /* of the state service's requests: for the watches, and for freshness */
-#define YIELDED_S 1.0 /* a task that was stopped to make room rests for this long */
+#define YIELDED_S 1.0    /* a task that was stopped to make room rests for this long */
 
 struct pm_node {
     struct ev_loop *loop;
@@ -216,8 +216,9 @@
     struct direct *direct;
     double timeout;
 
-    if (m->direct_busy || n->directs >= n->settings->sockets / 5 || !m->endpoint[0] || m->direct_retry > pm_clock_steady() ||
-        (!probe && !pm_workers_direct_due(m)) || !pm_lead_confirmed(n->lead, pm_clock_steady()))
+    if (m->direct_busy || n->directs >= n->settings->sockets / 5 || !m->endpoint[0] ||
+        m->direct_retry > pm_clock_steady() || (!probe && !pm_workers_direct_due(m)) ||
+        !pm_lead_confirmed(n->lead, pm_clock_steady()))
         return;
     direct = g_new0(struct direct, 1);
     *direct = (struct direct){n, m->index, pm_lead_epoch(n->lead)};
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -11,7 +11,11 @@
 #define CALL_S 5.0
 #define REFUSED_S 6.0 /* no room of a kind: not asked for again within this */
 #define OUTAGE_KEEP_S 120
-#define SILENT_S 5.0   /* a machine that is silent for longer may be given up */
+#define SILENT_S 5.0 /* a machine that is silent for longer may be given up */
+#define FLOW_S 60.0  /* over which the stream of array work is measured */
+#define FLOW_FIRST_S 30.0
+#define FLOW_KEEP_S 60.0 /* idle machines that the stream will want again are kept for so long */
+#define WARM_ROOT 2.0
 #define LEAST_AGE_S 60 /* a machine costs that much at least */
 
 struct pm_fleet {
@@ -33,6 +37,9 @@
     GHashTable *gone; /* names whose release was confirmed: a list that lags still has them */
     double spare_want, emptied;
     GArray *bins; /* of struct bin, of the sizing under way */
+    /* How much array work comes a second, in processors: fading, and since when it is measured. */
+    double flow, flow_jobs, flow_at, flow_since;
+    double spot_cpus; /* on spot machines, up or soon */
     bool writable;
     double wrote_at; /* steady: placements could be written then */
 };
@@ -40,7 +47,7 @@
 struct bin { /* a machine, up, booting or to be rented, and the room left on it */
     double cpus, gpus, ram_gb;
     int type, zone;
-    bool spot, up;
+    bool spot, up, fresh; /* fresh: to be rented now */
 };
 
 struct call {
@@ -90,6 +97,7 @@
     f->in_flight = 0;
     f->list_busy = false;
     f->listed = 0;
+    f->flow = f->flow_jobs = f->flow_since = 0;
     f->since[0] = 0;
     g_hash_table_remove_all(f->seen);
     memset(f->refused_until, 0, sizeof f->refused_until);
@@ -526,7 +534,7 @@
 static void add_rent(struct sizing *s, const struct pm_rent *rent)
 {
     const struct pm_type *t = &s->f->books->type[rent->type];
-    struct bin bin = {t->cpus, t->gpus, t->ram_gb, rent->type, rent->zone, rent->spot, false};
+    struct bin bin = {t->cpus, t->gpus, t->ram_gb, rent->type, rent->zone, rent->spot, false, true};
 
     g_array_append_val(s->bins, bin);
     for (int i = 0; i < s->n; i++) {
@@ -661,6 +669,63 @@
     }
 }
 
+/* Array work comes as a stream of jobs, each too short for the boot of a machine to help it: what
+ * the stream takes on the whole is rented ahead, and kept, on spot machines. */
+static void measure_flow(struct pm_fleet *f, double now, double day)
+{
+    GPtrArray *active = pm_jobs_active(f->jobs);
+
+    if (!f->flow_since)
+        f->flow_since = f->flow_at = now;
+    f->flow *= exp((f->flow_at - now) / FLOW_S);
+    f->flow_jobs *= exp((f->flow_at - now) / FLOW_S);
+    f->flow_at = now;
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        double weight;
+        if (job->sized || !in_flow(job))
+            continue;
+        job->sized = true;
+        weight = exp(-MAX(0, day - job->spec->submitted) / FLOW_S);
+        f->flow_jobs += weight;
+        f->flow += weight * job->entries * pm_plan_expected(f->plan, job) * job->spec->cpus;
+    }
+}
+
+/* Processors that the stream takes for certain: the fewer jobs it was measured by, the less. What
+ * came first of all is taken for the first while's share. */
+static double steady_flow(const struct pm_fleet *f, double now)
+{
+    double seen = FLOW_S * (1 - exp(-MAX(now - f->flow_since, FLOW_FIRST_S) / FLOW_S));
+
+    return f->flow_jobs > 1 ? f->flow / seen * (1 - 1 / sqrt(f->flow_jobs)) : 0;
+}
+
+static void rent_for_flow(struct sizing *s)
+{
+    GPtrArray *active = pm_jobs_active(s->f->jobs);
+    double missing = steady_flow(s->f, s->now) - s->f->spot_cpus;
+    struct pm_job *typical = NULL;
+    struct pm_rent rent;
+
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        if (in_flow(job) && job->state == PM_LIVE &&
+            (!typical || job->spec->submitted > typical->spec->submitted))
+            typical = job;
+    }
+    for (guint i = 0; i < s->bins->len; i++) { /* what was just sized for the jobs that wait */
+        const struct bin *bin = &g_array_index(s->bins, struct bin, i);
+        if (bin->fresh && bin->spot)
+            missing -= s->f->books->type[bin->type].cpus;
+    }
+    while (typical && missing >= typical->spec->cpus &&
+           cheapest(s, typical, (int)(missing / typical->spec->cpus), -1, true, &rent)) {
+        add_rent(s, &rent);
+        missing -= s->f->books->type[rent.type].cpus;
+    }
+}
+
 int pm_fleet_size(struct pm_fleet *f, double now, double day, struct pm_rent *out, int max)
 {
     struct sizing sizing = {
@@ -668,11 +733,14 @@
     struct sizing *s = &sizing;
     const GArray *wants = pm_plan_wants(f->plan);
     GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
-    double service_cpus = 0, spare = 0;
+    double service_cpus = 0, spare = 0, share;
+    int services = 0;
     struct pm_job *typical = NULL;
     struct flow flow, dear_flow;
 
     g_array_set_size(s->bins, 0);
+    f->spot_cpus = 0;
+    measure_flow(f, now, day);
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->type < 0 || m->zone < 0)
@@ -680,13 +748,15 @@
         /* One that boots too long is not counted on. */
         if (m->state == PM_BOOTING && !pm_plan_boots_soon(f->books, m, now))
             continue;
+        if (m->spot && m->state != PM_RELEASING && !m->recall_at)
+            f->spot_cpus += f->books->type[m->type].cpus;
         if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
             continue;
         if (m->cpus > EPS)
             g_array_append_vals(s->bins,
                                 &(struct bin){m->cpus, m->gpus, m->ram_gb, m->type, m->zone,
-                                              m->spot, m->state == PM_UP},
+                                              m->spot, m->state == PM_UP, false},
                                 1);
     }
     flow.work = running_work(f, now);
@@ -697,17 +767,22 @@
         int cheap = more_tasks(s, &flow, want, 1), dear = more_tasks(s, &dear_flow, want, DEAR);
         fill(s, want->job, MAX(cheap, dear), dear, true);
     }
+    rent_for_flow(s);
     /* A reserve on ordinary machines, so that a new service finds room at once. */
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         if (!job->spec || job->spec->form != PM_SERVICE || job->state != PM_LIVE)
             continue;
         service_cpus += job->nplaced * job->spec->cpus;
+        services++;
         if (!typical || (job->spec->zone < 0 && job->spec->types == ~(uint64_t)0))
             typical = job;
     }
     /* Room for what comes, and for the replicas of any one machine that ends. */
-    f->spare_want = MAX(service_cpus * f->op->warm_share, pm_plan_largest(f->plan, now));
+    share = service_cpus * f->op->warm_share;
+    /* Of many services, fewer come at once for their number: as the root of it. */
+    share = MIN(share, WARM_ROOT * service_cpus / sqrt(MAX(services, 1)));
+    f->spare_want = MAX(share, pm_plan_largest(f->plan, now));
     if (typical && typical->spec->cpus > 0) {
         /* What array tasks use on ordinary machines yields at once, so it counts as spare. */
         spare = pm_plan_spare(f->plan, now);
@@ -832,6 +907,11 @@
         }
         if (now - m->idle_since < f->op->idle_return_s || now - m->rented < LEAST_AGE_S)
             continue;
+        if (m->spot && now - m->idle_since < FLOW_KEEP_S &&
+            f->spot_cpus - m->cpus < steady_flow(f, now))
+            continue;
+        if (m->spot)
+            f->spot_cpus -= m->cpus;
         if (!m->spot && spare - m->cpus < f->spare_want)
             continue;
         if (!m->spot)
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -626,7 +626,7 @@
 void pm_job_reset_work(struct pm_job *job)
 {
     job->ndone = job->nplaced = job->last_try = job->hint = 0;
-    job->final_in_flight = job->tried = false;
+    job->final_in_flight = job->tried = job->sized = false;
     job->retry_at = 0;
     for (int k = 0; k < job->nchunks; k++) {
         struct pm_chunk *chunk = job->chunk[k];
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -49,7 +49,7 @@
     struct totals {
         double at, spare, largest, pool; /* as of that time; see pm_plan_spare and its kin */
     } totals;
-    GPtrArray *whole;                         /* see pm_plan_find_whole */
+    GPtrArray *whole; /* see pm_plan_find_whole */
 };
 
 /* What decides whether a task finds room, as far as jobs share it. */
@@ -500,8 +500,7 @@
     for (int type = 0; type < p->books->ntypes; type++)
         for (int zone = 0; zone < p->books->settings->zones; zone++)
             for (int spot = 0; spot < 2; spot++)
-                if (p->soon[type][zone][spot] &&
-                    pm_plan_allows(p->books, job, type, zone, spot))
+                if (p->soon[type][zone][spot] && pm_plan_allows(p->books, job, type, zone, spot))
                     return true;
     return false;
 }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -12,7 +12,7 @@
 #define WATCH_WAIT_MS 5000
 #define LEAST_PACE_S 0.03 /* watches opened and freshness reads count as requests: see set_pace */
 #define OTHERS_S 3.0      /* over which the others' writes are measured */
-#define FRESH_S 1.6 /* users wait 2 s for a poll's answer */
+#define FRESH_S 1.6       /* users wait 2 s for a poll's answer */
 #define ANSWER_MAX (4u << 20)
 
 struct waiter {
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -35,10 +35,10 @@
     double cpus, gpus, ram_gb; /* free */
     /* From the worker. */
     uint64_t session, tally, mandate;
-    uint64_t least_session; /* earlier ones are proven over */
-    bool reported;          /* at least once to this leader */
-    double heard;           /* steady: its latest message */
-    double recall_at;       /* steady: when the cloud takes it, 0: no notice */
+    uint64_t least_session;     /* earlier ones are proven over */
+    bool reported;              /* at least once to this leader */
+    double heard;               /* steady: its latest message */
+    double recall_at;           /* steady: when the cloud takes it, 0: no notice */
     GArray *ended;              /* of struct pm_entry: ended there, to be forgotten */
     GArray *strays;             /* of struct pm_entry: there, but not by our books: to be killed */
     const struct pm_job *claim; /* a gang whose room is being cleared here (placement) */
