--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -174,6 +174,7 @@
     m->state = PM_UP;
     m->listed = true;
     m->heard = m->floor = now; /* the leader answered it no later than this */
+    m->rented = now;           /* the leader has proof of it */
     pm_cbor_text(pm_cbor_get(host, "endpoint"), m->endpoint, sizeof m->endpoint);
     pm_cbor_flag(pm_cbor_get(host, "borrowed"), &m->spot);
     pm_cbor_count(pm_cbor_get(host, "shift"), &session);
@@ -1025,7 +1026,8 @@
         tell.doubt |= m->doubtful && m->doubtful >= pm_lead_epoch(b->lead);
         if (m->errors >= 3)
             add_name(&tell.bad, &tell.n_bad, m->name);
-        if (m->reported && pm_workers_silent(m, b->books->settings, now))
+        if (m->reported &&
+            (pm_workers_deaf(m, now) || pm_workers_silent(m, b->books->settings, now)))
             add_name(&tell.silent, &tell.n_silent, m->name);
     }
     tell.helpless = (up > 1 && !heard) || (b->mine_granted && !tell.ready);
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -151,6 +151,7 @@
 static void report(struct side *s, uint64_t tally)
 {
     struct pm_buf buf = {0};
+    struct pm_machine *m;
     cbor_item_t *item;
     bool fresh;
 
@@ -165,8 +166,10 @@
     pm_put_pair_count(&buf, "mandate", pm_lead_epoch(s->lead));
     pm_put_end(&buf);
     item = pm_cbor_parse(buf.data, buf.size);
-    assert_non_null(pm_workers_report(s->workers, item, PM_REPORT, pm_lead_epoch(s->lead),
-                                      pm_clock_steady(), &fresh));
+    m = pm_workers_report(s->workers, item, PM_REPORT, pm_lead_epoch(s->lead), pm_clock_steady(),
+                          &fresh);
+    assert_non_null(m);
+    m->listed = true;
     pm_cbor_free(item);
     pm_buf_free(&buf);
 }
@@ -223,8 +226,7 @@
     (void)arg;
     round_of_leader();
     return holder.granted && pm_workers_find(holder.workers, "i-000001") &&
-           pm_blocks_holder(leader.blocks, "i-000001") &&
-           !pm_jobs_find(holder.jobs, "job-1")->away;
+           pm_blocks_holder(leader.blocks, "i-000001") && !pm_jobs_find(holder.jobs, "job-1")->away;
 }
 
 static bool is_confirmed(void *arg)
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -68,6 +68,7 @@
     double plan_at, plan_cost;   /* when the last one was due, how long they take */
     double fleet_at, fleet_cost; /* when the last sizing ended, how long it took */
     int directs;                 /* /do under way */
+    double round_at, late_until; /* this process lags: answers it missed say nothing until then */
 };
 
 /* ---- planning ---- */
@@ -194,6 +195,8 @@
         pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
         if (status < 0) {
             m->unreached = pm_clock_steady();
+            if (m->unreached > n->late_until)
+                pm_workers_unheard(m, m->unreached);
             m->direct_retry = m->unreached + 0.7;
         }
         if (report) {
@@ -650,6 +653,12 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
+    if (n->leading && pm_fleet_returned(n->fleet, name)) {
+        /* A copy of a report of a machine that is proven gone. */
+        pm_cbor_free(report);
+        pm_http_reply(req, 503, NULL, 0, 1);
+        return;
+    }
     m = n->ruling ? pm_workers_find(n->workers, name) : NULL;
     if (!n->ruling || (n->leading ? m && m->lent : !m || m->left)) {
         pm_cbor_free(report);
@@ -672,27 +681,22 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
-    if (m->state == PM_RELEASING) {
+    /* A late copy is not answered 200: nothing of it counts, neither as a sign of life nor for its
+     * lease. A worker that lost its memory is told so too, and moves on to its next session. */
+    if (m->state == PM_RELEASING || !fresh) {
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
     }
     pm_put_map(&body);
     pm_put_pair_count(&body, "mandate", epoch);
     pm_put_text(&body, "orders");
-    if (fresh) {
-        pm_workers_orders(m, false, epoch, &body);
-    } else {
-        pm_put_list(&body);
-        pm_put_end(&body);
-    }
+    pm_workers_orders(m, false, epoch, &body);
     pm_put_end(&body);
-    m->answered = now;
+    pm_workers_answered(m, epoch, now);
     pm_http_reply(req, 200, body.data, body.size, 0);
     pm_buf_free(&body);
-    if (fresh) {
-        plan_soon(n);
-        commit_run(n);
-    }
+    plan_soon(n);
+    commit_run(n);
 }
 
 static void on_front(void *arg, struct pm_http_request *req)
@@ -774,6 +778,8 @@
             continue; /* the others are asked next time: not all workers at once */
         if (!m->reported && m->endpoint[0] && m->listed)
             direct_due(n, m, true);
+        else if (m->reported && (m->unheard || !pm_workers_proven(m)))
+            direct_due(n, m, true); /* does it hear us, is it there at all? */
         else if (m->state == PM_UP && now - m->heard > 1.25 * n->settings->report_s + 0.4)
             direct_due(n, m, true); /* silent: perhaps it reaches another controller only */
         asked += m->direct_busy;
@@ -790,19 +796,23 @@
 {
     GPtrArray *all = pm_workers_all(n->workers);
     double limit = MAX(3.5, 1.6 * n->settings->report_s);
-    int silent = 0;
+    int silent = 0, deaf = 0, up = 0;
 
-    /* Any report counts, also one that an outage keeps from being answered. */
-    if (!n->settings->peers || now - MAX(n->took_at + 1, n->report_at) < limit)
+    if (!n->settings->peers || now - n->took_at < limit)
         return;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->state != PM_UP || m->lent)
             continue;
+        up++;
         silent += now - m->heard >= limit;
+        deaf += pm_workers_deaf(m, now);
     }
-    if (silent >= 3)
+    /* Any report counts, also one that an outage keeps from being answered. */
+    if (silent >= 3 && now - n->report_at >= limit)
         pm_lead_resign(n->lead, "no worker is heard");
+    else if (deaf >= 3 && 2 * deaf > up && pm_lead_confirmed(n->lead, now))
+        pm_lead_resign(n->lead, "the workers do not hear us");
 }
 
 static void on_round(struct ev_loop *loop, ev_timer *w, int events)
@@ -812,6 +822,9 @@
 
     (void)loop;
     (void)events;
+    if (n->round_at && now - n->round_at > 2 * ROUND_S)
+        n->late_until = now + DIRECT_S;
+    n->round_at = now;
     if (!n->books.ntypes && pm_store_ready(n->store))
         pm_fleet_ask_types(n->fleet, now);
     if (n->ruling) {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -362,13 +362,13 @@
         if (pm_cbor_text(pm_cbor_at(hosts, i), name, sizeof name) || !name[0])
             continue;
         m = pm_workers_add(f->workers, name);
+        m->rented = call->sent;
         got++;
         if (m->type >= 0)
             continue; /* reported already */
         pm_workers_set_type(f->workers, m, call->rent.type);
         m->zone = call->rent.zone;
         m->spot = call->rent.spot;
-        m->rented = call->sent;
         pm_debug("fleet.machine", "%s is a %s%s", m->name,
                  pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "");
     }
@@ -430,6 +430,11 @@
     g_free(call);
 }
 
+bool pm_fleet_returned(const struct pm_fleet *f, const char *machine)
+{
+    return g_hash_table_contains(f->gone, machine);
+}
+
 static void release_due(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
@@ -829,12 +834,17 @@
             continue;
         /* Of one that is lent, its holder tells. */
         since = m->lent ? (now - m->silent_told < 2 ? m->silent_since : now) : m->heard;
+        if (pm_workers_deaf(m, now)) { /* its tasks end with its lease; what it reports is no use */
+            missed[m->zone]++;
+            g_ptr_array_add(silent, m);
+            continue;
+        }
         if (now - since < limit * 0.6) {
             heard[m->zone]++;
             continue;
         }
         missed[m->zone]++;
-        if ((m->lent || (m->places->len && m->unreached > m->heard)) &&
+        if ((m->lent || (m->places->len && MAX(m->unreached, m->stale) > m->heard)) &&
             now - since > (m->lent ? limit * 0.6 : limit))
             g_ptr_array_add(silent, m);
     }
@@ -842,7 +852,8 @@
     for (guint i = 0; i < silent->len; i++) {
         struct pm_machine *m = g_ptr_array_index(silent, i);
         if (missed[m->zone] <= heard[m->zone])
-            give_back(m, "silent, while its zone is heard");
+            give_back(m, pm_workers_deaf(m, now) ? "does not hear us, while its zone does"
+                                                 : "silent, while its zone is heard");
     }
     g_ptr_array_free(silent, TRUE);
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -40,4 +40,7 @@
 /* What the waiting work and the reserve need beyond the machines that are up or booting. */
 int pm_fleet_size(struct pm_fleet *fleet, double now, double day, struct pm_rent *out, int max);
 
+/* Whether the machine's release was confirmed: it is gone, whatever else is said of it. */
+bool pm_fleet_returned(const struct pm_fleet *fleet, const char *machine);
+
 #endif
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -229,7 +229,8 @@
     if (item->kind == SUBMIT)
         pm_jobs_write(in->books, item->spec, item->spec->entries, PM_LIVE, true, &txn->writes);
     else
-        pm_jobs_write(in->books, job->spec, job->entries, PM_CANCELLED, true, &txn->writes);
+        pm_jobs_write(in->books, job->spec, job->entries, PM_CANCELLED, job->spec != NULL,
+                      &txn->writes);
     pm_txn_put_end(txn, 0);
     g_ptr_array_add(f->items, item);
     return true;
@@ -255,7 +256,7 @@
             const struct pm_job *job = pm_jobs_find(in->jobs, item->id);
             if (now - item->arrived > GIVE_UP_S)
                 reply_unsure(item, 2);
-            else if (job && (item->kind == SUBMIT || job->state != PM_LIVE || !job->spec))
+            else if (job && (item->kind == SUBMIT || job->state != PM_LIVE))
                 decide(item);
             else if (!add_write(in, f, &txn, item))
                 g_queue_push_tail(&in->queue, item);
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 enum { IN_FLIGHT_MAX = 4, BODY_MAX = 48 * 1024 };
+#define REFUSED_S 3.0
 #define BATCH_S 0.15 /* what no launch waits for is written together with what follows soon */
 
 struct pm_commit {
@@ -73,7 +74,7 @@
 {
     struct pm_commit *c = f->commit;
     double now = pm_clock_steady();
-    double pause = status == 409 ? 0.06 : status == 429 ? 0.15 : 0.3;
+    double pause = status == 409 ? 0.06 : status == 429 ? 0.15 : status == 400 ? REFUSED_S : 0.3;
 
     for (guint i = 0; i < f->parts->len; i++) {
         struct part *part = &g_array_index(f->parts, struct part, i);
@@ -87,6 +88,9 @@
         if (part->k >= job->nchunks || !job->chunk[part->k])
             continue; /* over meanwhile */
         job->chunk[part->k]->in_flight = false;
+        if (status == 400) /* too large, most likely: not to be sent again and again unchanged */
+            pm_error("commit.refused", "the state service refuses p/t/%s/%d", job->id, part->k);
+        job->chunk[part->k]->failures = status == 200 ? 0 : job->chunk[part->k]->failures + 1;
         if (status == 200) {
             if (part->drop)
                 job->chunk[part->k]->stamp = job->chunk[part->k]->written = 0;
@@ -96,7 +100,8 @@
             /* Unknown or failed: written again on the stamp that the watch tells by then. If this
              * copy is applied late after all, its own stamps no longer match, or ours don't. */
             job->chunk[part->k]->dirty = true;
-            job->chunk[part->k]->retry_at = now + pause;
+            job->chunk[part->k]->retry_at =
+                now + pause * (1 << MIN(job->chunk[part->k]->failures / 4, 6));
         }
     }
     for (guint i = 0; status == 200 && i < f->marks->len; i++) {
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -340,12 +340,18 @@
 
     if (job && job->stamp >= stamp)
         return NULL;
-    if (!pm_jobs_id_valid(id) || pm_cbor_text(pm_cbor_get(value, "now"), now, sizeof now) ||
+    if (!pm_jobs_id_valid(id))
+        return NULL;
+    if (pm_cbor_text(pm_cbor_get(value, "now"), now, sizeof now) ||
         (state = name_index(state_names, 3, now)) < 0 ||
         pm_cbor_count(pm_cbor_get(value, "entries"), &entries) || entries < 1 ||
         entries > PM_ENTRIES_MAX) {
         pm_error("jobs.value", "unreadable value of job %s", id);
-        return NULL;
+        if (job)
+            return NULL;
+        /* It was accepted once, so it stays known, whatever became of its value. */
+        state = PM_LIVE;
+        entries = 1;
     }
     if (!job) {
         job = g_new0(struct pm_job, 1);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -101,7 +101,8 @@
     struct pm_task *task; /* PM_CHUNK of them, or NULL: none was ever touched */
     bool dirty, in_flight;
     double retry_at;
-    uint64_t written; /* stamp of our own last write: the watch may not have told it yet */
+    uint32_t failures; /* of its writes, in a row */
+    uint64_t written;  /* stamp of our own last write: the watch may not have told it yet */
 };
 
 struct pm_job {
@@ -109,7 +110,7 @@
     uint64_t stamp;
     enum pm_job_state state;
     uint32_t entries;
-    struct pm_spec *spec; /* NULL once only the final state is kept */
+    struct pm_spec *spec; /* NULL once only the final state is kept, or if it can't be read */
     int nchunks;
     struct pm_chunk **chunk;
     /* Leader only. */
@@ -118,6 +119,7 @@
     bool final_in_flight, listed;
     double claims_until; /* gang: room is being cleared for it (placement) */
     bool away;           /* another controller places it */
+    bool overdue;        /* has waited too long to begin (placement) */
     bool late;           /* its deadline is given up for now (placement) */
     bool sized;          /* counted as part of the stream of array work (fleet) */
     bool tried;          /* a chunk was written, or is being written, from here */
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -12,6 +12,7 @@
 #define CROWDED 0.25      /* of a machine: see crowded() */
 #define YOUNG_S 35.0      /* a replica is not moved within this of its start */
 #define LATE_S 1.0        /* where no objective says how soon a class is to start */
+#define BEGIN_S 120.0     /* what waits longer to begin goes before the other lower work */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
@@ -355,8 +356,8 @@
 static bool usable(const struct pm_plan *p, const struct pm_machine *m, double now)
 {
     return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining &&
-           !m->recall_at && m->errors < 3 && m->strays->len == 0 &&
-           !pm_workers_silent(m, p->books->settings, now);
+           !m->recall_at && m->errors < 3 && !m->unheard && pm_workers_proven(m) &&
+           m->strays->len == 0 && !pm_workers_silent(m, p->books->settings, now);
 }
 
 static bool has_room(const struct pm_machine *m, const struct pm_spec *spec)
@@ -748,6 +749,52 @@
     return ok;
 }
 
+/* A gang that waited too long to begin, and may stop nothing: machines where it would fit but for
+ * array tasks, which end by themselves, are kept from other work until all of it has its room. */
+static void await_room(struct pm_plan *p, struct pm_job *job, double now)
+{
+    GPtrArray *all = pm_workers_all(p->workers);
+
+    for (int zone = 0; zone < p->books->settings->zones; zone++) {
+        bool only = job->spec->same_place;
+        uint32_t n = 0;
+        for (int keep = 0; keep < 2; keep++) { /* counted first, then kept */
+            if (keep && n < job->entries)
+                break;
+            n = 0;
+            for (guint i = 0; i < all->len && n < job->entries; i++) {
+                struct pm_machine *m = g_ptr_array_index(all, i);
+                double room[3];
+                if (!m || !usable(p, m, now) || (only && m->zone != zone) ||
+                    claimed_by_other(m, job, now) ||
+                    !pm_plan_allows(p->books, job, m->type, m->zone, m->spot))
+                    continue;
+                room[0] = m->cpus;
+                room[1] = m->gpus;
+                room[2] = m->ram_gb;
+                for (guint j = 0; j < m->places->len; j++) {
+                    const struct pm_place *place = g_ptr_array_index(m->places, j);
+                    const struct pm_spec *spec = place->job->spec;
+                    if (place->state == PM_ENDED || (spec->form != PM_ARRAY && !place->stop))
+                        continue;
+                    room[0] += spec->cpus;
+                    room[1] += spec->gpus;
+                    room[2] += spec->ram_gb;
+                }
+                n += pm_spec_fit(job->spec, room[0], room[1], room[2]);
+                if (keep && pm_spec_fit(job->spec, room[0], room[1], room[2]))
+                    m->claim = job;
+            }
+        }
+        if (n >= job->entries) {
+            job->claims_until = now + CLAIM_S;
+            return;
+        }
+        if (!only)
+            return;
+    }
+}
+
 static uint32_t place_job(struct pm_plan *p, struct pm_job *job, bool guarantee, double now)
 {
     if (job->spec->form != PM_GANG)
@@ -760,11 +807,11 @@
         if (task && task->not_before > now)
             return 0;
     }
-    if (!job->spec->same_place)
-        return place_gang(p, job, -1, guarantee, now) ? job->entries : 0;
-    for (int zone = 0; zone < p->books->settings->zones; zone++)
-        if (place_gang(p, job, zone, guarantee, now))
+    for (int zone = 0; zone < (job->spec->same_place ? p->books->settings->zones : 1); zone++)
+        if (place_gang(p, job, job->spec->same_place ? zone : -1, guarantee, now))
             return job->entries;
+    if (job->overdue && now > job->claims_until - CLAIM_S / 2)
+        await_room(p, job, now);
     return 0;
 }
 
@@ -1114,6 +1161,8 @@
         return x->spec->priority == PM_PRODUCTION ? -1 : 1;
     if (unallocated(x) != unallocated(y))
         return unallocated(x) ? 1 : -1;
+    if (x->overdue != y->overdue)
+        return x->overdue ? -1 : 1;
     rx = ranking->ratio[x->spec->team];
     ry = ranking->ratio[y->spec->team];
     if (rx != ry)
@@ -1135,6 +1184,21 @@
     g_ptr_array_sort(jobs, by_rank);
 }
 
+/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with
+ * a high ratio, the job with most work of a team that cannot do all in time, a gang that never
+ * finds its room in one piece. What has not begun within a bound goes first until it has. */
+static void mark_overdue(struct pm_plan *p)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs);
+
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        const struct pm_spec *spec = job->spec;
+        job->overdue = spec && job->state == PM_LIVE && !unallocated(job) && !job->ndone &&
+                       !job->nplaced && !job->away && p->day - spec->submitted > BEGIN_S;
+    }
+}
+
 struct candidate {
     struct pm_job *job;
     double work, due;
@@ -1236,6 +1300,7 @@
     account(p, now, day);
     stop_the_lost(p, now);
     give_up_deadlines(p, now);
+    mark_overdue(p);
     note_cold_start(p, now);
     survey(p, now);
     for (int t = 0; t < p->books->settings->teams; t++)
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -207,13 +207,14 @@
     feed_job(w, words[1], &spec, PM_CANCELLED);
 }
 
-/* report|direct HOST shift.tally mandate=N type=T zone=Z spot=0|1 [recall=S] [ENTRY:TRY:STATUS]...
- */
+/* report|direct HOST shift.tally mandate=N type=T zone=Z spot=0|1 [recall=S] [unlisted=1]
+ * [ENTRY:TRY:STATUS]... */
 static void do_message(struct world *w, char **words, enum pm_message kind)
 {
     struct pm_buf buf = {0};
     unsigned long shift = 1, tally = 1;
     cbor_item_t *report;
+    struct pm_machine *m;
     bool fresh;
 
     sscanf(words[2], "%lu.%lu", &shift, &tally);
@@ -248,7 +249,10 @@
     pm_put_end(&buf);
     report = pm_cbor_parse(buf.data, buf.size);
     assert_non_null(report);
-    if (!pm_workers_report(w->workers, report, kind, w->epoch, w->now, &fresh))
+    m = pm_workers_report(w->workers, report, kind, w->epoch, w->now, &fresh);
+    if (m && !number(words, "unlisted", 0))
+        m->listed = true; /* the cloud told of it */
+    if (!m)
         g_string_append(w->said, "> malformed\n");
     else if (!fresh)
         g_string_append(w->said, "> late\n");
@@ -358,9 +362,10 @@
         w->now += atof(words[1]);
     else if (!strcmp(verb, "epoch"))
         w->epoch = (uint64_t)atoi(words[1]);
-    else if (!strcmp(verb, "unanswered"))
+    else if (!strcmp(verb, "unanswered")) {
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, PM_HTTP_LOST);
-    else if (!strcmp(verb, "answered"))
+        pm_workers_unheard(pm_workers_find(w->workers, words[1]), w->now);
+    } else if (!strcmp(verb, "answered"))
         pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, 200);
     else if (!strcmp(verb, "lease_tasks")) /* lease_tasks JOB KEPT: how many a lease may take */
         g_string_append_printf(
@@ -375,7 +380,12 @@
                                      ? "> lapsed\n"
                                      : "> holds\n");
     else if (!strcmp(verb, "answer"))
-        pm_workers_find(w->workers, words[1])->answered = w->now;
+        pm_workers_answered(pm_workers_find(w->workers, words[1]), w->epoch, w->now);
+    else if (!strcmp(verb, "hears")) /* hears HOST: does what we send arrive there? */
+        g_string_append(w->said, pm_workers_deaf(pm_workers_find(w->workers, words[1]), w->now)
+                                     ? "> deaf\n"
+                                 : pm_workers_find(w->workers, words[1])->unheard ? "> unsure\n"
+                                                                                  : "> hears\n");
     else if (!strcmp(verb, "lapsed"))
         pm_workers_gone(w->workers, pm_workers_find(w->workers, words[1]), w->now);
     else
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -11,6 +11,7 @@
 #define CALL_S 2.0 /* a request with no answer by then counts as lost */
 #define WATCH_WAIT_MS 5000
 #define LEAST_PACE_S 0.03 /* watches opened and freshness reads count as requests: see set_pace */
+#define GAP_S 8.0         /* longer than a quiet watch stays open */
 #define OTHERS_S 3.0      /* over which the others' writes are measured */
 #define FRESH_S 1.6       /* users wait 2 s for a poll's answer */
 #define ANSWER_MAX (4u << 20)
@@ -28,6 +29,8 @@
     char addr[64];
     struct pm_store_feed feed;
     bool ready, refusing;
+    bool listing;     /* a listing is under way, or due */
+    double caught_at; /* steady: the replica last caught up with something */
     double served;
     uint64_t edition;
     /* The round of listing and watching in force: an answer of an earlier one is ignored. */
@@ -88,10 +91,10 @@
 
     (void)loop;
     (void)events;
-    if (s->ready)
-        watch_next(s);
-    else
+    if (s->listing)
         list_next(s);
+    else
+        watch_next(s);
 }
 
 static void wake(struct pm_store *s)
@@ -111,6 +114,7 @@
 {
     if (edition > s->edition)
         s->edition = edition;
+    s->caught_at = pm_clock_steady();
     s->feed.caught_up(s->feed.arg, s->edition);
     wake(s);
 }
@@ -147,6 +151,7 @@
         return;
     }
     if (!s->since[0]) {
+        s->ready = false; /* what was known is thrown away only now that there is something new */
         s->list_edition = edition;
         s->feed.begin(s->feed.arg);
     }
@@ -159,6 +164,7 @@
         return;
     }
     s->ready = true;
+    s->listing = false;
     s->feed.listed(s->feed.arg);
     /* Later pages may be newer than the first: the watch from its edition tells the rest. */
     caught_up(s, s->list_edition);
@@ -178,7 +184,7 @@
 void pm_store_relist(struct pm_store *s)
 {
     s->round++;
-    s->ready = false;
+    s->listing = true;
     s->since[0] = 0;
     list_next(s);
 }
@@ -212,7 +218,14 @@
     answer = note(s, status) ? pm_cbor_parse(body, size) : NULL;
     if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &edition)) {
         pm_cbor_free(answer);
-        again_in(s, 0.15);
+        /* After a while out of reach, all that has changed since would come in one answer of any
+         * size; a listing comes by pages. In an outage nothing changes. */
+        if (!s->refusing && pm_clock_steady() - s->caught_at > GAP_S) {
+            pm_info("store.relist", "out of reach since %llu", (unsigned long long)s->edition);
+            pm_store_relist(s);
+        } else {
+            again_in(s, 0.15);
+        }
         return;
     }
     events = pm_cbor_get(answer, "events");
@@ -343,7 +356,7 @@
     (void)events;
     if (s->next->len && now - s->fresh_sent > s->pace)
         fresh_start(s);
-    if (s->waiting->len && s->ready && now - s->watch_opened > 0.8) {
+    if (s->waiting->len && !s->listing && now - s->watch_opened > 0.8) {
         /* Somebody waits for a change that the watch should have told: it may hang on a dead
          * connection. A new one costs one request. */
         for (guint i = 0; i < s->waiting->len; i++) {
@@ -579,6 +592,7 @@
     s->write_rps = write_rps;
     s->share = s->most = 0.5;
     s->pace = LEAST_PACE_S;
+    s->listing = true;
     s->tokens = write_rps * s->share;
     s->filled = pm_clock_steady();
     s->next = g_array_new(FALSE, FALSE, sizeof(struct waiter));
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 enum { ORDERS_MAX = 400 }; /* keeps an answer well below 64 KiB */
+#define DEAF_S 1.5         /* messages lost within less than this may have one cause */
 
 struct pm_workers {
     struct pm_books *books;
@@ -207,6 +208,29 @@
     return now - m->heard >= 1.6 * settings->report_s + 1;
 }
 
+bool pm_workers_proven(const struct pm_machine *m)
+{
+    return m->listed || m->rented != 0 || m->reached;
+}
+
+bool pm_workers_deaf(const struct pm_machine *m, double now)
+{
+    return m->unheard >= 2 && now - m->unheard_since > DEAF_S;
+}
+
+void pm_workers_unheard(struct pm_machine *m, double now)
+{
+    if (!m->unheard++)
+        m->unheard_since = now;
+}
+
+void pm_workers_answered(struct pm_machine *m, uint64_t epoch, double now)
+{
+    m->answered = now;
+    m->told = epoch;
+    m->told_tally = m->tally;
+}
+
 bool pm_workers_clean(const struct pm_machine *m, uint64_t epoch)
 {
     return !m->places->len && !m->direct_busy && !m->doubtful && !m->ended->len &&
@@ -365,6 +389,22 @@
     }
 }
 
+/* Signs that the answer to an earlier report never arrived. Any of them may come of one lost
+ * message: a /do then asks the worker, and its answer clears the doubt. */
+static void read_unheard(struct pm_machine *m, bool risen, double lease_s, double now)
+{
+    /* Its lease ran out though we answered in time, or it has not taken the token that we sent. */
+    bool unheard = (risen && m->told && now - m->answered < lease_s) ||
+                   (m->told && m->tally > m->told_tally && m->mandate < m->told);
+
+    for (guint i = 0; i < m->places->len && !unheard; i++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, i);
+        unheard = place->state == PM_DURABLE && place->replied && m->tally > place->replied;
+    }
+    if (unheard)
+        pm_workers_unheard(m, now);
+}
+
 static int read_identity(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *report)
 {
     char type[PM_NAME_MAX], zone[PM_NAME_MAX];
@@ -388,6 +428,7 @@
     struct pm_machine *m;
     cbor_item_t *entries = pm_cbor_get(report, "entries");
     double recall;
+    bool risen;
 
     *fresh = false;
     if (pm_cbor_text(pm_cbor_get(report, "host"), name, sizeof name) || !name[0] ||
@@ -400,9 +441,12 @@
     if (read_identity(w, m, report))
         return NULL;
     if (session < m->session || session < m->least_session ||
-        (session == m->session && tally <= m->tally))
+        (session == m->session && tally <= m->tally)) {
+        m->stale = now;
         return m; /* late: its list is as old as itself */
+    }
     *fresh = true;
+    risen = m->reported && session > m->session;
     if (session > m->session) {
         /* A later session: what an earlier one held was killed. Places found in the state service
          * may be of this session already: those stay. */
@@ -439,6 +483,10 @@
     g_array_set_size(m->strays, 0);
     for (size_t i = 0; i < pm_cbor_length(entries); i++)
         read_task(w, m, pm_cbor_at(entries, i), now);
+    if (kind == PM_REPORT)
+        read_unheard(m, risen, w->books->settings->lease_s, now);
+    else
+        m->reached = true, m->unheard = 0;
     read_absence(w, m, kind, epoch, now);
     return m;
 }
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -35,9 +35,16 @@
     double cpus, gpus, ram_gb; /* free */
     /* From the worker. */
     uint64_t session, tally, mandate;
-    uint64_t least_session;     /* earlier ones are proven over */
-    bool reported;              /* at least once to this leader */
-    double heard;               /* steady: its latest message */
+    uint64_t least_session; /* earlier ones are proven over */
+    bool reported;          /* at least once to this leader */
+    double heard;           /* steady: its latest message */
+    double stale;           /* steady: last came a message that was older than one before it */
+    bool reached;           /* it answered a /do of ours */
+    /* That a report comes is no sign that the answer arrives. Signs that it did not: an order or a
+     * token that a later report shows no trace of, a /do without an answer. */
+    uint32_t unheard;
+    double unheard_since;       /* steady: the first of them */
+    uint64_t told, told_tally;  /* the epoch, and the tally of the report, last answered with 200 */
     double recall_at;           /* steady: when the cloud takes it, 0: no notice */
     GArray *ended;              /* of struct pm_entry: ended there, to be forgotten */
     GArray *strays;             /* of struct pm_entry: there, but not by our books: to be killed */
@@ -102,6 +109,15 @@
 
 /* Gives it its type, and the room that goes with it, once. */
 void pm_workers_set_type(struct pm_workers *workers, struct pm_machine *machine, int type);
+/* Whether it is known to be there: rented by us or listed, or it answered. A report alone may be a
+ * copy that comes long after its machine is gone. */
+bool pm_workers_proven(const struct pm_machine *machine);
+/* Whether our answers and commands do not arrive there, though its reports do. */
+bool pm_workers_deaf(const struct pm_machine *machine, double now);
+/* A sign that something we sent did not arrive. */
+void pm_workers_unheard(struct pm_machine *machine, double now);
+/* A report was answered with 200. */
+void pm_workers_answered(struct pm_machine *machine, uint64_t epoch, double now);
 /* Whether it has missed a report, by how they come on a quiet day. */
 bool pm_workers_silent(const struct pm_machine *machine, const struct pm_settings *settings,
                        double now);
