--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -195,7 +195,7 @@
         pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
         if (status < 0) {
             m->unreached = pm_clock_steady();
-            if (m->unreached > n->late_until)
+            if (m->reported && m->unreached > n->late_until) /* one that boots can't answer */
                 pm_workers_unheard(m, "a /do has no answer", m->unreached);
             m->direct_retry = m->unreached + 0.7;
         }
