--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -29,7 +29,8 @@
 #define PLAN_REST_S 0.6  /* if that is not longer than this */
 #define FLEET_REST 15    /* the same for the sizing of the fleet */
 #define ROUND_S 0.5
-#define ASK_MAX 150 /* workers that are asked for a report at a time */
+#define OVERTAKEN_S 2.0 /* a report may come so much later than a message sent after it */
+#define ASK_MAX 150     /* workers that are asked for a report at a time */
 #define LEDGER_S 5.0
 #define STORE_SHARE 0.36 /* of the state service's requests: for the watches, and for freshness */
 #define YIELDED_S 1.0    /* a task that was stopped to make room rests for this long */
@@ -682,15 +683,21 @@
         return;
     }
     /* A late copy is not answered 200: nothing of it counts, neither as a sign of life nor for its
-     * lease. A worker that lost its memory is told so too, and moves on to its next session. */
-    if (m->state == PM_RELEASING || !fresh) {
+     * lease. A worker that lost its memory is told so too, and moves on to its next session. One
+     * that was heard just now has had its report overtaken by its answer to a /do. */
+    if (m->state == PM_RELEASING || (!fresh && now - m->heard > OVERTAKEN_S)) {
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
     }
     pm_put_map(&body);
     pm_put_pair_count(&body, "mandate", epoch);
     pm_put_text(&body, "orders");
-    pm_workers_orders(m, false, epoch, &body);
+    if (fresh) {
+        pm_workers_orders(m, false, epoch, &body);
+    } else {
+        pm_put_list(&body);
+        pm_put_end(&body);
+    }
     pm_put_end(&body);
     pm_workers_answered(m, epoch, now);
     pm_http_reply(req, 200, body.data, body.size, 0);
