--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -215,7 +215,8 @@
 
 bool pm_workers_deaf(const struct pm_machine *m, double now)
 {
-    return m->unheard >= 2 && now - m->unheard_since > DEAF_S;
+    /* Of one that does not report either, silence is what tells. */
+    return m->unheard >= 2 && m->heard >= m->unheard_at && now - m->unheard_since > DEAF_S;
 }
 
 void pm_workers_unheard(struct pm_machine *m, const char *why, double now)
@@ -223,6 +224,7 @@
     pm_debug("workers.unheard", "%s: %s", m->name, why);
     if (!m->unheard++)
         m->unheard_since = now;
+    m->unheard_at = now;
 }
 
 void pm_workers_answered(struct pm_machine *m, uint64_t epoch, double now)
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -43,7 +43,7 @@
     /* That a report comes is no sign that the answer arrives. Signs that it did not: an order or a
      * token that a later report shows no trace of, a /do without an answer. */
     uint32_t unheard;
-    double unheard_since;       /* steady: the first of them */
+    double unheard_since, unheard_at; /* steady: the first and the last of them */
     uint64_t told, told_tally;  /* the epoch, and the tally of the report, last answered with 200 */
     double recall_at;           /* steady: when the cloud takes it, 0: no notice */
     GArray *ended;              /* of struct pm_entry: ended there, to be forgotten */
