--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -12,7 +12,7 @@
 #define CROWDED 0.25      /* of a machine: see crowded() */
 #define YOUNG_S 35.0      /* a replica is not moved within this of its start */
 #define LATE_S 1.0        /* where no objective says how soon a class is to start */
-#define BEGIN_S 120.0     /* what waits longer to begin goes before the other lower work */
+#define BEGIN_S 120.0     /* what waits longer to begin whole goes before the other lower work */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
@@ -1163,6 +1163,8 @@
         return unallocated(x) ? 1 : -1;
     if (x->overdue != y->overdue)
         return x->overdue ? -1 : 1;
+    if (x->overdue && x->spec->submitted != y->spec->submitted)
+        return x->spec->submitted < y->spec->submitted ? -1 : 1;
     rx = ranking->ratio[x->spec->team];
     ry = ranking->ratio[y->spec->team];
     if (rx != ry)
@@ -1184,9 +1186,10 @@
     g_ptr_array_sort(jobs, by_rank);
 }
 
-/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with
- * a high ratio, the job with most work of a team that cannot do all in time, a gang that never
- * finds its room in one piece. What has not begun within a bound goes first until it has. */
+/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with a
+ * high ratio, the job with most work of a team that cannot do all in time, a gang that never finds
+ * its room in one piece. What has not begun whole within a bound goes first until it has, the
+ * oldest before the others. */
 static void mark_overdue(struct pm_plan *p)
 {
     GPtrArray *active = pm_jobs_active(p->jobs);
@@ -1194,8 +1197,8 @@
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         const struct pm_spec *spec = job->spec;
-        job->overdue = spec && job->state == PM_LIVE && !unallocated(job) && !job->ndone &&
-                       !job->nplaced && !job->away && p->day - spec->submitted > BEGIN_S;
+        job->overdue = spec && !unallocated(job) && !job->away && pm_job_waiting(job) &&
+                       p->day - spec->submitted > BEGIN_S;
     }
 }
 
