--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -16,7 +16,6 @@
 #define FLOW_FIRST_S 30.0
 #define FLOW_KEEP_S 60.0 /* idle machines that the stream will want again are kept for so long */
 #define WARM_ROOT 2.0
-#define DEAR_FLOW 0.9
 #define LEAST_AGE_S 60 /* a machine costs that much at least */
 
 struct pm_fleet {
@@ -623,8 +622,8 @@
         return 0;
     if (left - boot > each * 0.3)
         need = (flow->work - flow->pool * boot) / (left - boot);
-    else /* ordinary machines that come too late for the job are no help to it */
-        need = caution < 1 ? 0 : flow->work / s->f->op->backlog_s;
+    else
+        need = flow->work / s->f->op->backlog_s;
     need = MIN(ceil(MAX(0, need - flow->pool) / spec->cpus), want->tasks);
     if (flow->pool < spec->cpus)
         need = MAX(need, 1);
@@ -730,18 +729,6 @@
         add_rent(s, &rent);
         missing -= s->f->books->type[rent.type].cpus;
     }
-    /* Beyond the spot machines to be had, ordinary ones for what all others leave undone. */
-    missing = steady_flow(s->f, s->now) * DEAR_FLOW - pm_plan_pool(s->f->plan, s->now);
-    for (guint i = 0; i < s->bins->len; i++) {
-        const struct bin *bin = &g_array_index(s->bins, struct bin, i);
-        if (bin->fresh)
-            missing -= s->f->books->type[bin->type].cpus;
-    }
-    while (typical && missing >= typical->spec->cpus &&
-           cheapest(s, typical, (int)(missing / typical->spec->cpus), -1, false, &rent)) {
-        add_rent(s, &rent);
-        missing -= s->f->books->type[rent.type].cpus;
-    }
 }
 
 int pm_fleet_size(struct pm_fleet *f, double now, double day, struct pm_rent *out, int max)
