--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -12,7 +12,7 @@
 #define CROWDED 0.25      /* of a machine: see crowded() */
 #define YOUNG_S 35.0      /* a replica is not moved within this of its start */
 #define LATE_S 1.0        /* where no objective says how soon a class is to start */
-#define BEGIN_S 120.0     /* what waits longer to begin whole goes before the other lower work */
+#define BEGIN_S 180.0     /* what waits longer to begin whole goes before the other lower work */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
