Tests at twice the size; the ledger names images once; a benchmark of the planner

The ledger's value held about forty machines' images; by a table of the images it holds three times as many, the services' machines first. Writes that the state service refuses for their size are logged by key and not sent again at once.

--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -15,6 +15,7 @@
 #define DEAD_S 2.4      /* a holder silent for this long loses its block */
 #define IDLE_BACK_S 2.0 /* a machine without tasks is called back after this */
 #define WRITE_PACE_S 0.06
+#define REFUSED_S 3.0 /* what the state service refuses is not sent again before this */
 /* Of a team's limits, no lease takes this share: what a holder has is out of reach for the team's
  * services until it is done. */
 #define KEPT_SHARE 0.25
@@ -770,7 +771,11 @@
             pm_lead_confirm(b->lead, k->written);
             settle_written(b, k, f->serial);
         } else {
-            k->dirty = true; /* the watch tells the stamp; a copy applied late fails on it */
+            k->dirty = true;     /* the watch tells the stamp; a copy applied late fails on it */
+            if (status == 400) { /* too large, most likely */
+                pm_error("blocks.refused", "the state service refuses %s", k->key);
+                k->written = pm_clock_steady() + REFUSED_S;
+            }
             if (status == 409)
                 pm_lead_doubt(b->lead);
         }
--- /dev/null
+++ b/src/cmd/plan-bench/main.c
@@ -0,0 +1,199 @@
+/* Measures the planner and the report path on synthetic books: plan-bench [MACHINES [JOBS]].
+ *
+ * Every round a share of the running tasks ends, told by their workers' reports, and one plan
+ * places what waits. Times are of this machine; compare them with those of an earlier version. */
+#include "base/log.h"
+#include "placement/plan.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum {
+    ROUNDS = 200,
+    ENTRIES = 110,
+    SHARE = 40 /* one of so many machines ends its tasks a round */
+};
+
+static struct pm_settings settings;
+static struct pm_books books;
+static struct pm_jobs *jobs;
+static struct pm_workers *workers;
+static uint64_t stamp;
+
+static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)end;
+    (void)saved;
+    (void)now;
+}
+
+static void on_ran(void *arg, struct pm_place *place, double now)
+{
+    (void)arg;
+    (void)place;
+    (void)now;
+}
+
+static double seconds(void)
+{
+    struct timespec t;
+
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
+}
+
+static void add_job(int n, double now)
+{
+    bool service = n % 4 == 0;
+    struct pm_spec spec = {.zone = -1,
+                           .types = ~(uint64_t)0,
+                           .form = service ? PM_SERVICE : PM_ARRAY,
+                           .priority = service ? PM_PRODUCTION : PM_NORMAL,
+                           .entries = service ? 5 : ENTRIES,
+                           .cpus = service ? 2 : 4,
+                           .ram_gb = service ? 13 : 29,
+                           .image_gb = 1,
+                           .spot = !service,
+                           .spread = service,
+                           .expected_s = service ? 0 : 15,
+                           .due_s = service ? -1 : 60,
+                           .submitted = now};
+    struct pm_buf buf = {0};
+    cbor_item_t *value;
+    char text[64];
+
+    snprintf(text, sizeof text, "img-%02d", n % 26);
+    spec.class_index = pm_names_add(books.classes, service ? "search" : "render");
+    spec.image = pm_names_add(books.images, text);
+    pm_jobs_write(&books, &spec, spec.entries, PM_LIVE, true, &buf);
+    value = pm_cbor_parse(buf.data, buf.size);
+    snprintf(text, sizeof text, "p/j/job-%06d", n);
+    pm_jobs_put(jobs, text, value, ++stamp);
+    pm_cbor_free(value);
+    pm_buf_free(&buf);
+}
+
+/* A report of all that the books have on the machine: running, or ended. */
+static void report(struct pm_machine *m, bool ended, double now)
+{
+    struct pm_buf buf = {0};
+    cbor_item_t *item;
+    bool fresh;
+
+    pm_put_map(&buf);
+    pm_put_pair_text(&buf, "host", m->name);
+    pm_put_pair_text(&buf, "endpoint", "127.0.0.1:9");
+    pm_put_pair_text(&buf, "model", pm_names_text(books.types, m->type));
+    pm_put_pair_text(&buf, "room", settings.zone_name[m->zone]);
+    pm_put_pair_flag(&buf, "borrowed", m->spot);
+    pm_put_pair_count(&buf, "shift", 1);
+    pm_put_pair_count(&buf, "tally", m->tally + 1);
+    pm_put_pair_count(&buf, "mandate", 1);
+    pm_put_text(&buf, "entries");
+    pm_put_list(&buf);
+    for (guint i = 0; i < m->places->len; i++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, i);
+        char entry[64];
+        bool over = ended && place->job->spec->form == PM_ARRAY;
+        snprintf(entry, sizeof entry, "%s/%u", place->job->id, place->index);
+        pm_put_map(&buf);
+        pm_put_pair_text(&buf, "entry", entry);
+        pm_put_pair_count(&buf, "try", place->attempt);
+        pm_put_pair_text(&buf, "status", over ? "ended" : "running");
+        if (over)
+            pm_put_pair_text(&buf, "cause", "done");
+        pm_put_end(&buf);
+    }
+    pm_put_end(&buf);
+    pm_put_end(&buf);
+    item = pm_cbor_parse(buf.data, buf.size);
+    pm_workers_report(workers, item, PM_REPORT, 1, now, &fresh);
+    pm_cbor_free(item);
+    pm_buf_free(&buf);
+}
+
+static void begin(int machines)
+{
+    strcpy(settings.zone_name[0], "a");
+    strcpy(settings.zone_name[1], "b");
+    settings.zones = 2;
+    settings.teams = 1;
+    strcpy(settings.team[0].name, "team");
+    settings.team[0].cpus_max = settings.team[0].gpus_max = 1e12;
+    settings.report_s = 8;
+    settings.lease_s = 44;
+    settings.txn_ops = 8;
+    books.settings = &settings;
+    books.classes = pm_names_new();
+    books.images = pm_names_new();
+    books.types = pm_names_new();
+    books.machines = pm_names_new();
+    pm_names_add(books.types, "small");
+    pm_names_add(books.types, "large");
+    books.type[0] = (struct pm_type){.cpus = 4, .ram_gb = 32, .local_gb = 35, .pull_gb_per_s = 0.2};
+    books.type[1] =
+        (struct pm_type){.cpus = 16, .ram_gb = 128, .local_gb = 40, .pull_gb_per_s = 0.4};
+    books.ntypes = 2;
+    jobs = pm_jobs_new(&books);
+    workers = pm_workers_new(&books, jobs, &(struct pm_workers_hooks){on_ended, on_ran, NULL});
+    for (int i = 0; i < machines; i++) {
+        char name[32];
+        struct pm_machine *m;
+        snprintf(name, sizeof name, "i-%06d", i);
+        m = pm_workers_add(workers, name);
+        pm_workers_set_type(workers, m, i % 4 == 0);
+        m->zone = i / 2 % 2;
+        m->spot = i % 3 > 0;
+        m->listed = true;
+    }
+}
+
+int main(int argc, char **argv)
+{
+    int machines = argc > 1 ? atoi(argv[1]) : 2000, njobs = argc > 2 ? atoi(argv[2]) : 250,
+        next = 0;
+    double now = 100, plans = 0, reports = 0, longest = 0;
+    long placed = 0, nreports = 0;
+    struct pm_operator op;
+    struct pm_plan *plan;
+
+    pm_log_setup("error", "bench");
+    pm_operator_defaults(&op);
+    begin(machines);
+    plan = pm_plan_new(&books, jobs, workers, &op);
+    for (int round = 0; round < ROUNDS; round++, now += 0.2) {
+        GPtrArray *all = pm_workers_all(workers);
+        double at = seconds(), took;
+        while (next < njobs + round)
+            add_job(next++, now);
+        for (int i = 0; i < machines; i++) {
+            struct pm_machine *m = g_ptr_array_index(all, i);
+            if (round && (i + round) % SHARE)
+                continue;
+            report(m, true, now);
+            nreports++;
+        }
+        reports += seconds() - at;
+        at = seconds();
+        placed += pm_plan_run(plan, now, now);
+        took = seconds() - at;
+        plans += took;
+        longest = took > longest ? took : longest;
+        for (int i = 0; i < machines; i++) {
+            struct pm_machine *m = g_ptr_array_index(all, i);
+            for (guint j = 0; j < m->places->len; j++) {
+                struct pm_place *place = g_ptr_array_index(m->places, j);
+                if (place->state == PM_INTENT)
+                    place->state = PM_RUNNING;
+            }
+        }
+    }
+    printf("%d machines, %d jobs: plan %.0f us (longest %.0f us), %ld placed; report %.1f us\n",
+           machines, next, plans / ROUNDS * 1e6, longest * 1e6, placed,
+           reports / (double)nreports * 1e6);
+    return 0;
+}
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -389,7 +389,8 @@
 
 static void on_ledger_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
 {
-    (void)status;
+    if (status == 400)
+        pm_error("node.ledger", "the state service refuses p/ledger");
     (void)edition;
     (void)failed;
     ((struct pm_node *)arg)->ledger_busy = false;
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -238,46 +238,70 @@
     return p->ledger[team].sum / MAX(mine, 1e-3);
 }
 
+/* As JSON, so far as it fits the value: a table of the images, and for each machine their places in
+ * it, ordinary machines first, for those are the services'. */
 static void write_images(const struct pm_plan *p, struct pm_buf *out)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    size_t most = (size_t)(p->books->settings->value_kb * 1024 * 0.7), used = 0;
+    size_t most = (size_t)(p->books->settings->value_kb * 1024 * 0.85), used = 100;
+    int count = pm_names_count(p->books->images), known = 0;
+    int *place = g_new(int, count + 1);
+    struct pm_buf machines = {0};
 
+    for (int i = 0; i < count; i++)
+        place[i] = -1;
+    for (int t = 0; t < p->books->settings->teams; t++)
+        used += strlen(p->books->settings->team[t].name) + 24;
+    pm_put_text(out, "table");
+    pm_put_list(out);
+    for (int spot = 0; spot < 2; spot++)
+        for (guint i = 0; i < all->len && used < most; i++) {
+            const struct pm_machine *m = g_ptr_array_index(all, i);
+            if (!m || !m->ncached || m->state != PM_UP || m->spot != spot)
+                continue;
+            pm_put_text(&machines, m->name);
+            pm_put_list(&machines);
+            used += strlen(m->name) + 6;
+            for (int k = 0; k < m->ncached && used < most; k++) {
+                const struct pm_cached *c = &m->cached[k];
+                if (place[c->image] < 0) {
+                    const char *image = pm_names_text(p->books->images, c->image);
+                    place[c->image] = known++;
+                    pm_put_text(out, image);
+                    pm_put_number(out, ceil(c->gb * 100) / 100);
+                    used += strlen(image) + 12;
+                }
+                pm_put_count(&machines, (uint64_t)place[c->image]);
+                used += 4;
+            }
+            pm_put_end(&machines);
+        }
+    pm_put_end(out);
     pm_put_text(out, "images");
     pm_put_map(out);
-    for (guint i = 0; i < all->len && used < most; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!m || !m->ncached || m->state != PM_UP)
-            continue;
-        pm_put_text(out, m->name);
-        pm_put_list(out);
-        used += strlen(m->name) + 6;
-        for (int k = 0; k < m->ncached; k++) {
-            const char *image = pm_names_text(p->books->images, m->cached[k].image);
-            pm_put_text(out, image);
-            pm_put_number(out, m->cached[k].gb);
-            used += strlen(image) + 12;
-        }
-        pm_put_end(out);
-    }
+    pm_buf_add(out, machines.data, machines.size);
     pm_put_end(out);
+    pm_buf_free(&machines);
+    g_free(place);
 }
 
 void pm_plan_read_images(struct pm_plan *p, const cbor_item_t *value)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    cbor_item_t *images = pm_cbor_get(value, "images");
+    cbor_item_t *images = pm_cbor_get(value, "images"), *table = pm_cbor_get(value, "table");
     char name[PM_NAME_MAX];
+    uint64_t place;
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         cbor_item_t *list = m ? pm_cbor_get(images, m->name) : NULL;
         if (!list || m->ncached)
             continue;
-        for (size_t k = 0; k + 1 < pm_cbor_length(list) && m->ncached < PM_CACHE_MAX; k += 2) {
+        for (size_t k = 0; k < pm_cbor_length(list) && m->ncached < PM_CACHE_MAX; k++) {
             struct pm_cached *c = &m->cached[m->ncached];
-            if (pm_cbor_text(pm_cbor_at(list, k), name, sizeof name) ||
-                pm_cbor_number(pm_cbor_at(list, k + 1), &c->gb))
+            if (pm_cbor_count(pm_cbor_at(list, k), &place) || place >= pm_cbor_length(table) / 2 ||
+                pm_cbor_text(pm_cbor_at(table, 2 * place), name, sizeof name) ||
+                pm_cbor_number(pm_cbor_at(table, 2 * place + 1), &c->gb))
                 continue;
             c->image = pm_names_add(p->books->images, name);
             m->ncached++;
--- /dev/null
+++ b/src/placement/tests/test_scale.c
@@ -0,0 +1,194 @@
+/* Twice the size of the grown deployments: what grows with the fleet stays below its limit, and a
+ * plan's work is bounded. Sizes are as JSON, as the protocol counts them. */
+#include "../../jobs/tests/books.h"
+#include "placement/plan.h"
+
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+enum { MACHINES = 3660, VALUE = 4096, ANSWER = 64 * 1024, NOW = 500 };
+
+static struct pm_settings settings;
+static struct pm_operator op;
+static struct pm_books books;
+static struct pm_jobs *jobs;
+static struct pm_workers *workers;
+static struct pm_plan *plan;
+
+static size_t json_size(const cbor_item_t *item)
+{
+    size_t n = 2;
+    char number[64];
+    double value;
+
+    if (cbor_isa_string(item))
+        return cbor_string_length(item) + 2;
+    if (cbor_isa_array(item)) {
+        for (size_t i = 0; i < pm_cbor_length(item); i++)
+            n += json_size(pm_cbor_at(item, i)) + 1;
+        return n;
+    }
+    if (cbor_isa_map(item)) {
+        for (size_t i = 0; i < cbor_map_size(item); i++)
+            n += json_size(cbor_map_handle(item)[i].key) +
+                 json_size(cbor_map_handle(item)[i].value) + 2;
+        return n;
+    }
+    if (pm_cbor_number(item, &value))
+        return 5;
+    return (size_t)snprintf(number, sizeof number, "%.15g", value);
+}
+
+static size_t json_of(struct pm_buf *buf)
+{
+    cbor_item_t *item = pm_cbor_parse(buf->data, buf->size);
+    size_t n;
+
+    assert_non_null(item);
+    n = json_size(item);
+    pm_cbor_free(item);
+    pm_buf_free(buf);
+    return n;
+}
+
+static int set_up(void **state)
+{
+    (void)state;
+    memset(&settings, 0, sizeof settings);
+    pm_operator_defaults(&op);
+    books_begin(&books, &settings);
+    settings.value_kb = 4;
+    books.type[0].local_gb = 40;
+    jobs = pm_jobs_new(&books);
+    workers = pm_workers_new(&books, jobs, BOOKS_HOOKS);
+    plan = pm_plan_new(&books, jobs, workers, &op);
+    for (int i = 0; i < MACHINES; i++) {
+        char name[32];
+        struct pm_machine *m;
+        snprintf(name, sizeof name, "i-%06d", 100000 + i);
+        m = pm_workers_add(workers, name);
+        pm_workers_set_type(workers, m, 0);
+        m->zone = 0;
+        m->state = PM_UP;
+        m->spot = i % 2;
+        m->reported = m->listed = true;
+        m->session = 1;
+        m->heard = NOW;
+        for (int k = 0; k < 12; k++) {
+            char image[32];
+            snprintf(image, sizeof image, "img-%02d", (i + k) % 26);
+            m->cached[m->ncached].image = pm_names_add(books.images, image);
+            m->cached[m->ncached++].gb = 1.8372645182736455 + k / 3.0;
+        }
+    }
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    pm_plan_free(plan);
+    pm_workers_free(workers);
+    pm_jobs_free(jobs);
+    books_end(&books);
+    return 0;
+}
+
+static struct pm_job *wait_for(const char *id, uint32_t entries)
+{
+    struct pm_spec spec = {.zone = -1,
+                           .types = ~(uint64_t)0,
+                           .priority = PM_NORMAL,
+                           .entries = entries,
+                           .cpus = 4,
+                           .ram_gb = 8,
+                           .spot = true,
+                           .expected_s = 15,
+                           .due_s = 60,
+                           .submitted = NOW};
+    struct pm_buf buf = {0};
+    cbor_item_t *value;
+    char key[64];
+
+    spec.class_index = pm_names_add(books.classes, "train");
+    spec.image = pm_names_add(books.images, "img-00");
+    pm_jobs_write(&books, &spec, entries, PM_LIVE, true, &buf);
+    value = pm_cbor_parse(buf.data, buf.size);
+    snprintf(key, sizeof key, "p/j/%s", id);
+    assert_non_null(pm_jobs_put(jobs, key, value, 1));
+    pm_cbor_free(value);
+    pm_buf_free(&buf);
+    return pm_jobs_find(jobs, id);
+}
+
+static void the_ledger_fits_its_value(void **state)
+{
+    struct pm_buf buf = {0};
+    cbor_item_t *item;
+    struct pm_machine *first;
+
+    (void)state;
+    pm_plan_write_ledger(plan, 1e9, &buf);
+    item = pm_cbor_parse(buf.data, buf.size);
+    assert_true(json_of(&buf) <= VALUE);
+    /* What fits is read back, by a leader that knows nothing yet. */
+    first = pm_workers_find(workers, "i-100000");
+    first->ncached = 0;
+    pm_plan_read_images(plan, item);
+    assert_true(first->ncached > 0);
+    assert_int_equal(first->cached[0].image, pm_names_find(books.images, "img-00"));
+    pm_cbor_free(item);
+}
+
+/* An array of the largest size is placed bit by bit, and others beside it; every chunk's value fits
+ * however its tasks lie, and so do the orders to any machine. */
+static void the_largest_array_is_placed_in_bounded_steps(void **state)
+{
+    struct pm_job *large = wait_for("job-000000000000000000000001", PM_ENTRIES_MAX);
+    struct pm_job *small = wait_for("job-2", 8);
+    uint32_t before = 0;
+    int rounds = 0;
+
+    (void)state;
+    do {
+        uint32_t placed;
+        pm_plan_run(plan, NOW, NOW);
+        placed = large->nplaced + small->nplaced;
+        assert_true(placed - before <= 400); /* the lock is held for one plan */
+        before = placed;
+    } while (++rounds < 200 && large->nplaced < 4 * MACHINES - 8);
+    assert_int_equal(small->nplaced, 8);
+    assert_int_equal(large->nplaced, 4 * MACHINES - 8);
+    large->last_try = 9999999;
+    for (int k = 0; k < large->nchunks; k++) {
+        struct pm_buf buf = {0};
+        if (!large->chunk[k] || !large->chunk[k]->task)
+            continue;
+        pm_jobs_write_chunk(&books, large, k, &buf);
+        assert_true(json_of(&buf) <= VALUE);
+    }
+    for (int i = 0; i < MACHINES; i += 61) {
+        struct pm_machine *m = pm_workers_at(workers, i);
+        struct pm_buf buf = {0};
+        for (guint j = 0; j < m->places->len; j++)
+            ((struct pm_place *)g_ptr_array_index(m->places, j))->state = PM_DURABLE;
+        assert_int_equal(pm_workers_orders(m, true, 1, &buf), 4);
+        assert_true(json_of(&buf) <= ANSWER);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(the_ledger_fits_its_value, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(the_largest_array_is_placed_in_bounded_steps, set_up,
+                                        tear_down),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
