--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -636,6 +636,21 @@
     pm_buf_free(&body);
 }
 
+/* In an outage without a leader: the lease is renewed, nothing is ordered. */
+static void answer_for_leader(struct pm_http_request *req, uint64_t epoch)
+{
+    struct pm_buf body = {0};
+
+    pm_put_map(&body);
+    pm_put_pair_count(&body, "mandate", epoch);
+    pm_put_text(&body, "orders");
+    pm_put_list(&body);
+    pm_put_end(&body);
+    pm_put_end(&body);
+    pm_http_reply(req, 200, body.data, body.size, 0);
+    pm_buf_free(&body);
+}
+
 /* Safety invariant 5: 200 only with the epoch confirmed within A seconds, and never with a token
  * below what the worker has seen. */
 static void on_report(struct pm_node *n, struct pm_http_request *req)
@@ -663,7 +678,12 @@
     }
     m = n->ruling ? pm_workers_find(n->workers, name) : NULL;
     if (!n->ruling || (n->leading ? m && m->lent : !m || m->left)) {
+        pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate);
         pm_cbor_free(report);
+        if (pm_lead_caretaker(n->lead, now) && mandate <= epoch) {
+            answer_for_leader(req, epoch);
+            return;
+        }
         reply_elsewhere(n, req, name);
         return;
     }
@@ -760,6 +780,8 @@
             if (m->since_epoch && isfinite(base))
                 m->floor = base;
         }
+        /* Another controller may have answered it in our stead. */
+        base = MAX(base, pm_lead_sure_since(n->lead));
         if (!pm_workers_lapsed(m, base, n->settings->lease_s, now))
             continue;
         pm_info("workers.lapsed", "%s with %u places", m->name, m->places->len);
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -9,9 +9,13 @@
 #include <stdio.h>
 #include <string.h>
 
-#define RESIGNED_S 15.0 /* who resigned leaves the lead to the others for so long */
-#define SERVED_S 6.0    /* a quiet watch answers within this */
-#define PEER_S 1.0      /* a peer's answer counts only within this */
+#define TICK_S 0.1
+#define RESIGNED_S 15.0  /* who resigned leaves the lead to the others for so long */
+#define SERVED_S 6.0     /* a quiet watch answers within this */
+#define PEER_S 1.0       /* a peer's answer counts only within this */
+#define CARE_AFTER_S 2.5 /* an outage has to last this long: by then its leader has noticed it */
+#define REFUSED_S 1.0    /* how old a refusal may be to speak of an outage */
+#define LEADER_S 1.5     /* a leader silent for this long is not reached */
 
 struct pm_lead {
     struct ev_loop *loop;
@@ -44,6 +48,10 @@
     double peer_served; /* steady: a peer last said that the state service answers it */
     int ask_round, ask_yes;
     uint64_t ask_epoch;
+    /* Caring for workers in an outage whose leader is not reached; see pm_lead_caretaker. */
+    int care_yes;
+    double refused_since, cared, leader_heard;
+    double sure_since; /* see pm_lead_sure_since */
 };
 
 struct ask {
@@ -68,6 +76,20 @@
     return l->settings->size / 2 + 1;
 }
 
+/* Answered 503 so lately that it counts as a word on the present. Who is cut off says nothing. */
+static bool refused_now(const struct pm_lead *l, double now)
+{
+    return pm_store_refusing(l->store) && now - pm_store_refused(l->store) < REFUSED_S;
+}
+
+/* The epoch held at `sent`. */
+static void confirm(struct pm_lead *l, double sent)
+{
+    if (sent > l->confirmed + l->op->confirm_s * (1 - PM_DRIFT))
+        l->sure_since = sent;
+    l->confirmed = MAX(l->confirmed, sent);
+}
+
 static void step_down(struct pm_lead *l, const char *why)
 {
     if (!l->leads)
@@ -128,7 +150,7 @@
         l->mine_stamp = l->epoch_stamp = edition;
         l->tenure = attempt->tenure;
         l->renewed = l->checked = now;
-        l->confirmed = attempt->sent;
+        l->confirmed = l->sure_since = attempt->sent;
         l->ack_at = l->first_ack_at = majority(l) <= 1 ? now : 0;
         l->ack_epoch = l->mine;
         l->block_stamp = 0;
@@ -207,7 +229,7 @@
     l->raising = false;
     if (l->leads && status == 200 && l->mine < attempt->epoch) {
         adopt(l, attempt->epoch, edition);
-        l->confirmed = MAX(l->confirmed, attempt->sent);
+        confirm(l, attempt->sent);
     } else if (l->leads && status == 409) {
         pm_lead_doubt(l);
     }
@@ -258,7 +280,7 @@
     if (acts(l) && acting(l) == attempt->epoch && l->leads == attempt->leads) {
         if (status == 200) {
             bool first = !l->confirmed;
-            l->confirmed = MAX(l->confirmed, attempt->sent);
+            confirm(l, attempt->sent);
             if (first)
                 l->hooks.confirmed(l->hooks.arg);
         } else if (status == 409 && l->leads)
@@ -329,7 +351,14 @@
     if (tell && acts(l) && l->heard <= acting(l) && tell->ready && tell->known <= acting(l) &&
         ask->round == l->ask_round && l->ask_epoch == acting(l) && ++l->ask_yes >= majority(l) &&
         pm_store_refusing(l->store))
-        l->confirmed = MAX(l->confirmed, ask->sent);
+        confirm(l, ask->sent);
+    if (tell && !strcmp(tell->from, l->holder))
+        l->leader_heard = pm_clock_steady();
+    if (tell && !l->leads && tell->refused && tell->ready && tell->known <= l->epoch &&
+        l->heard <= l->epoch && ask->round == l->ask_round && l->ask_epoch == l->epoch &&
+        ++l->care_yes >= majority(l) && l->refused_since &&
+        ask->sent - l->refused_since > CARE_AFTER_S)
+        l->cared = MAX(l->cared, ask->sent);
     if (tell)
         pm__peer_tell__free_unpacked(tell, NULL);
     g_free(ask);
@@ -345,6 +374,7 @@
     l->ask_round++;
     l->ask_epoch = acting(l);
     l->ask_yes = 1; /* ourselves: who leads, or holds a block, has read the state */
+    l->care_yes = pm_store_ready(l->store) && refused_now(l, now);
     message.from = (char *)l->settings->name;
     message.epoch = l->ask_epoch;
     if (pm__peer_ask__get_packed_size(&message) > sizeof data)
@@ -379,6 +409,7 @@
     tell.ready = pm_store_ready(l->store);
     tell.served =
         !pm_store_refusing(l->store) && pm_clock_steady() - pm_store_served(l->store) < SERVED_S;
+    tell.refused = refused_now(l, pm_clock_steady());
     if (pm__peer_tell__get_packed_size(&tell) <= sizeof data)
         size = pm__peer_tell__pack(&tell, data);
     pm_http_reply(req, 200, data, size, 0);
@@ -393,6 +424,12 @@
 
     (void)loop;
     (void)events;
+    if (!pm_store_refusing(l->store))
+        l->refused_since = 0;
+    else if (!l->refused_since)
+        l->refused_since = now;
+    if (l->refused_since)
+        l->sure_since = now;
     if (l->leads && now - l->confirmed > 2 * l->op->leader_ttl_s + l->op->confirm_s) {
         step_down(l, "not confirmed for long");
         return;
@@ -402,7 +439,7 @@
         check(l, now);
     /* Who neither leads nor holds a block asks as well, to tell an outage from being refused alone.
      */
-    if (!acts(l) && pm_store_refusing(l->store) && now - l->asked > 1)
+    if (!acts(l) && pm_store_refusing(l->store) && now - l->asked > l->op->confirm_s / 4)
         ask_peers(l, now);
     if (acts(l) && ((l->leads && !l->ack_at) || pm_store_refusing(l->store)) &&
         now - l->asked > l->op->confirm_s / 4)
@@ -523,7 +560,18 @@
 void pm_lead_confirm(struct pm_lead *l, double sent)
 {
     if (acts(l))
-        l->confirmed = MAX(l->confirmed, sent);
+        confirm(l, sent);
+}
+
+bool pm_lead_caretaker(const struct pm_lead *l, double now)
+{
+    return !l->leads && l->refused_since && l->epoch && l->heard <= l->epoch &&
+           now - l->cared < l->op->confirm_s * (1 - PM_DRIFT) && now - l->leader_heard > LEADER_S;
+}
+
+double pm_lead_sure_since(const struct pm_lead *l)
+{
+    return l->sure_since + (l->op->confirm_s + REFUSED_S) * (1 + PM_DRIFT) + TICK_S;
 }
 
 const char *pm_lead_other(const struct pm_lead *l)
@@ -555,7 +603,7 @@
     l->op = op;
     l->hooks = *hooks;
     snprintf(l->boot, sizeof l->boot, "%08x%08x", g_random_int(), g_random_int());
-    ev_timer_init(&l->tick, on_tick, 0.05, 0.1);
+    ev_timer_init(&l->tick, on_tick, 0.05, TICK_S);
     l->tick.data = l;
     ev_timer_start(loop, &l->tick);
     return l;
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -61,6 +61,14 @@
 /* Steady time since when nobody who did not know `epoch` can have answered a worker with 200: A
  * after a majority acknowledged it; INFINITY until then. Epoch 0: the first one of this reign. */
 double pm_lead_floor(const struct pm_lead *lead, uint64_t epoch);
+/* In an outage of the state service whose leader is not reached: whether this controller may answer
+ * workers in its stead, with the epoch and no orders, so that their leases do not run out. A
+ * majority that has read the state, knows no higher epoch and is refused itself confirms it, which
+ * one controller that is refused alone never finds. */
+bool pm_lead_caretaker(const struct pm_lead *lead, double now);
+/* Steady time since when nobody can have answered a worker in our stead: we were confirmed without
+ * a gap, and not refused, ever since. */
+double pm_lead_sure_since(const struct pm_lead *lead);
 /* POST /peer on the back address. */
 void pm_lead_peer(struct pm_lead *lead, struct pm_http_request *req);
 
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -295,6 +295,61 @@
     assert_false(is_confirmed(&all[0]));
 }
 
+static bool is_caring(void *arg)
+{
+    return pm_lead_caretaker(((struct controller *)arg)->lead, pm_clock_steady());
+}
+
+static bool is_caring_no_more(void *arg)
+{
+    return !is_caring(arg);
+}
+
+/* An outage of the state service whose leader is not reached: a majority that is refused, has read
+ * the state and knows no higher epoch may answer workers, so that their leases do not run out. (On
+ * a day of troubles the leader died two seconds before an outage of ten: every task was killed.) A
+ * leader that comes back after all judges no lease by what it answered before. */
+static void others_care_for_workers_in_an_outage(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    double later, back;
+
+    (void)arg;
+    acquaint(all, 3);
+    start(&all[0]);
+    assert_true(fake_run_until(loop, has_taken, &all[0]));
+    start(&all[1]);
+    start(&all[2]);
+    assert_true(fake_run_until(loop, has_read, &all[1]));
+    assert_true(fake_run_until(loop, has_read, &all[2]));
+    fake_state_outage(state, true);
+    later = pm_clock_steady() + 4;
+    assert_true(fake_run_until(loop, is_later, &later));
+    assert_false(is_caring(&all[1])); /* the leader is there */
+    pm_http_server_free(all[0].back);
+    assert_true(fake_run_until(loop, is_caring, &all[1]));
+    assert_true(fake_run_until(loop, is_caring, &all[2]));
+    assert_int_equal(pm_lead_epoch(all[1].lead), pm_lead_epoch(all[0].lead));
+    back = pm_clock_steady();
+    fake_state_outage(state, false);
+    assert_true(fake_run_until(loop, is_caring_no_more, &all[1]));
+    assert_true(fake_run_until(loop, is_confirmed, &all[0]));
+    assert_true(pm_lead_sure_since(all[0].lead) >= back + all[0].op.confirm_s);
+}
+
+static void one_refused_alone_cares_for_nobody(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    double later;
+
+    (void)arg;
+    begin_outage(all); /* the third is not there: with the leader gone no majority is left */
+    pm_http_server_free(all[0].back);
+    later = pm_clock_steady() + 5;
+    assert_true(fake_run_until(loop, is_later, &later));
+    assert_false(is_caring(&all[1]));
+}
+
 static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
 {
     (void)edition;
@@ -371,6 +426,8 @@
         cmocka_unit_test_setup(who_knows_a_higher_epoch_confirms_none, set_up),
         cmocka_unit_test_setup(cut_off_with_its_workers_confirms_none, set_up),
         cmocka_unit_test_setup(back_at_once_it_reads_first, set_up),
+        cmocka_unit_test_setup(others_care_for_workers_in_an_outage, set_up),
+        cmocka_unit_test_setup(one_refused_alone_cares_for_nobody, set_up),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -31,7 +31,7 @@
     bool ready, refusing;
     bool listing;     /* a listing is under way, or due */
     double caught_at; /* steady: the replica last caught up with something */
-    double served;
+    double served, refused;
     uint64_t edition;
     /* The round of listing and watching in force: an answer of an earlier one is ignored. */
     uint64_t round;
@@ -64,6 +64,8 @@
         pm_info("store.refusing", "the state service answers 503");
     if (status > 0)
         s->refusing = status == 503;
+    if (status == 503)
+        s->refused = pm_clock_steady();
     if (status > 0 && status != 503)
         s->served = pm_clock_steady();
     return status == 200;
@@ -575,6 +577,11 @@
     return s->served;
 }
 
+double pm_store_refused(const struct pm_store *s)
+{
+    return s->refused;
+}
+
 bool pm_store_refusing(const struct pm_store *s)
 {
     return s->refusing;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -38,6 +38,7 @@
 /* Whether the last answer was a 503, and the steady time of the last other one. */
 bool pm_store_refusing(const struct pm_store *store);
 double pm_store_served(const struct pm_store *store);
+double pm_store_refused(const struct pm_store *store); /* steady: the last 503, 0: none */
 
 /* A transaction under construction. */
 struct pm_txn {
