--- a/src/jobs/tests/books.h
+++ b/src/jobs/tests/books.h
@@ -4,6 +4,7 @@
 
 #include "workers/workers.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static inline void books_begin(struct pm_books *books, struct pm_settings *settings)
@@ -35,6 +36,25 @@
     pm_names_free(books->machines);
 }
 
+/* Feeds a live job of that description, as the watch would tell it. */
+static inline struct pm_job *books_feed(struct pm_books *books, struct pm_jobs *jobs,
+                                        const char *id, struct pm_spec *spec, uint64_t stamp)
+{
+    struct pm_buf buf = {0};
+    cbor_item_t *value;
+    char key[64];
+
+    spec->class_index = pm_names_add(books->classes, "train");
+    spec->image = pm_names_add(books->images, "img-00");
+    pm_jobs_write(books, spec, spec->entries, PM_LIVE, true, &buf);
+    value = pm_cbor_parse(buf.data, buf.size);
+    snprintf(key, sizeof key, "p/j/%s", id);
+    pm_jobs_put(jobs, key, value, stamp);
+    pm_cbor_free(value);
+    pm_buf_free(&buf);
+    return pm_jobs_find(jobs, id);
+}
+
 static inline void books_on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved,
                                   double now)
 {
