--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -557,7 +557,6 @@
  * hand, `pool` processors that serve it now or once they have booted. */
 struct flow {
     double work, pool;
-    double excess; /* of the stream over the machines that are up: it adds up while others boot */
 };
 
 static double task_seconds(const struct pm_fleet *f, const struct pm_job *job)
@@ -624,7 +623,7 @@
     if (left - boot > each * 0.3)
         need = (flow->work - flow->pool * boot) / (left - boot);
     else
-        need = (flow->work + flow->excess * boot * caution) / s->f->op->backlog_s;
+        need = flow->work / s->f->op->backlog_s;
     need = MIN(ceil(MAX(0, need - flow->pool) / spec->cpus), want->tasks);
     if (flow->pool < spec->cpus)
         need = MAX(need, 1);
@@ -767,8 +766,7 @@
     }
     flow.work = running_work(f, now);
     flow.pool = pm_plan_pool(f->plan, now);
-    flow.excess = MAX(0, steady_flow(f, now) - pm_plan_up(f->plan, now));
-    dear_flow = (struct flow){flow.work * DEAR, flow.pool, flow.excess};
+    dear_flow = (struct flow){flow.work * DEAR, flow.pool};
     for (guint i = 0; i < wants->len; i++) {
         const struct pm_want *want = &g_array_index(wants, struct pm_want, i);
         int cheap = more_tasks(s, &flow, want, 1), dear = more_tasks(s, &dear_flow, want, DEAR);
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -48,7 +48,7 @@
     bool soon[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* one boots: type, zone, spot */
     double spare;                             /* see pm_plan_whole, below 0: not counted yet */
     struct totals {
-        double at, spare, largest, pool, up; /* as of that time; see pm_plan_spare and its kin */
+        double at, spare, largest, pool; /* as of that time; see pm_plan_spare and its kin */
     } totals;
     GPtrArray *whole; /* see pm_plan_find_whole */
 };
@@ -577,13 +577,10 @@
             continue;
         if (m->lent || (m->state == PM_BOOTING && pm_plan_boots_soon(p->books, m, now)))
             t->pool += type->cpus;
-        if (m->lent)
-            t->up += type->cpus;
         if (!usable(p, m, now))
             continue;
         room = yielding_room(m);
         t->pool += room;
-        t->up += room;
         if (m->spot)
             continue;
         t->spare += room;
@@ -607,11 +604,6 @@
     return count_totals(p, now)->pool;
 }
 
-double pm_plan_up(struct pm_plan *p, double now)
-{
-    return count_totals(p, now)->up;
-}
-
 /* Whether the machine's room is being cleared for a gang that comes before the job. */
 static bool claimed_by_other(const struct pm_machine *m, const struct pm_job *job, double now)
 {
@@ -1218,9 +1210,9 @@
     g_ptr_array_sort(jobs, by_rank);
 }
 
-/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with
- * a high ratio, the job with most work of a team that cannot do all in time, a gang that never
- * finds its room in one piece. What has not begun whole within a bound goes first until it has, the
+/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with a
+ * high ratio, the job with most work of a team that cannot do all in time, a gang that never finds
+ * its room in one piece. What has not begun whole within a bound goes first until it has, the
  * oldest before the others. */
 static void mark_overdue(struct pm_plan *p)
 {
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -76,8 +76,6 @@
 double pm_plan_largest(struct pm_plan *plan, double now);
 /* Processors that array work has, or will have once they have booted. */
 double pm_plan_pool(struct pm_plan *plan, double now);
-/* Those of them that are up. */
-double pm_plan_up(struct pm_plan *plan, double now);
 
 /* The ledger's value for the state service, and back; with it goes which machine holds which image,
  * so that a new leader need not guess. */
