--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -1210,9 +1210,9 @@
     g_ptr_array_sort(jobs, by_rank);
 }
 
-/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with a
- * high ratio, the job with most work of a team that cannot do all in time, a gang that never finds
- * its room in one piece. What has not begun whole within a bound goes first until it has, the
+/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with
+ * a high ratio, the job with most work of a team that cannot do all in time, a gang that never
+ * finds its room in one piece. What has not begun whole within a bound goes first until it has, the
  * oldest before the others. */
 static void mark_overdue(struct pm_plan *p)
 {
