--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -295,6 +295,11 @@
     assert_false(is_confirmed(&all[0]));
 }
 
+static bool is_refused(void *arg)
+{
+    return pm_store_refusing(((struct controller *)arg)->store);
+}
+
 static bool is_caring(void *arg)
 {
     return pm_lead_caretaker(((struct controller *)arg)->lead, pm_clock_steady());
@@ -323,6 +328,8 @@
     assert_true(fake_run_until(loop, has_read, &all[1]));
     assert_true(fake_run_until(loop, has_read, &all[2]));
     fake_state_outage(state, true);
+    assert_true(fake_run_until(loop, is_refused, &all[1]));
+    assert_true(fake_run_until(loop, is_refused, &all[2]));
     later = pm_clock_steady() + 4;
     assert_true(fake_run_until(loop, is_later, &later));
     assert_false(is_caring(&all[1])); /* the leader is there */
@@ -345,6 +352,7 @@
     (void)arg;
     begin_outage(all); /* the third is not there: with the leader gone no majority is left */
     pm_http_server_free(all[0].back);
+    assert_true(fake_run_until(loop, is_refused, &all[1]));
     later = pm_clock_steady() + 5;
     assert_true(fake_run_until(loop, is_later, &later));
     assert_false(is_caring(&all[1]));
