A job whose state can't be read is not run, though its description can

Found on reading: such a value, of a job that may have been cancelled, was taken for a live one, and its number of tasks stayed at a placeholder once it could be read again.

--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -336,6 +336,7 @@
     char now[16];
     uint64_t entries;
     const char *why;
+    bool readable = true;
     int state;
 
     if (job && job->stamp >= stamp)
@@ -352,6 +353,7 @@
         /* It was accepted once, so it stays known, whatever became of its value. */
         state = PM_LIVE;
         entries = 1;
+        readable = false;
     }
     if (!job) {
         job = g_new0(struct pm_job, 1);
@@ -361,6 +363,10 @@
     }
     job->stamp = stamp;
     job->state = (enum pm_job_state)state;
+    if (!readable)
+        return job; /* not to be run: it may have been cancelled */
+    if (!job->chunk)
+        job->entries = (uint32_t)entries;
     if (pm_cbor_has(value, "form")) {
         struct pm_spec *spec = job->spec ? job->spec : g_new0(struct pm_spec, 1);
         if (read_fields(jobs->books, value, spec, &names, &why) ||
--- a/src/jobs/tests/test_jobs.c
+++ b/src/jobs/tests/test_jobs.c
@@ -168,12 +168,44 @@
     assert_int_equal(pm_jobs_find(jobs, "job-1")->state, PM_CANCELLED);
 }
 
+/* Of a value whose state can't be read nothing is run, description or not: it may be a cancelled
+ * one. Once it can be read again, it counts as it stands. */
+static void what_cannot_be_read_is_not_run(void **state)
+{
+    struct pm_spec spec = {.zone = -1, .types = ~(uint64_t)0, .entries = 300, .due_s = -1};
+    struct pm_buf buf = {0};
+    cbor_item_t *good, *bad;
+    struct pm_job *job;
+
+    (void)state;
+    spec.class_index = pm_names_add(books.classes, "train");
+    spec.image = pm_names_add(books.images, "img");
+    pm_jobs_write(&books, &spec, 300, PM_LIVE, true, &buf);
+    good = pm_cbor_parse(buf.data, buf.size);
+    for (size_t i = 0; i + 4 < buf.size; i++)
+        if (!memcmp(buf.data + i, "live", 4))
+            memcpy(buf.data + i, "lieu", 4);
+    bad = pm_cbor_parse(buf.data, buf.size);
+    job = pm_jobs_put(jobs, "p/j/job-9", bad, 1);
+    assert_non_null(job);
+    assert_null(job->spec);
+    assert_int_equal(pm_jobs_active(jobs)->len, 0);
+    assert_non_null(pm_jobs_put(jobs, "p/j/job-9", good, 2));
+    assert_int_equal(job->entries, 300);
+    assert_int_equal(job->nchunks, 3);
+    assert_int_equal(pm_jobs_active(jobs)->len, 1);
+    pm_cbor_free(good);
+    pm_cbor_free(bad);
+    pm_buf_free(&buf);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(judges_submissions, set_up, tear_down),
         cmocka_unit_test_setup_teardown(chunks_survive_a_new_leader, set_up, tear_down),
         cmocka_unit_test_setup_teardown(final_states_stay, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(what_cannot_be_read_is_not_run, set_up, tear_down),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
