--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -636,16 +636,20 @@
     pm_buf_free(&body);
 }
 
-/* In an outage without a leader: the lease is renewed, nothing is ordered. */
-static void answer_for_leader(struct pm_http_request *req, uint64_t epoch)
+/* 200, with the orders due for the machine; NULL: the lease is renewed, nothing is ordered. */
+static void answer_worker(struct pm_http_request *req, uint64_t epoch, struct pm_machine *m)
 {
     struct pm_buf body = {0};
 
     pm_put_map(&body);
     pm_put_pair_count(&body, "mandate", epoch);
     pm_put_text(&body, "orders");
-    pm_put_list(&body);
-    pm_put_end(&body);
+    if (m) {
+        pm_workers_orders(m, false, epoch, &body);
+    } else {
+        pm_put_list(&body);
+        pm_put_end(&body);
+    }
     pm_put_end(&body);
     pm_http_reply(req, 200, body.data, body.size, 0);
     pm_buf_free(&body);
@@ -657,7 +661,6 @@
 {
     uint64_t epoch = pm_lead_epoch(n->lead), mandate = 0;
     double now = pm_clock_steady();
-    struct pm_buf body = {0};
     struct pm_machine *m;
     cbor_item_t *report;
     char name[PM_NAME_MAX];
@@ -670,6 +673,7 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
+    pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate);
     if (n->leading && pm_fleet_returned(n->fleet, name)) {
         /* A copy of a report of a machine that is proven gone. */
         pm_cbor_free(report);
@@ -678,16 +682,14 @@
     }
     m = n->ruling ? pm_workers_find(n->workers, name) : NULL;
     if (!n->ruling || (n->leading ? m && m->lent : !m || m->left)) {
-        pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate);
         pm_cbor_free(report);
         if (pm_lead_caretaker(n->lead, now) && mandate <= epoch) {
-            answer_for_leader(req, epoch);
+            answer_worker(req, epoch, NULL);
             return;
         }
         reply_elsewhere(n, req, name);
         return;
     }
-    pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate);
     if (!pm_lead_confirmed(n->lead, now) || mandate > epoch) {
         if (mandate > epoch)
             pm_lead_doubt(n->lead);
@@ -710,19 +712,8 @@
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
     }
-    pm_put_map(&body);
-    pm_put_pair_count(&body, "mandate", epoch);
-    pm_put_text(&body, "orders");
-    if (fresh) {
-        pm_workers_orders(m, false, epoch, &body);
-    } else {
-        pm_put_list(&body);
-        pm_put_end(&body);
-    }
-    pm_put_end(&body);
+    answer_worker(req, epoch, fresh ? m : NULL);
     pm_workers_answered(m, epoch, now);
-    pm_http_reply(req, 200, body.data, body.size, 0);
-    pm_buf_free(&body);
     plan_soon(n);
     commit_run(n);
 }
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -437,11 +437,8 @@
     if (acts(l) && !l->check_busy && !l->raising &&
         now - MAX(l->confirmed, l->checked) > l->op->confirm_s / 3)
         check(l, now);
-    /* Who neither leads nor holds a block asks as well, to tell an outage from being refused alone.
-     */
-    if (!acts(l) && pm_store_refusing(l->store) && now - l->asked > l->op->confirm_s / 4)
-        ask_peers(l, now);
-    if (acts(l) && ((l->leads && !l->ack_at) || pm_store_refusing(l->store)) &&
+    /* In an outage everybody asks: to confirm the epoch, or to tell it from being refused alone. */
+    if (((l->leads && !l->ack_at) || pm_store_refusing(l->store)) &&
         now - l->asked > l->op->confirm_s / 4)
         ask_peers(l, now);
     if (l->leads) {
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -78,7 +78,6 @@
     p->room = g_ptr_array_new();
     p->whole = g_ptr_array_new();
     p->hopeless = g_array_new(FALSE, TRUE, sizeof(struct need));
-    p->spare = -1;
     return p;
 }
 
@@ -715,13 +714,12 @@
     i = job->hint;
     count_zones(job, &at);
     while (p->steps < STEPS_MAX) {
-        struct need need;
         i = next_waiting(job, i, now);
         if (i >= job->entries || !within(p, job, 1, guarantee))
             break;
         /* Array tasks fill a machine before the next one is looked for. */
         if (!m || job->spec->form != PM_ARRAY || job->spec->spread || !has_room(m, job->spec)) {
-            need = need_of(p, job, &at, -1);
+            struct need need = need_of(p, job, &at, -1);
             if (hopeless(p, &need))
                 break;
             m = best_machine(p, job, &at, -1, now);
@@ -773,54 +771,56 @@
     return ok;
 }
 
+/* How many tasks of the gang the machine has room for once its array tasks have ended, and what is
+ * being stopped is gone. */
+static uint32_t room_to_come(struct pm_plan *p, const struct pm_machine *m,
+                             const struct pm_job *job, int only_zone, double now)
+{
+    double room[3] = {m->cpus, m->gpus, m->ram_gb};
+
+    if (!usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
+        claimed_by_other(m, job, now) || !pm_plan_allows(p->books, job, m->type, m->zone, m->spot))
+        return 0;
+    for (guint j = 0; j < m->places->len; j++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, j);
+        const struct pm_spec *spec = place->job->spec;
+        if (place->state == PM_ENDED || (spec->form != PM_ARRAY && !place->stop))
+            continue;
+        room[0] += spec->cpus;
+        room[1] += spec->gpus;
+        room[2] += spec->ram_gb;
+    }
+    return pm_spec_fit(job->spec, room[0], room[1], room[2]);
+}
+
 /* A gang that waited too long to begin, and may stop nothing: machines where it would fit but for
  * array tasks, which end by themselves, are kept from other work until all of it has its room. */
-static void await_room(struct pm_plan *p, struct pm_job *job, double now)
+static bool await_room(struct pm_plan *p, struct pm_job *job, int only_zone, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
+    uint32_t n = 0, fit;
 
-    for (int zone = 0; zone < p->books->settings->zones; zone++) {
-        bool only = job->spec->same_place;
-        uint32_t n = 0;
-        for (int keep = 0; keep < 2; keep++) { /* counted first, then kept */
-            if (keep && n < job->entries)
-                break;
-            n = 0;
-            for (guint i = 0; i < all->len && n < job->entries; i++) {
-                struct pm_machine *m = g_ptr_array_index(all, i);
-                double room[3];
-                if (!m || !usable(p, m, now) || (only && m->zone != zone) ||
-                    claimed_by_other(m, job, now) ||
-                    !pm_plan_allows(p->books, job, m->type, m->zone, m->spot))
-                    continue;
-                room[0] = m->cpus;
-                room[1] = m->gpus;
-                room[2] = m->ram_gb;
-                for (guint j = 0; j < m->places->len; j++) {
-                    const struct pm_place *place = g_ptr_array_index(m->places, j);
-                    const struct pm_spec *spec = place->job->spec;
-                    if (place->state == PM_ENDED || (spec->form != PM_ARRAY && !place->stop))
-                        continue;
-                    room[0] += spec->cpus;
-                    room[1] += spec->gpus;
-                    room[2] += spec->ram_gb;
-                }
-                n += pm_spec_fit(job->spec, room[0], room[1], room[2]);
-                if (keep && pm_spec_fit(job->spec, room[0], room[1], room[2]))
-                    m->claim = job;
-            }
-        }
-        if (n >= job->entries) {
-            job->claims_until = now + CLAIM_S;
-            return;
-        }
-        if (!only)
-            return;
+    for (guint i = 0; i < all->len && n < job->entries; i++)
+        if (g_ptr_array_index(all, i))
+            n += room_to_come(p, g_ptr_array_index(all, i), job, only_zone, now);
+    if (n < job->entries)
+        return false;
+    n = 0;
+    for (guint i = 0; i < all->len && n < job->entries; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || !(fit = room_to_come(p, m, job, only_zone, now)))
+            continue;
+        m->claim = job;
+        n += fit;
     }
+    job->claims_until = now + CLAIM_S;
+    return true;
 }
 
 static uint32_t place_job(struct pm_plan *p, struct pm_job *job, bool guarantee, double now)
 {
+    int zones;
+
     if (job->spec->form != PM_GANG)
         return place_tasks(p, job, guarantee, now);
     /* The old attempt's tasks hold their machines, and their zones, until they are gone. */
@@ -831,11 +831,14 @@
         if (task && task->not_before > now)
             return 0;
     }
-    for (int zone = 0; zone < (job->spec->same_place ? p->books->settings->zones : 1); zone++)
+    zones = job->spec->same_place ? p->books->settings->zones : 1;
+    for (int zone = 0; zone < zones; zone++)
         if (place_gang(p, job, job->spec->same_place ? zone : -1, guarantee, now))
             return job->entries;
-    if (job->overdue && now > job->claims_until - CLAIM_S / 2)
-        await_room(p, job, now);
+    for (int zone = 0; zone < zones; zone++)
+        if (job->overdue && now > job->claims_until - CLAIM_S / 2 &&
+            await_room(p, job, job->spec->same_place ? zone : -1, now))
+            break;
     return 0;
 }
 
@@ -1307,7 +1310,6 @@
     g_ptr_array_set_size(p->room, 0);
     g_array_set_size(p->hopeless, 0);
     memset(p->soon, 0, sizeof p->soon);
-    p->spare = -1;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->type < 0 || m->zone < 0)
