--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -196,7 +196,7 @@
         if (status < 0) {
             m->unreached = pm_clock_steady();
             if (m->unreached > n->late_until)
-                pm_workers_unheard(m, m->unreached);
+                pm_workers_unheard(m, "a /do has no answer", m->unreached);
             m->direct_retry = m->unreached + 0.7;
         }
         if (report) {
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -224,6 +224,117 @@
     pm_buf_free(&junk);
 }
 
+/* ---- nobody is forgotten ---- */
+
+static void on_txn(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    (void)edition;
+    (void)failed;
+    *(int *)arg = status;
+}
+
+static bool is_told(void *arg)
+{
+    return *(int *)arg != 0;
+}
+
+static bool is_behind(void *arg)
+{
+    (void)arg;
+    return !pm_store_ready(store);
+}
+
+/* Answered, one after the other, whatever the listing took: it comes by pages of 200 keys. */
+static void known_by_all_pages(void **arg)
+{
+    char id[32], target[64];
+
+    (void)arg;
+    for (int i = 0; i < 450; i++) {
+        struct pm_txn txn = {0};
+        struct pm_spec spec = {.zone = -1, .types = ~(uint64_t)0, .entries = 2, .due_s = -1};
+        int status = 0;
+        spec.class_index = pm_names_add(books.classes, "train");
+        spec.image = pm_names_add(books.images, "img");
+        snprintf(id, sizeof id, "p/j/job-%06d", i);
+        pm_txn_put(&txn, id);
+        pm_jobs_write(&books, &spec, 2, PM_LIVE, true, &txn.writes);
+        pm_txn_put_end(&txn, 0);
+        pm_store_commit(store, &txn, on_txn, &status);
+        assert_true(fake_run_until(loop, is_told, &status));
+    }
+    fake_state_forget(state); /* the watch is too old: everything is read again */
+    assert_int_equal(submit("job-1").status, 201);
+    assert_true(fake_run_until(loop, is_behind, NULL));
+    assert_true(fake_run_until(loop, is_ready, NULL));
+    for (int i = 0; i < 450; i += 7) {
+        snprintf(target, sizeof target, "/work/job-%06d", i);
+        assert_int_equal(ask("GET", target, NULL).status, 200);
+    }
+    assert_int_equal(ask("GET", "/work/job-000450", NULL).status, 404);
+}
+
+/* A value that can't be read is one job's trouble: it stays known and can be cancelled, and the
+ * others are served. */
+static void an_unreadable_value_stays_known(void **arg)
+{
+    struct pm_txn txn = {0};
+    struct answer a;
+    int status = 0;
+
+    (void)arg;
+    pm_txn_put(&txn, "p/j/job-7");
+    pm_put_text(&txn.writes, "not what it should be");
+    pm_txn_put_end(&txn, 0);
+    pm_store_commit(store, &txn, on_txn, &status);
+    assert_true(fake_run_until(loop, is_told, &status));
+    a = ask("GET", "/work/job-7", NULL);
+    assert_int_equal(a.status, 200);
+    assert_string_equal(a.now, "queued");
+    assert_int_equal(submit("job-7").status, 200);
+    assert_int_equal(submit("job-8").status, 201);
+    assert_int_equal(ask("GET", "/work/job-8", NULL).status, 200);
+    assert_string_equal(ask("POST", "/work/job-7/abort", NULL).now, "cancelled");
+    assert_string_equal(ask("GET", "/work/job-7", NULL).now, "cancelled");
+}
+
+/* With many controllers a share is small; a transaction of a few changes has to fit it sometime.
+ * (A holder that waited for ever kept its jobs and its machines to the end of the day.) */
+static void a_small_share_has_room_for_a_transaction(void **arg)
+{
+    (void)arg;
+    pm_store_set_share(store, 0.001, 0.001);
+    assert_true(pm_store_room(store, pm_clock_steady() + 1e6) >= 8);
+}
+
+/* More addresses than connections may be open: those kept open to some must not shut out others. */
+static void quiet_connections_give_way(void **arg)
+{
+    struct pm_http_client *few = pm_http_client_new(loop, 2);
+    char addr[4][64];
+
+    (void)arg;
+    for (int i = 0; i < 4; i++) {
+        struct pm_http_server *server;
+        struct answer a = {0};
+        do {
+            snprintf(addr[i], sizeof addr[i], "127.0.0.1:%d", fake_free_port());
+            server = pm_http_server_new(loop, addr[i], 1, on_front, NULL);
+        } while (!server);
+        pm_http_call(few, addr[i], "GET", "/work/nonsense", NULL, 0, 30, 65536, on_answer, &a);
+        assert_true(fake_run_until(loop, is_answered, &a));
+        assert_int_equal(a.status, 404);
+    }
+    /* The same at the server: a new connection is accepted, the quiet one closed. */
+    for (int i = 0; i < 3; i++) {
+        struct pm_http_client *other = pm_http_client_new(loop, 1);
+        struct answer a = {0};
+        pm_http_call(other, addr[3], "GET", "/work/nonsense", NULL, 0, 30, 65536, on_answer, &a);
+        assert_true(fake_run_until(loop, is_answered, &a));
+        assert_int_equal(a.status, 404);
+    }
+}
+
 /* ---- placements ---- */
 
 static const struct pm_grounds *grounds(void)
@@ -343,6 +454,10 @@
         cmocka_unit_test_setup(accepted_and_cancelled_are_durable, set_up),
         cmocka_unit_test_setup(a_lost_answer_is_not_a_lost_job, set_up),
         cmocka_unit_test_setup(turns_away_what_is_malformed, set_up),
+        cmocka_unit_test_setup(known_by_all_pages, set_up),
+        cmocka_unit_test_setup(an_unreadable_value_stays_known, set_up),
+        cmocka_unit_test_setup(a_small_share_has_room_for_a_transaction, set_up),
+        cmocka_unit_test_setup(quiet_connections_give_way, set_up),
         cmocka_unit_test_setup(placements_are_durable_before_they_launch, set_up),
         cmocka_unit_test_setup(a_lost_transaction_is_written_again, set_up),
         cmocka_unit_test_setup(a_deposed_leader_places_nothing, set_up),
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -272,6 +272,96 @@
     assert_int_equal(all[2].took, 0);
 }
 
+/* Out of reach of the state service and of the other controllers, but not of the workers: within A
+ * nothing is confirmed any more, so no worker is answered, and so it stays. */
+static void cut_off_with_its_workers_confirms_none(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    double later;
+
+    (void)arg;
+    acquaint(all, 3);
+    start(&all[0]);
+    assert_true(fake_run_until(loop, has_taken, &all[0]));
+    start(&all[1]);
+    assert_true(fake_run_until(loop, knows_floor, &all[0]));
+    fake_state_hang(state, true);
+    pm_http_server_free(all[1].back);
+    later = pm_clock_steady() + all[0].op.confirm_s + 0.5;
+    assert_true(fake_run_until(loop, is_later, &later));
+    assert_false(is_confirmed(&all[0]));
+    later = pm_clock_steady() + 1;
+    assert_true(fake_run_until(loop, is_later, &later));
+    assert_false(is_confirmed(&all[0]));
+}
+
+static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+{
+    (void)edition;
+    (void)failed;
+    *(int *)arg = status;
+}
+
+static void ignore_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+{
+    (void)arg;
+    (void)key;
+    (void)value;
+    (void)stamp;
+}
+
+static void ignore_drop(void *arg, const char *key, uint64_t stamp)
+{
+    (void)arg;
+    (void)key;
+    (void)stamp;
+}
+
+static void put_leader(struct pm_txn *txn, const char *key, uint64_t epoch)
+{
+    pm_txn_put(txn, key);
+    pm_put_map(&txn->writes);
+    pm_put_pair_count(&txn->writes, "epoch", epoch);
+    pm_put_pair_text(&txn->writes, "leader", "n0");
+    pm_put_pair_text(&txn->writes, "boot", "predecessor");
+    pm_put_end(&txn->writes);
+    pm_txn_put_end(txn, 0);
+}
+
+/* Back within a fraction of a second, in an outage: what its predecessor had read and acknowledged
+ * binds it not. It has no say before it has read the state; then it leads at once, though the hold
+ * of its predecessor is still there, and in a later epoch. */
+static void back_at_once_it_reads_first(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    struct pm_http_client *http = pm_http_client_new(loop, 8);
+    struct pm_store *writer = pm_store_new(
+        loop, http, fake_state_addr(state), 1000,
+        &(struct pm_store_feed){ignore_put, ignore_drop, on_listed, on_listed, on_caught_up, NULL});
+    struct pm_txn txn = {0};
+    int status = 0;
+    double later;
+
+    (void)arg;
+    acquaint(all, 3);
+    put_leader(&txn, "p/epoch", 5);
+    put_leader(&txn, "p/lead", 5);
+    pm_store_commit(writer, &txn, on_written, &status);
+    assert_true(fake_run_until(loop, is_told, &status));
+    start(&all[1]);
+    assert_true(fake_run_until(loop, has_read, &all[1]));
+    fake_state_outage(state, true);
+    start(&all[0]);
+    later = pm_clock_steady() + 1;
+    assert_true(fake_run_until(loop, is_later, &later));
+    assert_false(is_confirmed(&all[0]));
+    assert_int_equal(all[0].took, 0);
+    fake_state_outage(state, false);
+    assert_true(fake_run_until(loop, has_taken, &all[0]));
+    assert_true(pm_lead_epoch(all[0].lead) > 5);
+    assert_int_equal(all[1].took, 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -279,6 +369,8 @@
         cmocka_unit_test_setup(a_raise_without_an_answer_is_found_again, set_up),
         cmocka_unit_test_setup(an_outage_needs_a_majority, set_up),
         cmocka_unit_test_setup(who_knows_a_higher_epoch_confirms_none, set_up),
+        cmocka_unit_test_setup(cut_off_with_its_workers_confirms_none, set_up),
+        cmocka_unit_test_setup(back_at_once_it_reads_first, set_up),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/store/tests/fake_state.h
+++ b/src/store/tests/fake_state.h
@@ -15,6 +15,10 @@
 uint64_t fake_state_stamp(const struct fake_state *state, const char *key); /* 0: no such key */
 /* Every answer is a 503 from now on, or no more; open watches wait. */
 void fake_state_outage(struct fake_state *state, bool out);
+/* No request is answered from now on, or again: the service is out of reach. */
+void fake_state_hang(struct fake_state *state, bool hang);
+/* The next watch is told that it is too old. */
+void fake_state_forget(struct fake_state *state);
 /* Executes the next transaction but never answers it. */
 void fake_state_swallow(struct fake_state *state);
 /* Ends all holds, and drops their keys. */
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -218,8 +218,9 @@
     return m->unheard >= 2 && now - m->unheard_since > DEAF_S;
 }
 
-void pm_workers_unheard(struct pm_machine *m, double now)
+void pm_workers_unheard(struct pm_machine *m, const char *why, double now)
 {
+    pm_debug("workers.unheard", "%s: %s", m->name, why);
     if (!m->unheard++)
         m->unheard_since = now;
 }
@@ -393,16 +394,21 @@
  * message: a /do then asks the worker, and its answer clears the doubt. */
 static void read_unheard(struct pm_machine *m, bool risen, double lease_s, double now)
 {
-    /* Its lease ran out though we answered in time, or it has not taken the token that we sent. */
-    bool unheard = (risen && m->told && now - m->answered < lease_s) ||
-                   (m->told && m->tally > m->told_tally && m->mandate < m->told);
-
-    for (guint i = 0; i < m->places->len && !unheard; i++) {
+    if (risen && m->told && now - m->answered < lease_s) {
+        pm_workers_unheard(m, "its lease ran out though we answered", now);
+        return;
+    }
+    if (m->told && m->tally > m->told_tally && m->mandate < m->told) {
+        pm_workers_unheard(m, "it has not taken our token", now);
+        return;
+    }
+    for (guint i = 0; i < m->places->len; i++) {
         const struct pm_place *place = g_ptr_array_index(m->places, i);
-        unheard = place->state == PM_DURABLE && place->replied && m->tally > place->replied;
+        if (place->state == PM_DURABLE && place->replied && m->tally > place->replied) {
+            pm_workers_unheard(m, "it shows no trace of an order", now);
+            return;
+        }
     }
-    if (unheard)
-        pm_workers_unheard(m, now);
 }
 
 static int read_identity(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *report)
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -115,7 +115,7 @@
 /* Whether our answers and commands do not arrive there, though its reports do. */
 bool pm_workers_deaf(const struct pm_machine *machine, double now);
 /* A sign that something we sent did not arrive. */
-void pm_workers_unheard(struct pm_machine *machine, double now);
+void pm_workers_unheard(struct pm_machine *machine, const char *why, double now);
 /* A report was answered with 200. */
 void pm_workers_answered(struct pm_machine *machine, uint64_t epoch, double now);
 /* Whether it has missed a report, by how they come on a quiet day. */
