A slow state service is no reason to turn users away; submissions before polls

Ruled out: processor (0.2 of the share). The limit now compares with four answers of the state service, and lets submissions and cancellations in beyond what it lets polls.

--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -54,7 +54,8 @@
 static void reply(struct item *item, int status, const void *body, size_t size, int retry_after)
 {
     pm_http_reply(item->req, status, body, size, retry_after);
-    pm_limit_leave(item->intake->limit, pm_clock_steady() - item->arrived);
+    pm_limit_leave(item->intake->limit, pm_clock_steady() - item->arrived,
+                   pm_store_answer_s(item->intake->store));
     item_free(item);
 }
 
@@ -290,7 +291,7 @@
 {
     struct item *item;
 
-    if (!pm_limit_enter(in->limit)) {
+    if (!pm_limit_enter(in->limit, kind != POLL)) {
         pm_http_reply(req, 429, NULL, 0, 1);
         return NULL;
     }
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -17,9 +17,11 @@
 
 struct pm_limit *pm_limit_new(unsigned least, unsigned most);
 void pm_limit_free(struct pm_limit *limit);
-bool pm_limit_enter(struct pm_limit *limit); /* false: more than can be done now */
-/* A request that was let in took that long. */
-void pm_limit_leave(struct pm_limit *limit, double seconds);
+/* False: more than can be done now. With `first`, for what is not simply asked again, a few more. */
+bool pm_limit_enter(struct pm_limit *limit, bool first);
+/* A request that was let in took that long, while the state service answers within `state_s`: times
+ * that are the state service's own do not become shorter by turning users away. */
+void pm_limit_leave(struct pm_limit *limit, double seconds, double state_s);
 unsigned pm_limit_now(const struct pm_limit *limit);
 
 /* ---- the requests ---- */
--- a/src/intake/limit.c
+++ b/src/intake/limit.c
@@ -4,6 +4,9 @@
 
 #include <glib.h>
 
+#define FIRST_SHARE 1.5 /* of the limit, for submissions and cancellations */
+#define STATE_TIMES 4.0 /* a request waits for so many answers of the state service, at most */
+
 struct pm_limit {
     unsigned least, most, inside;
     double limit;
@@ -31,15 +34,15 @@
     return (unsigned)l->limit;
 }
 
-bool pm_limit_enter(struct pm_limit *l)
+bool pm_limit_enter(struct pm_limit *l, bool first)
 {
-    if (l->inside >= (unsigned)l->limit)
+    if (l->inside >= (unsigned)(first ? l->limit * FIRST_SHARE : l->limit))
         return false;
     l->inside++;
     return true;
 }
 
-void pm_limit_leave(struct pm_limit *l, double seconds)
+void pm_limit_leave(struct pm_limit *l, double seconds, double state_s)
 {
     bool busy = l->inside * 2 >= (unsigned)l->limit;
 
@@ -51,7 +54,7 @@
     else
         l->usual += (seconds - l->usual) * 0.0001; /* a long overload is not usual */
     /* Below a tenth of a second nobody waits noticeably: no reason to turn anybody away. */
-    if (l->recent > MAX(0.1, 4 * l->usual))
+    if (l->recent > MAX(MAX(0.1, 4 * l->usual), STATE_TIMES * state_s))
         l->limit = MAX(l->least, l->limit * 0.98);
     else if (busy)
         l->limit = MIN(l->most, l->limit + 1);
--- a/src/intake/tests/test_limit.c
+++ b/src/intake/tests/test_limit.c
@@ -7,14 +7,51 @@
 #include <cmocka.h>
 
 /* `n` requests at a time, each taking that long. */
-static void load(struct pm_limit *limit, unsigned n, double seconds)
+static void load_slow(struct pm_limit *limit, unsigned n, double seconds, double state_s)
 {
     unsigned inside = 0;
 
-    while (inside < n && pm_limit_enter(limit))
+    while (inside < n && pm_limit_enter(limit, false))
         inside++;
     while (inside--)
-        pm_limit_leave(limit, seconds);
+        pm_limit_leave(limit, seconds, state_s);
+}
+
+static void load(struct pm_limit *limit, unsigned n, double seconds)
+{
+    load_slow(limit, n, seconds, 0.004);
+}
+
+/* Seen on a day when the state service took fifteen times as long: every user was turned away for
+ * it, 12,000 times in a minute, though nothing here was busy. */
+static void a_slow_state_service_is_no_reason(void **state)
+{
+    struct pm_limit *limit = pm_limit_new(8, 256);
+
+    (void)state;
+    for (int i = 0; i < 50; i++)
+        load(limit, 1000, 0.01);
+    for (int i = 0; i < 50; i++)
+        load_slow(limit, 1000, 0.2, 0.07);
+    assert_int_equal(pm_limit_now(limit), 256);
+    for (int i = 0; i < 50; i++)
+        load_slow(limit, 1000, 2.0, 0.07); /* longer than that explains */
+    assert_int_equal(pm_limit_now(limit), 8);
+    pm_limit_free(limit);
+}
+
+static void submissions_come_before_polls(void **state)
+{
+    struct pm_limit *limit = pm_limit_new(4, 4);
+
+    (void)state;
+    for (int i = 0; i < 4; i++)
+        assert_true(pm_limit_enter(limit, false));
+    assert_false(pm_limit_enter(limit, false));
+    assert_true(pm_limit_enter(limit, true));
+    assert_true(pm_limit_enter(limit, true));
+    assert_false(pm_limit_enter(limit, true));
+    pm_limit_free(limit);
 }
 
 static void follows_measured_times(void **state)
@@ -42,11 +79,11 @@
     struct pm_limit *limit = pm_limit_new(2, 2);
 
     (void)state;
-    assert_true(pm_limit_enter(limit));
-    assert_true(pm_limit_enter(limit));
-    assert_false(pm_limit_enter(limit));
-    pm_limit_leave(limit, 0.01);
-    assert_true(pm_limit_enter(limit));
+    assert_true(pm_limit_enter(limit, false));
+    assert_true(pm_limit_enter(limit, false));
+    assert_false(pm_limit_enter(limit, false));
+    pm_limit_leave(limit, 0.01, 0.004);
+    assert_true(pm_limit_enter(limit, false));
     pm_limit_free(limit);
 }
 
@@ -66,6 +103,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(follows_measured_times),
+        cmocka_unit_test(a_slow_state_service_is_no_reason),
+        cmocka_unit_test(submissions_come_before_polls),
         cmocka_unit_test(turns_away_beyond_it),
         cmocka_unit_test(does_not_grow_while_hardly_used),
     };
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -48,6 +48,7 @@
     double write_rps, share, most, tokens, filled;
     double others, others_at; /* changes told that were not ours, fading over OTHERS_S */
     double pace;
+    double answer_s; /* see pm_store_answer_s */
 };
 
 struct step {
@@ -71,6 +72,11 @@
     return status == 200;
 }
 
+static void note_time(struct pm_store *s, double sent)
+{
+    s->answer_s += (pm_clock_steady() - sent - s->answer_s) * 0.1;
+}
+
 static struct step *step_new(struct pm_store *s)
 {
     struct step *step = g_new(struct step, 1);
@@ -285,6 +291,7 @@
 
     s->fresh_busy = false;
     note(s, status);
+    note_time(s, s->fresh_sent);
     answer = status == 404 ? pm_cbor_parse(body, size) : NULL;
     ok = answer && !pm_cbor_count(pm_cbor_get(answer, "edition"), &edition);
     pm_cbor_free(answer);
@@ -420,6 +427,7 @@
 struct commit {
     struct pm_store *store;
     int nwrites;
+    double sent;
     pm_txn_done *done;
     void *arg;
 };
@@ -431,6 +439,7 @@
     uint64_t edition = 0;
 
     note(commit->store, status);
+    note_time(commit->store, commit->sent);
     if (status == 200 || status == 409) {
         answer = pm_cbor_parse(body, size);
         if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &edition))
@@ -450,7 +459,7 @@
     struct commit *commit = g_new(struct commit, 1);
     struct pm_buf body = {0};
 
-    *commit = (struct commit){s, t->nwrites, done, arg};
+    *commit = (struct commit){s, t->nwrites, pm_clock_steady(), done, arg};
     pm_put_map(&body);
     pm_put_text(&body, "if");
     pm_put_list(&body);
@@ -572,6 +581,11 @@
     return s->edition;
 }
 
+double pm_store_answer_s(const struct pm_store *s)
+{
+    return s->answer_s;
+}
+
 double pm_store_served(const struct pm_store *s)
 {
     return s->served;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -39,6 +39,8 @@
 bool pm_store_refusing(const struct pm_store *store);
 double pm_store_served(const struct pm_store *store);
 double pm_store_refused(const struct pm_store *store); /* steady: the last 503, 0: none */
+/* How long it takes to answer a read or a transaction, lately. */
+double pm_store_answer_s(const struct pm_store *store);
 
 /* A transaction under construction. */
 struct pm_txn {
