Room for 64 controllers, 32 zones, 1,024 teams; who comes late goes at once

With more clients than connections, closing the one quiet for longest closed each just before it asked again. An answer beyond seven eighths of the connections now ends its own.

--- a/src/base/http.c
+++ b/src/base/http.c
@@ -58,6 +58,7 @@
     ev_io accept_io;
     ev_prepare before_wait;
     int conns, conns_max;
+    int conns_kept; /* with more than that open, an answer ends its connection */
     pm_http_handler *handler;
     void *arg;
     GQueue open; /* of struct conn, by their latest request: the head's is longest ago */
@@ -109,9 +110,15 @@
 static void conn_queue(struct conn *c, int status, const void *body, size_t size, int retry_after)
 {
     char head[256];
-    int n = snprintf(head, sizeof head,
-                     "HTTP/1.1 %d %s\r\nContent-Type: application/cbor\r\nContent-Length: %zu\r\n",
-                     status, reason(status), size);
+    int n;
+
+    /* Clients come round in turn: to close the one that was quiet longest for each that comes would
+     * be to close every one just before it asks again. So who comes late goes at once instead. */
+    if (c->server->conns > c->server->conns_kept)
+        c->close_after = true;
+    n = snprintf(head, sizeof head,
+                 "HTTP/1.1 %d %s\r\nContent-Type: application/cbor\r\nContent-Length: %zu\r\n",
+                 status, reason(status), size);
 
     pm_buf_add(&c->send, head, (size_t)n);
     if (retry_after > 0) {
@@ -415,6 +422,7 @@
     s = g_new0(struct pm_http_server, 1);
     s->loop = loop;
     s->conns_max = conns_max;
+    s->conns_kept = conns_max - conns_max / 8;
     s->handler = handler;
     s->arg = arg;
     g_queue_init(&s->open);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -6,10 +6,10 @@
 
 enum {
     PM_NAME_MAX = 128,
-    PM_PEERS_MAX = 8,
-    PM_TEAMS_MAX = 64,
-    PM_ZONES_MAX = 16,
-    PM_AIMS_MAX = 64
+    PM_PEERS_MAX = 64,
+    PM_TEAMS_MAX = 1024,
+    PM_ZONES_MAX = 32, /* as many as there are bits in a set of zones */
+    PM_AIMS_MAX = 1024
 };
 
 struct pm_peer_setting {
