Least work first within a team; a cut-off zone is given up by the ledger's word

The bound on a whole begin is kept as late as the machines, with what is as old, still can: 215 s. A leader that lags gives up nobody; node.state every 10 s.

--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -31,7 +31,12 @@
 #define ROUND_S 0.5
 #define OVERTAKEN_S 2.0 /* a report may come so much later than a message sent after it */
 #define ASK_MAX 150     /* workers that are asked for a report at a time */
+/* Of the sockets: one in so many for our own requests, and for commands to workers at a time. Users
+ * and workers have the rest, but for what peers need and a little that stays free. */
+#define CLIENT_SHARE 5
+#define DIRECT_SHARE 8
 #define LEDGER_S 5.0
+#define TELL_S 10.0
 #define STORE_SHARE 0.36 /* of the state service's requests: for the watches, and for freshness */
 #define YIELDED_S 1.0    /* a task that was stopped to make room rests for this long */
 
@@ -58,7 +63,7 @@
     char block_key[PM_NAME_MAX + 8];
     uint64_t types_stamp;
     bool ledger_busy, types_busy, blocks_changed;
-    double ledger_at, raised_at, took_at, report_at;
+    double ledger_at, raised_at, took_at, report_at, told_at;
     /* The planner's thread. */
     GThread *planner;
     GMutex wake_lock;
@@ -220,7 +225,7 @@
     struct direct *direct;
     double timeout;
 
-    if (m->direct_busy || n->directs >= n->settings->sockets / 5 || !m->endpoint[0] ||
+    if (m->direct_busy || n->directs >= n->settings->sockets / DIRECT_SHARE || !m->endpoint[0] ||
         m->direct_retry > pm_clock_steady() || (!probe && !pm_workers_direct_due(m)) ||
         !pm_lead_confirmed(n->lead, pm_clock_steady()))
         return;
@@ -256,7 +261,8 @@
 
     if (now < n->fleet_at + MIN(FLEET_REST * n->fleet_cost, 1))
         return;
-    pm_fleet_set_writable(n->fleet, writable(n, now), now);
+    /* Who stood still, or lags, has not heard who spoke meanwhile: nobody is given up for that. */
+    pm_fleet_set_writable(n->fleet, writable(n, now) && now >= n->late_until, now);
     pm_fleet_run(n->fleet, now, pm_clock_day());
     n->fleet_at = pm_clock_steady();
     n->fleet_cost = n->fleet_at - now;
@@ -400,13 +406,14 @@
 {
     struct pm_txn txn = {0};
 
-    if (n->ledger_busy || now - n->ledger_at < LEDGER_S || pm_store_room(n->store, now) < 6)
-        return;
+    if (n->ledger_busy || now - n->ledger_at < LEDGER_S ||
+        (pm_store_room(n->store, now) < 6 && now - n->ledger_at < 2 * LEDGER_S))
+        return; /* launches first, though not for long: who leads next reads it */
     n->ledger_busy = true;
     n->ledger_at = now;
     pm_txn_if(&txn, "p/epoch", pm_lead_stamp(n->lead));
     pm_txn_put(&txn, "p/ledger");
-    pm_plan_write_ledger(n->plan, pm_clock_day(), &txn.writes);
+    pm_plan_write_ledger(n->plan, now, pm_clock_day(), &txn.writes);
     pm_txn_put_end(&txn, 0);
     pm_store_commit(n->store, &txn, on_ledger_written, n);
 }
@@ -466,6 +473,7 @@
     }
     ledger = pm_cbor_parse(n->ledger.data, n->ledger.size);
     pm_plan_read_images(n->plan, ledger);
+    pm_fleet_read_heard(n->fleet, ledger, now, pm_clock_day());
     pm_cbor_free(ledger);
     n->ruling = n->leading = true;
     n->took_at = now;
@@ -836,6 +844,48 @@
         pm_lead_resign(n->lead, "the workers do not hear us");
 }
 
+/* What there is and what waits, for whoever reads the log. */
+static void tell_state(struct pm_node *n, double now)
+{
+    GPtrArray *all = pm_workers_all(n->workers), *active = pm_jobs_active(n->jobs);
+    int up = 0, booting = 0, lent = 0, silent = 0;
+    unsigned placed = 0, waiting = 0, away = 0;
+    double cpus = 0, idle = 0;
+
+    if (now - n->told_at < TELL_S)
+        return;
+    n->told_at = now;
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->type < 0)
+            continue;
+        up += m->state == PM_UP && !m->lent;
+        booting += m->state == PM_BOOTING;
+        lent += m->lent > 0;
+        silent += m->state == PM_UP && !m->lent && pm_workers_silent(m, n->settings, now);
+        if (m->state != PM_UP)
+            continue;
+        cpus += n->books.type[m->type].cpus;
+        idle += m->lent ? 0 : m->cpus;
+    }
+    for (guint i = 0; i < active->len; i++) {
+        const struct pm_job *job = g_ptr_array_index(active, i);
+        uint32_t done, running;
+        if (job->away && job->spec) {
+            pm_jobs_count(job, &done, &running);
+            placed += running;
+            away += job->entries - MIN(job->entries, done + running);
+        } else {
+            placed += job->nplaced;
+            waiting += pm_job_waiting(job);
+        }
+    }
+    pm_info("node.state",
+            "machines up %d (%d silent), leased out %d, booting %d; cpus %.0f, idle %.0f; jobs %u, "
+            "tasks placed %u, waiting %u, at holders %u",
+            up, silent, lent, booting, cpus, idle, active->len, placed, waiting, away);
+}
+
 static void on_round(struct ev_loop *loop, ev_timer *w, int events)
 {
     struct pm_node *n = w->data;
@@ -854,6 +904,8 @@
         all_direct(n);
         if (n->leading)
             write_ledger(n, now);
+        if (n->leading)
+            tell_state(n, now);
         if (n->leading)
             resign_if_deaf(n, now);
         plan_soon(n);
@@ -874,6 +926,7 @@
                             const struct pm_operator *op)
 {
     struct pm_node *n = g_new0(struct pm_node, 1);
+    int back;
 
     n->loop = loop;
     n->settings = settings;
@@ -888,7 +941,7 @@
     ev_set_loop_release_cb(loop, before_wait, after_wait);
     g_mutex_init(&n->wake_lock);
     g_cond_init(&n->wake);
-    n->http = pm_http_client_new(loop, settings->sockets * 3 / 10);
+    n->http = pm_http_client_new(loop, settings->sockets / CLIENT_SHARE);
     n->jobs = pm_jobs_new(&n->books);
     n->workers =
         pm_workers_new(&n->books, n->jobs, &(struct pm_workers_hooks){on_ended, on_ran, n});
@@ -918,12 +971,16 @@
     n->planned.data = n->pace.data = n->commit_timer.data = n->round.data = n;
     ev_async_start(loop, &n->planned);
     ev_timer_start(loop, &n->round);
-    n->front = pm_http_server_new(loop, settings->listen, settings->sockets * 6 / 10, on_front, n);
+    back = MAX(16, MIN(settings->sockets / 16, 8 * settings->peers));
+    n->front = pm_http_server_new(loop, settings->listen,
+                                  MAX(8, settings->sockets - settings->sockets / CLIENT_SHARE -
+                                             back - settings->sockets / 20 - 8),
+                                  on_front, n);
     if (!n->front) {
         pm_error("node.listen", "%s: %s", settings->listen, strerror(errno));
         return NULL;
     }
-    n->back = pm_http_server_new(loop, settings->peer_listen, 64, on_back, n);
+    n->back = pm_http_server_new(loop, settings->peer_listen, back, on_back, n);
     if (!n->back) {
         pm_error("node.listen", "%s: %s", settings->peer_listen, strerror(errno));
         return NULL;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet/fleet.h"
+#include "base/clock.h"
 #include "base/log.h"
 
 #include <limits.h>
@@ -11,6 +12,7 @@
 #define CALL_S 5.0
 #define REFUSED_S 6.0 /* no room of a kind: not asked for again within this */
 #define OUTAGE_KEEP_S 120
+#define SETTLE_S 3.0 /* after taking the lead: workers come over meanwhile */
 #define SILENT_S 5.0 /* a machine that is silent for longer may be given up */
 #define FLOW_S 60.0  /* over which the stream of array work is measured */
 #define FLOW_FIRST_S 30.0
@@ -41,7 +43,9 @@
     double flow, flow_jobs, flow_at, flow_since;
     double spot_cpus; /* on spot machines, up or soon */
     bool writable;
-    double wrote_at; /* steady: placements could be written then */
+    double wrote_at;                 /* steady: placements could be written then */
+    double zone_heard[PM_ZONES_MAX]; /* steady: by the leader before, 0: not silent then */
+    double took_at;
 };
 
 struct bin { /* a machine, up, booting or to be rented, and the room left on it */
@@ -101,6 +105,23 @@
     f->since[0] = 0;
     g_hash_table_remove_all(f->seen);
     memset(f->refused_until, 0, sizeof f->refused_until);
+    memset(f->zone_heard, 0, sizeof f->zone_heard);
+}
+
+void pm_fleet_read_heard(struct pm_fleet *f, const cbor_item_t *ledger, double now, double day)
+{
+    const struct pm_settings *s = f->books->settings;
+    const cbor_item_t *heard = pm_cbor_get(ledger, "heard");
+    double at, written;
+
+    f->took_at = now;
+    if (pm_cbor_number(pm_cbor_get(ledger, "day"), &written))
+        return;
+    /* One that was heard then may have been heard long after: nothing is known of it. */
+    for (int z = 0; z < s->zones; z++)
+        if (!pm_cbor_number(pm_cbor_get(heard, s->zone_name[z]), &at) &&
+            written - at > 1.6 * s->report_s + 1)
+            f->zone_heard[z] = MIN(now - (day - at), now);
 }
 
 static bool may_call(struct pm_fleet *f, double now)
@@ -147,8 +168,10 @@
         }
         pm_cbor_text(pm_cbor_get(item, "sku"), name, sizeof name);
         index = pm_names_add(books->types, name);
-        if (index >= PM_TYPES_MAX)
-            return false;
+        if (index >= PM_TYPES_MAX) {
+            pm_error("fleet.types", "%s is not used: only %d types are", name, PM_TYPES_MAX);
+            continue;
+        }
         books->type[index] = type;
     }
     books->ntypes = MIN(pm_names_count(books->types), PM_TYPES_MAX);
@@ -812,6 +835,29 @@
 
 /* ---- the round ---- */
 
+/* A zone that was cut off before this leader came: nothing there ever reported to it, so it knows
+ * no lease's begin, and would wait for one from its own. What the leader before heard last tells
+ * when the leases there have run out, unless somebody there renewed them; a confirmed release makes
+ * sure. */
+static void give_up_zones(struct pm_fleet *f, const bool *reported, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+    double over = f->books->settings->lease_s * (1 + 2 * PM_DRIFT) + 0.5;
+    bool any = false;
+
+    /* Nobody heard at all, or not yet: that is this controller's trouble, not a zone's. */
+    for (int z = 0; z < f->books->settings->zones; z++)
+        any |= reported[z];
+    if (!any || now - f->took_at < SETTLE_S)
+        return;
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && m->state == PM_UP && m->zone >= 0 && !m->lent && m->places->len &&
+            !reported[m->zone] && f->zone_heard[m->zone] > 0 && now - f->zone_heard[m->zone] > over)
+            give_back(m, "its zone has been silent for a lease");
+    }
+}
+
 /* A machine that is silent, and was asked in vain, while others of its zone are heard has died,
  * hangs or is cut off. Its release, confirmed, proves its tasks gone long before its lease would,
  * and they start elsewhere; of a machine that was only cut off, little more than the blink of a
@@ -823,6 +869,7 @@
     double limit = MAX(SILENT_S, 1.25 * f->books->settings->report_s + 2.4);
     GPtrArray *silent;
     int heard[PM_ZONES_MAX] = {0}, missed[PM_ZONES_MAX] = {0};
+    bool reported[PM_ZONES_MAX] = {0};
 
     if (!f->writable)
         return;
@@ -832,6 +879,7 @@
         double since;
         if (!m || m->state != PM_UP || m->zone < 0)
             continue;
+        reported[m->zone] |= m->reported;
         /* Of one that is lent, its holder tells. */
         since = m->lent ? (now - m->silent_told < 2 ? m->silent_since : now) : m->heard;
         if (pm_workers_deaf(m, now)) { /* its tasks end with its lease; what it reports is no use */
@@ -856,9 +904,10 @@
                                                  : "silent, while its zone is heard");
     }
     g_ptr_array_free(silent, TRUE);
+    give_up_zones(f, reported, now);
 }
 
-static void review(struct pm_fleet *f, double now)
+void pm_fleet_review(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
     double spare = pm_plan_spare(f->plan, now), lease = f->books->settings->lease_s;
@@ -938,7 +987,7 @@
 
     if (!f->books->ntypes)
         return;
-    review(f, now);
+    pm_fleet_review(f, now);
     if (f->in_flight < in_flight_max)
         release_due(f, now);
     /* Sized only with no request under way: its machines are not in the books yet. */
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,6 +21,11 @@
                               const struct pm_fleet_hooks *hooks);
 void pm_fleet_free(struct pm_fleet *fleet);
 /* On taking or losing the lead; `epoch` makes the request names of this reign its own. */
+/* Marks the machines that are to go back: idle, silent, failed, taken. */
+void pm_fleet_review(struct pm_fleet *fleet, double now);
+/* On taking the lead, after the reset: reads from the ledger which zones were silent when the leader
+ * before wrote it, and since when. */
+void pm_fleet_read_heard(struct pm_fleet *fleet, const cbor_item_t *ledger, double now, double day);
 void pm_fleet_reset(struct pm_fleet *fleet, uint64_t epoch);
 /* Reads the machine types into the books; false when malformed. */
 bool pm_fleet_read_types(struct pm_books *books, const cbor_item_t *models);
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -157,6 +157,79 @@
     assert_int_equal(asked(1, true, &all), 0);
 }
 
+/* Reviews a machine with a task on it in a zone that the leader before last heard `ago` seconds
+ * ago, as it wrote `written` seconds ago; whether this leader heard that zone, and another one. */
+static enum pm_machine_state reviewed(double ago, double written, bool here, bool elsewhere)
+{
+    struct pm_buf buf = {0};
+    struct pm_machine *m = pm_workers_add(workers, "i-000001"),
+                      *other = pm_workers_add(workers, "i-000002");
+    struct pm_spec spec = {.zone = -1, .types = 1, .entries = 1, .cpus = 1, .due_s = -1};
+    cbor_item_t *ledger;
+
+    settings.lease_s = 44;
+    settings.zones = 2;
+    strcpy(settings.zone_name[1], "b");
+    pm_workers_set_type(workers, m, 0);
+    pm_workers_set_type(workers, other, 0);
+    m->zone = 0;
+    other->zone = 1;
+    m->state = other->state = PM_UP;
+    m->reported = here;
+    other->reported = elsewhere;
+    m->heard = m->rented = NOW - 10;
+    other->heard = other->rented = NOW;
+    pm_workers_place(workers, books_feed(&books, jobs, "job-1", &spec, ++stamp), 0, m, 1, 1,
+                     PM_DURABLE, NOW);
+    pm_put_map(&buf);
+    pm_put_pair_number(&buf, "day", 9000 - written);
+    pm_put_text(&buf, "heard");
+    pm_put_map(&buf);
+    pm_put_pair_number(&buf, "a", 9000 - ago);
+    pm_put_end(&buf);
+    pm_put_end(&buf);
+    ledger = pm_cbor_parse(buf.data, buf.size);
+    pm_fleet_read_heard(fleet, ledger, NOW - 5, 9000 - 5);
+    pm_cbor_free(ledger);
+    pm_buf_free(&buf);
+    pm_fleet_set_writable(fleet, true, NOW);
+    pm_fleet_review(fleet, NOW);
+    return m->state;
+}
+
+/* A leader that came while a zone was cut off waited for a lease from its own begin, and half of
+ * all replicas were missed meanwhile. */
+static void a_zone_silent_for_a_lease_is_given_up(void **state)
+{
+    (void)state;
+    assert_int_equal(reviewed(46, 20, false, true), PM_RELEASING);
+}
+
+static void a_zone_silent_for_less_is_waited_for(void **state)
+{
+    (void)state;
+    assert_int_equal(reviewed(30, 10, false, true), PM_UP);
+}
+
+static void a_zone_that_reports_is_kept(void **state)
+{
+    (void)state;
+    assert_int_equal(reviewed(46, 20, true, true), PM_UP);
+}
+
+/* The ledger may be old itself: a zone heard then may have been heard until just now. */
+static void an_old_ledger_says_nothing(void **state)
+{
+    (void)state;
+    assert_int_equal(reviewed(46, 45, false, true), PM_UP);
+}
+
+static void a_leader_that_hears_nobody_gives_up_nobody(void **state)
+{
+    (void)state;
+    assert_int_equal(reviewed(46, 20, false, false), PM_UP);
+}
+
 static void reads_machine_types(void **state)
 {
     struct pm_buf buf = {0};
@@ -205,6 +278,12 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(booting_machines_count, set_up, tear_down),
         cmocka_unit_test_setup_teardown(services_get_ordinary_machines, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_zone_silent_for_a_lease_is_given_up, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_zone_silent_for_less_is_waited_for, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_zone_that_reports_is_kept, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(an_old_ledger_says_nothing, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_leader_that_hears_nobody_gives_up_nobody, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(reads_machine_types, set_up, tear_down),
     };
 
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -12,7 +12,12 @@
 #define CROWDED 0.25      /* of a machine: see crowded() */
 #define YOUNG_S 35.0      /* a replica is not moved within this of its start */
 #define LATE_S 1.0        /* where no objective says how soon a class is to start */
-#define BEGIN_S 180.0     /* what waits longer to begin whole goes before the other lower work */
+#define BEGIN_S 215.0     /* within which every job is to have begun whole: see mark_overdue */
+#define OLD_S 150.0       /* what has waited for less is not looked at for that */
+#define GANG_ROOM_S 45.0  /* a gang's room takes so long to come free */
+#define SURE_SHARE 0.7    /* of the machines' time, to be counted on for that */
+#define NO_DUE 1e12       /* more than any work */
+#define FETCH_WEIGHT 0.3  /* of a second of fetching in a service's score */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
@@ -201,11 +206,8 @@
     double span = p->charged_at ? MIN(now - p->charged_at, 5) : 0;
 
     turn_buckets(p, day);
-    memset(p->cpus, 0, sizeof p->cpus);
-    memset(p->gpus, 0, sizeof p->gpus);
-    memset(p->actual, 0, sizeof p->actual);
-    memset(p->yielding, 0, sizeof p->yielding);
-    memset(p->promised, 0, sizeof p->promised);
+    for (int t = 0; t < p->books->settings->teams; t++)
+        p->cpus[t] = p->gpus[t] = p->actual[t] = p->yielding[t] = p->promised[t] = 0;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         for (guint j = 0; m && j < m->places->len; j++) {
@@ -251,6 +253,8 @@
         place[i] = -1;
     for (int t = 0; t < p->books->settings->teams; t++)
         used += strlen(p->books->settings->team[t].name) + 24;
+    for (int z = 0; z < p->books->settings->zones; z++)
+        used += strlen(p->books->settings->zone_name[z]) + 24;
     pm_put_text(out, "table");
     pm_put_list(out);
     for (int spot = 0; spot < 2; spot++)
@@ -308,7 +312,28 @@
     }
 }
 
-void pm_plan_write_ledger(const struct pm_plan *p, double day, struct pm_buf *out)
+/* When each zone was last heard, in time of day: a new leader that never hears one can tell from it
+ * when the leases there ran out. */
+static void write_heard(const struct pm_plan *p, double now, double day, struct pm_buf *out)
+{
+    const struct pm_settings *s = p->books->settings;
+    GPtrArray *all = pm_workers_all(p->workers);
+    double heard[PM_ZONES_MAX] = {0};
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (m && m->reported && m->zone >= 0 && !m->lent)
+            heard[m->zone] = MAX(heard[m->zone], m->heard);
+    }
+    pm_put_text(out, "heard");
+    pm_put_map(out);
+    for (int z = 0; z < s->zones; z++)
+        if (heard[z] > 0)
+            pm_put_pair_number(out, s->zone_name[z], day - (now - heard[z]));
+    pm_put_end(out);
+}
+
+void pm_plan_write_ledger(const struct pm_plan *p, double now, double day, struct pm_buf *out)
 {
     pm_put_map(out);
     pm_put_pair_number(out, "day", day);
@@ -317,6 +342,7 @@
     for (int t = 0; t < p->books->settings->teams; t++)
         pm_put_pair_number(out, p->books->settings->team[t].name, p->ledger[t].sum);
     pm_put_end(out);
+    write_heard(p, now, day, out);
     write_images(p, out);
     pm_put_end(out);
 }
@@ -328,7 +354,7 @@
 
     if (pm_cbor_number(pm_cbor_get(value, "day"), &day))
         return;
-    memset(p->ledger, 0, sizeof p->ledger);
+    memset(p->ledger, 0, sizeof p->ledger[0] * (size_t)p->books->settings->teams);
     p->bucket = (long)(day / (p->op->window_h * 3600 / BUCKETS)) + BUCKETS;
     for (int t = 0; t < p->books->settings->teams; t++) {
         struct ledger *l = &p->ledger[t];
@@ -538,6 +564,22 @@
            p->day - job->spec->submitted >= promise(p, job) && boot_expected(p, job);
 }
 
+/* Seconds that the machine's fetches of other images take, which an image has to wait for there. */
+static double fetches_before(const struct pm_plan *p, const struct pm_machine *m,
+                             const struct pm_spec *spec)
+{
+    double gb = 0;
+
+    for (guint j = 0; j < m->places->len; j++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, j);
+        const struct pm_spec *other = place->job->spec;
+        if (place->state <= PM_FETCHING && other->image != spec->image &&
+            !has_image(m, other->image))
+            gb += other->image_gb;
+    }
+    return gb / MAX(p->books->type[m->type].pull_gb_per_s, EPS);
+}
+
 static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
@@ -548,7 +590,10 @@
     if (spec->form == PM_SERVICE) {
         /* Spread: then every machine comes to hold every image, and has some room to start the next
          * service at once. Array tasks use that room meanwhile. */
-        value += may_fetch(p, m, job) ? (image ? 0 : 4) : (image ? 10 : 0);
+        if (may_fetch(p, m, job))
+            value += image ? 0 : 4;
+        else
+            value += image ? 10 : -MIN(FETCH_WEIGHT * fetches_before(p, m, spec), 10);
         if (p->cold && crowded(p, m, spec) && p->day - spec->submitted > promise(p, job))
             value -= 8;
         return value - 2.0 * of_job(m, job) + 3 * yielding_room(m) / MAX(t->cpus, EPS);
@@ -920,7 +965,10 @@
     double room[3] = {m->cpus, m->gpus, m->ram_gb};
     int found = 0;
 
-    *cost = has_image(m, need->image) ? 0 : 1e4;
+    *cost = 0;
+    if (!has_image(m, need->image))
+        *cost = 1e4 * (1 + fetches_before(p, m, need) +
+                       need->image_gb / MAX(p->books->type[m->type].pull_gb_per_s, EPS));
     for (guint j = 0; j < m->places->len && found < VICTIMS_MAX; j++) {
         struct pm_place *place = g_ptr_array_index(m->places, j);
         const struct pm_spec *spec = place->job->spec;
@@ -1172,11 +1220,6 @@
 
 static struct pm_plan *ranking; /* qsort has no argument for its comparison */
 
-static double due_at(const struct pm_job *job)
-{
-    return job->spec->due_s >= 0 ? job->spec->submitted + job->spec->due_s : INFINITY;
-}
-
 static int by_rank(const void *a, const void *b)
 {
     const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
@@ -1198,10 +1241,8 @@
         return rx < ry ? -1 : 1;
     if (x->spec->priority != y->spec->priority)
         return x->spec->priority > y->spec->priority ? -1 : 1;
-    if (x->late != y->late)
-        return x->late ? 1 : -1;
-    if (due_at(x) != due_at(y))
-        return due_at(x) < due_at(y) ? -1 : 1;
+    if (x->left != y->left)
+        return x->left < y->left ? -1 : 1;
     if (x->spec->submitted != y->spec->submitted)
         return x->spec->submitted < y->spec->submitted ? -1 : 1;
     return strcmp(x->id, y->id);
@@ -1213,77 +1254,69 @@
     g_ptr_array_sort(jobs, by_rank);
 }
 
-/* Ratio, deadlines and size order what waits, and each could hold a job back for ever: a team with
- * a high ratio, the job with most work of a team that cannot do all in time, a gang that never
- * finds its room in one piece. What has not begun whole within a bound goes first until it has, the
- * oldest before the others. */
-static void mark_overdue(struct pm_plan *p)
+/* The work of each array job that is left: what has least goes first within its team and priority.
+ * When there is more than the machines can do, that keeps most jobs in time, whichever time the
+ * users reckon by, and needs no estimate of what the machines will do, which a few late jobs would
+ * upset for all behind them. Without any time to keep, a job goes after those that have one. */
+static void measure_left(struct pm_plan *p)
 {
     GPtrArray *active = pm_jobs_active(p->jobs);
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        const struct pm_spec *spec = job->spec;
-        job->overdue = spec && !unallocated(job) && !job->away && pm_job_waiting(job) &&
-                       p->day - spec->submitted > BEGIN_S;
+        uint32_t done = job->ndone, placed = job->nplaced;
+        job->left = 0;
+        if (!job->spec || job->spec->form != PM_ARRAY)
+            continue;
+        if (job->away) /* the leader knows of these what their holders wrote down */
+            pm_jobs_count(job, &done, &placed);
+        job->left = (job->entries - MIN(done, job->entries) - 0.5 * placed) * job->spec->cpus *
+                    (pm_plan_expected(p, job) + 1);
+        if (job->spec->due_s < 0)
+            job->left += NO_DUE;
     }
 }
 
-struct candidate {
-    struct pm_job *job;
-    double work, due;
-};
-
-static int by_due(const void *a, const void *b)
+static int by_age(const void *a, const void *b)
 {
-    const struct candidate *x = a, *y = b;
+    const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
 
-    return x->due < y->due ? -1 : x->due > y->due;
+    if (x->spec->submitted != y->spec->submitted)
+        return x->spec->submitted < y->spec->submitted ? -1 : 1;
+    return strcmp(x->id, y->id);
 }
 
-/* Marks the array jobs whose deadline is given up for now, so that the most jobs keep theirs: taken
- * by deadline; whenever the machines could not do all of them in time, the one with most work goes
- * last. Decides the order within a team only; ratio and priority come before it. */
-static void give_up_deadlines(struct pm_plan *p, double now)
+/* Ratio and size order what waits, and each could hold a job back for ever: a team with a high
+ * ratio, the job with most work while others keep coming, a gang that never finds its room in one
+ * piece. What would else not begin whole within a bound goes first until it has, the oldest before
+ * the others: as late as the machines, with what else is as old, can still do it in time. */
+static void mark_overdue(struct pm_plan *p, double now)
 {
-    GPtrArray *active = pm_jobs_active(p->jobs);
-    struct candidate *all = g_new(struct candidate, active->len + 1);
-    double pool = MAX(pm_plan_pool(p, now), 1), sum = 0;
-    guint n = 0;
+    GPtrArray *active = pm_jobs_active(p->jobs), *old = g_ptr_array_new();
+    double rate = MAX(pm_plan_pool(p, now) * SURE_SHARE, 1), work = 0;
+    guint overdue = 0;
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        const struct pm_spec *spec = job->spec;
-        uint32_t done, placed;
-        double each;
-        job->late = false;
-        if (!spec || job->state != PM_LIVE || spec->form != PM_ARRAY || spec->due_s < 0)
-            continue;
-        pm_jobs_count(job, &done, &placed);
-        each = pm_plan_expected(p, job) * 1.1 + 1;
-        all[n].job = job;
-        all[n].work = (job->entries - MIN(done, job->entries) - 0.5 * placed) * each * spec->cpus;
-        /* The last task takes its time, however many machines there are. */
-        all[n].due = spec->submitted + spec->due_s - p->day - each * (placed ? 0.5 : 1);
-        job->late = all[n].due < 0;
-        n += !job->late;
+        job->overdue = false;
+        if (job->spec && !unallocated(job) && !job->away && pm_job_waiting(job) &&
+            p->day - job->spec->submitted > OLD_S)
+            g_ptr_array_add(old, job);
     }
-    qsort(all, n, sizeof all[0], by_due);
-    for (guint i = 0; i < n; i++) {
-        sum += all[i].work;
-        while (sum > all[i].due * pool) {
-            guint largest = i;
-            for (guint k = 0; k <= i; k++)
-                if (!all[k].job->late &&
-                    (all[largest].job->late || all[k].work > all[largest].work))
-                    largest = k;
-            if (all[largest].job->late)
-                break;
-            all[largest].job->late = true;
-            sum -= all[largest].work;
-        }
+    g_ptr_array_sort(old, by_age);
+    for (guint i = 0; i < old->len; i++) {
+        const struct pm_job *job = g_ptr_array_index(old, i);
+        double left = BEGIN_S - (p->day - job->spec->submitted);
+        if (job->spec->form == PM_GANG) /* finds its room in one piece, or waits on */
+            left -= GANG_ROOM_S;
+        else if (job->spec->form == PM_ARRAY)
+            work += pm_job_waiting(job) * (pm_plan_expected(p, job) + 1) * job->spec->cpus;
+        if (work >= left * rate)
+            overdue = i + 1;
     }
-    g_free(all);
+    for (guint i = 0; i < overdue; i++)
+        ((struct pm_job *)g_ptr_array_index(old, i))->overdue = true;
+    g_ptr_array_free(old, TRUE);
 }
 
 static void note_cold_start(struct pm_plan *p, double now)
@@ -1328,8 +1361,8 @@
     p->day = day;
     account(p, now, day);
     stop_the_lost(p, now);
-    give_up_deadlines(p, now);
-    mark_overdue(p);
+    measure_left(p);
+    mark_overdue(p, now);
     note_cold_start(p, now);
     survey(p, now);
     for (int t = 0; t < p->books->settings->teams; t++)
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -79,7 +79,7 @@
 
 /* The ledger's value for the state service, and back; with it goes which machine holds which image,
  * so that a new leader need not guess. */
-void pm_plan_write_ledger(const struct pm_plan *plan, double day, struct pm_buf *out);
+void pm_plan_write_ledger(const struct pm_plan *plan, double now, double day, struct pm_buf *out);
 void pm_plan_read_images(struct pm_plan *plan, const cbor_item_t *value);
 void pm_plan_read_ledger(struct pm_plan *plan, const cbor_item_t *value);
 
--- a/src/placement/tests/test_scale.c
+++ b/src/placement/tests/test_scale.c
@@ -122,7 +122,7 @@
     struct pm_machine *first;
 
     (void)state;
-    pm_plan_write_ledger(plan, 1e9, &buf);
+    pm_plan_write_ledger(plan, 1e9, 1e9, &buf);
     item = pm_cbor_parse(buf.data, buf.size);
     assert_true(json_of(&buf) <= VALUE);
     /* What fits is read back, by a leader that knows nothing yet. */
