--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -8,17 +8,18 @@
 
 enum { DRAINING_MAX = 3, BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
-#define CLAIM_S 8.0       /* room cleared for a gang is kept for it so long */
-#define CROWDED 0.25      /* of a machine: see crowded() */
-#define YOUNG_S 35.0      /* a replica is not moved within this of its start */
-#define LATE_S 1.0        /* where no objective says how soon a class is to start */
-#define BEGIN_S 215.0     /* within which every job is to have begun whole: see mark_overdue */
-#define OLD_S 150.0       /* what has waited for less is not looked at for that */
-#define GANG_ROOM_S 45.0  /* a gang's room takes so long to come free */
-#define SURE_SHARE 0.7    /* of the machines' time, to be counted on for that */
-#define NO_DUE 1e12       /* more than any work */
-#define FETCH_WEIGHT 0.3  /* of a second of fetching in a service's score */
-#define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
+#define CLAIM_S 8.0        /* room cleared for a gang is kept for it so long */
+#define CROWDED 0.25       /* of a machine: see crowded() */
+#define YOUNG_S 35.0       /* a replica is not moved within this of its start */
+#define LATE_S 1.0         /* where no objective says how soon a class is to start */
+#define BEGIN_S 215.0      /* within which every job is to have begun whole: see mark_overdue */
+#define OLD_S 150.0        /* what has waited for less is not looked at for that */
+#define OVERDUE_SHARE 0.75 /* of the machines that may go to what would be late for that */
+#define GANG_ROOM_S 45.0   /* a gang's room takes so long to come free */
+#define SURE_SHARE 0.7     /* of the machines' time, to be counted on for that */
+#define NO_DUE 1e12        /* more than any work */
+#define FETCH_WEIGHT 0.3   /* of a second of fetching in a service's score */
+#define LEAVE_EXTRA_S 1.0  /* granted beyond filing_s, so that the save ends in time */
 
 struct ledger { /* a team's occupied machine-seconds in a window of buckets */
     double bucket[BUCKETS];
@@ -1289,11 +1290,13 @@
 /* Ratio and size order what waits, and each could hold a job back for ever: a team with a high
  * ratio, the job with most work while others keep coming, a gang that never finds its room in one
  * piece. What would else not begin whole within a bound goes first until it has, the oldest before
- * the others: as late as the machines, with what else is as old, can still do it in time. */
+ * the others: as late as the machines, with what else is as old, can still do it in time. Never on
+ * all of the machines: when there is more than they can do, all would end up waiting for that
+ * bound, and hardly anything would be in time. */
 static void mark_overdue(struct pm_plan *p, double now)
 {
     GPtrArray *active = pm_jobs_active(p->jobs), *old = g_ptr_array_new();
-    double rate = MAX(pm_plan_pool(p, now) * SURE_SHARE, 1), work = 0;
+    double pool = MAX(pm_plan_pool(p, now), 1), work = 0, cpus = 0;
     guint overdue = 0;
 
     for (guint i = 0; i < active->len; i++) {
@@ -1311,11 +1314,14 @@
             left -= GANG_ROOM_S;
         else if (job->spec->form == PM_ARRAY)
             work += pm_job_waiting(job) * (pm_plan_expected(p, job) + 1) * job->spec->cpus;
-        if (work >= left * rate)
+        if (work >= left * pool * SURE_SHARE)
             overdue = i + 1;
     }
-    for (guint i = 0; i < overdue; i++)
-        ((struct pm_job *)g_ptr_array_index(old, i))->overdue = true;
+    for (guint i = 0; i < overdue && cpus < OVERDUE_SHARE * pool; i++) {
+        struct pm_job *job = g_ptr_array_index(old, i);
+        job->overdue = true;
+        cpus += (job->nplaced + pm_job_waiting(job)) * job->spec->cpus;
+    }
     g_ptr_array_free(old, TRUE);
 }
 
