--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -120,6 +120,7 @@
     double claims_until; /* gang: room is being cleared for it (placement) */
     bool away;           /* another controller places it */
     bool overdue;        /* has waited too long to begin (placement) */
+    bool hurried;        /* was overdue: what runs of it went first (placement) */
     double left;         /* processor-seconds of an array that are left (placement) */
     bool sized;          /* counted as part of the stream of array work (fleet) */
     bool tried;          /* a chunk was written, or is being written, from here */
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -1302,6 +1302,8 @@
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         job->overdue = false;
+        if (job->spec && job->hurried)
+            cpus += job->nplaced * job->spec->cpus;
         if (job->spec && !unallocated(job) && !job->away && pm_job_waiting(job) &&
             p->day - job->spec->submitted > OLD_S)
             g_ptr_array_add(old, job);
@@ -1319,8 +1321,8 @@
     }
     for (guint i = 0; i < overdue && cpus < OVERDUE_SHARE * pool; i++) {
         struct pm_job *job = g_ptr_array_index(old, i);
-        job->overdue = true;
-        cpus += (job->nplaced + pm_job_waiting(job)) * job->spec->cpus;
+        job->overdue = job->hurried = true;
+        cpus += pm_job_waiting(job) * job->spec->cpus;
     }
     g_ptr_array_free(old, TRUE);
 }
