--- a/src/placement/tests/test_scale.c
+++ b/src/placement/tests/test_scale.c
@@ -190,6 +190,7 @@
     int draining = 0;
 
     (void)state;
+    books.type[0].price = 1;
     for (int i = 0; i < MACHINES; i++) {
         struct pm_machine *m = pm_workers_at(workers, i);
         struct pm_place *place;
