The token is raised within a lease, so that late repeats of commands die

A /do that was carried out may be repeated later than a lease after it. With the same token and session its worker would execute it again: a launch of a task that ended and was forgotten would start it anew, cancelled or placed elsewhere since. Objectives without a readable kind no longer keep a controller from starting.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -96,7 +96,9 @@
     out->aims = want_count(r, "settings.objectives", 0, PM_AIMS_MAX);
     for (int i = 0; i < out->aims; i++) {
         struct pm_aim_setting *aim = &out->aim[i];
-        want_text(r, at("settings.objectives", i, "kind"), aim->kind, sizeof aim->kind);
+        /* Kinds not known here may come in any form: that keeps nothing from starting. */
+        if (pm_toml_text(r->doc, at("settings.objectives", i, "kind"), aim->kind, sizeof aim->kind))
+            aim->kind[0] = 0;
         pm_toml_text(r->doc, at("settings.objectives", i, "class"), aim->class_name,
                      sizeof aim->class_name);
         pm_toml_number(r->doc, at("settings.objectives", i, "within_s"), &aim->within_s);
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -10,6 +10,11 @@
 #include <string.h>
 
 #define TICK_S 0.1
+/* The token is raised this often, in leases. A command that was carried out may be repeated later
+ * than a lease after it: for a task that has ended and was forgotten since, a launch would start it
+ * anew. By then its worker has taken a later token, or is in a later session. */
+#define TOKEN_LEASES 0.7
+#define RAISE_PACE_S 1.0
 #define RESIGNED_S 15.0  /* who resigned leaves the lead to the others for so long */
 #define SERVED_S 6.0     /* a quiet watch answers within this */
 #define PEER_S 1.0       /* a peer's answer counts only within this */
@@ -51,7 +56,8 @@
     /* Caring for workers in an outage whose leader is not reached; see pm_lead_caretaker. */
     int care_yes;
     double refused_since, cared, leader_heard;
-    double sure_since; /* see pm_lead_sure_since */
+    double sure_since;         /* see pm_lead_sure_since */
+    double epoch_at, raise_at; /* steady: our epoch is that old; a raise was last tried */
 };
 
 struct ask {
@@ -149,7 +155,7 @@
         l->mine = l->epoch = attempt->epoch;
         l->mine_stamp = l->epoch_stamp = edition;
         l->tenure = attempt->tenure;
-        l->renewed = l->checked = now;
+        l->renewed = l->checked = l->epoch_at = now;
         l->confirmed = l->sure_since = attempt->sent;
         l->ack_at = l->first_ack_at = majority(l) <= 1 ? now : 0;
         l->ack_epoch = l->mine;
@@ -210,6 +216,7 @@
 {
     l->mine = l->epoch = epoch;
     l->mine_stamp = l->epoch_stamp = stamp;
+    l->epoch_at = pm_clock_steady();
     /* Acknowledged anew: a holder that lost its block with the old epoch may answer its workers
      * until a majority knows this one. */
     memset(l->acked, 0, sizeof l->acked);
@@ -434,6 +441,12 @@
         step_down(l, "not confirmed for long");
         return;
     }
+    if (l->leads && l->settings->lease_s > 0 && !pm_store_refusing(l->store) &&
+        now - l->epoch_at > TOKEN_LEASES * l->settings->lease_s &&
+        now - l->raise_at > RAISE_PACE_S) {
+        l->raise_at = now;
+        pm_lead_raise(l, NULL, 0);
+    }
     if (acts(l) && !l->check_busy && !l->raising &&
         now - MAX(l->confirmed, l->checked) > l->op->confirm_s / 3)
         check(l, now);
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -172,6 +172,11 @@
     return ((struct controller *)arg)->raised > 0;
 }
 
+static bool is_refused_by_state(void *arg)
+{
+    return pm_store_refusing(((struct controller *)arg)->store);
+}
+
 static void a_raise_without_an_answer_is_found_again(void **arg)
 {
     struct controller *c = g_new0(struct controller, 1);
@@ -193,6 +198,35 @@
     assert_int_equal(pm_lead_stamp(c->lead), fake_state_stamp(state, "p/epoch"));
 }
 
+/* A command that was carried out may come again, later than a lease after it: by then its token
+ * must be an old one, though nobody was in doubt. */
+static void the_token_is_raised_within_a_lease(void **arg)
+{
+    struct controller *c = g_new0(struct controller, 1);
+    uint64_t first;
+    double began;
+
+    (void)arg;
+    acquaint(c, 1);
+    c->settings.lease_s = 0.5;
+    start(c);
+    assert_true(fake_run_until(loop, has_taken, c));
+    first = pm_lead_epoch(c->lead);
+    began = pm_clock_steady();
+    assert_true(fake_run_until(loop, has_raised, c));
+    assert_true(pm_lead_epoch(c->lead) > first);
+    assert_true(pm_clock_steady() - began >= 0.7 * 0.5 - 0.1); /* and not all the time */
+    assert_int_equal(c->lost, 0);
+    /* While the state service refuses it, it is not asked for one again and again. */
+    fake_state_outage(state, true);
+    assert_true(fake_run_until(loop, is_refused_by_state, c));
+    first = pm_lead_epoch(c->lead);
+    fake_state_outage(state, false);
+    c->raised = 0;
+    assert_true(fake_run_until(loop, has_raised, c));
+    assert_true(pm_lead_epoch(c->lead) > first);
+}
+
 static bool has_read(void *arg)
 {
     return pm_store_ready(((struct controller *)arg)->store);
@@ -430,6 +464,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup(one_leads_and_a_successor_has_a_higher_epoch, set_up),
         cmocka_unit_test_setup(a_raise_without_an_answer_is_found_again, set_up),
+        cmocka_unit_test_setup(the_token_is_raised_within_a_lease, set_up),
         cmocka_unit_test_setup(an_outage_needs_a_majority, set_up),
         cmocka_unit_test_setup(who_knows_a_higher_epoch_confirms_none, set_up),
         cmocka_unit_test_setup(cut_off_with_its_workers_confirms_none, set_up),
