--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -169,7 +169,7 @@
         .confirm_s = 2.0,
         .admit_min = 8,
         .admit_max = 256,
-        .idle_return_s = 7,
+        .idle_return_s = 25,
         .replica_due_s = 35,
         .backlog_s = 60,
         .warm_share = 0.3,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -18,7 +18,9 @@
 #define FLOW_FIRST_S 30.0
 #define FLOW_KEEP_S 60.0 /* idle machines that the stream will want again are kept for so long */
 #define WARM_ROOT 2.0
-#define LEAST_AGE_S 60 /* a machine costs that much at least */
+#define FEW 50          /* on a larger fleet, idle machines go back sooner */
+#define IDLE_LEAST 0.28 /* of the operators' time, at least */
+#define LEAST_AGE_S 60  /* a machine costs that much at least */
 
 struct pm_fleet {
     struct pm_http_client *http;
@@ -907,12 +909,26 @@
     give_up_zones(f, reported, now);
 }
 
+/* What comes next is the less certain the fewer machines share it: of many, the swings even out as
+ * the root of their number, and what idles is the fleet's excess rather than one job's gap. */
+double pm_fleet_idle_s(const struct pm_operator *op, int machines)
+{
+    return op->idle_return_s * CLAMP(sqrt((double)FEW / MAX(machines, 1)), IDLE_LEAST, 1);
+}
+
 void pm_fleet_review(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
+    double idle_s;
+    int machines = 0;
     double spare = pm_plan_spare(f->plan, now), lease = f->books->settings->lease_s;
     bool waits = pm_plan_wants(f->plan)->len > 0;
 
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        machines += m && m->state != PM_RELEASING;
+    }
+    idle_s = pm_fleet_idle_s(f->op, machines);
     give_up_silent(f, now);
     if (!waits && now - f->emptied > 1) {
         f->emptied = now;
@@ -965,7 +981,7 @@
             give_back(m, "its tasks keep failing");
             continue;
         }
-        if (now - m->idle_since < f->op->idle_return_s || now - m->rented < LEAST_AGE_S)
+        if (now - m->idle_since < idle_s || now - m->rented < LEAST_AGE_S)
             continue;
         if (m->spot && now - m->idle_since < FLOW_KEEP_S &&
             f->spot_cpus - m->cpus < steady_flow(f, now))
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,6 +21,8 @@
                               const struct pm_fleet_hooks *hooks);
 void pm_fleet_free(struct pm_fleet *fleet);
 /* On taking or losing the lead; `epoch` makes the request names of this reign its own. */
+/* How long a machine may idle before it goes back, on a fleet of so many. */
+double pm_fleet_idle_s(const struct pm_operator *op, int machines);
 /* Marks the machines that are to go back: idle, silent, failed, taken. */
 void pm_fleet_review(struct pm_fleet *fleet, double now);
 /* On taking the lead, after the reset: reads from the ledger which zones were silent when the leader
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -3,6 +3,7 @@
 #include "../../jobs/tests/books.h"
 #include "fleet/fleet.h"
 
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -230,6 +231,17 @@
     assert_int_equal(reviewed(46, 20, false, false), PM_UP);
 }
 
+/* Two hundred machines that idled at a time cost a tenth of a day on a large fleet; on a small one,
+ * the next job needs the machine that the last one left. */
+static void idle_machines_go_back_sooner_on_a_large_fleet(void **state)
+{
+    (void)state;
+    op.idle_return_s = 25;
+    assert_true(pm_fleet_idle_s(&op, 0) == 25 && pm_fleet_idle_s(&op, 50) == 25);
+    assert_true(pm_fleet_idle_s(&op, 200) == 12.5);
+    assert_true(fabs(pm_fleet_idle_s(&op, 2250) - 7) < 1e-9);
+}
+
 static void reads_machine_types(void **state)
 {
     struct pm_buf buf = {0};
@@ -284,6 +296,8 @@
         cmocka_unit_test_setup_teardown(an_old_ledger_says_nothing, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_leader_that_hears_nobody_gives_up_nobody, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(idle_machines_go_back_sooner_on_a_large_fleet, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(reads_machine_types, set_up, tear_down),
     };
 
