--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -227,6 +227,30 @@
     assert_true(pm_lead_epoch(c->lead) > first);
 }
 
+/* A process that stood still while its clocks ran on: what it was told before counts from then, so
+ * on waking it vouches for nothing until it has asked again. */
+static void who_stood_still_confirms_nothing(void **arg)
+{
+    struct controller *c = g_new0(struct controller, 1);
+    double woke;
+
+    (void)arg;
+    acquaint(c, 1);
+    c->op.confirm_s = 0.3;
+    start(c);
+    assert_true(fake_run_until(loop, has_taken, c));
+    assert_true(fake_run_until(loop, is_confirmed, c));
+    g_usleep(400 * 1000); /* its loop does not run */
+    woke = pm_clock_steady();
+    assert_false(pm_lead_confirmed(c->lead, woke));
+    /* An answer to what was asked before it stood still comes late, and says nothing of now. */
+    pm_lead_confirm(c->lead, woke - 0.35);
+    assert_false(pm_lead_confirmed(c->lead, woke));
+    assert_true(pm_lead_sure_since(c->lead) >
+                woke); /* others may have answered workers meanwhile */
+    assert_true(fake_run_until(loop, is_confirmed, c));
+}
+
 static bool has_read(void *arg)
 {
     return pm_store_ready(((struct controller *)arg)->store);
@@ -465,6 +489,7 @@
         cmocka_unit_test_setup(one_leads_and_a_successor_has_a_higher_epoch, set_up),
         cmocka_unit_test_setup(a_raise_without_an_answer_is_found_again, set_up),
         cmocka_unit_test_setup(the_token_is_raised_within_a_lease, set_up),
+        cmocka_unit_test_setup(who_stood_still_confirms_nothing, set_up),
         cmocka_unit_test_setup(an_outage_needs_a_majority, set_up),
         cmocka_unit_test_setup(who_knows_a_higher_epoch_confirms_none, set_up),
         cmocka_unit_test_setup(cut_off_with_its_workers_confirms_none, set_up),
