--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -25,8 +25,8 @@
 double pm_fleet_idle_s(const struct pm_operator *op, int machines);
 /* Marks the machines that are to go back: idle, silent, failed, taken. */
 void pm_fleet_review(struct pm_fleet *fleet, double now);
-/* On taking the lead, after the reset: reads from the ledger which zones were silent when the leader
- * before wrote it, and since when. */
+/* On taking the lead, after the reset: reads from the ledger which zones were silent when the
+ * leader before wrote it, and since when. */
 void pm_fleet_read_heard(struct pm_fleet *fleet, const cbor_item_t *ledger, double now, double day);
 void pm_fleet_reset(struct pm_fleet *fleet, uint64_t epoch);
 /* Reads the machine types into the books; false when malformed. */
