--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -17,7 +17,8 @@
 
 struct pm_limit *pm_limit_new(unsigned least, unsigned most);
 void pm_limit_free(struct pm_limit *limit);
-/* False: more than can be done now. With `first`, for what is not simply asked again, a few more. */
+/* False: more than can be done now. With `first`, for what is not simply asked again, a few more.
+ */
 bool pm_limit_enter(struct pm_limit *limit, bool first);
 /* A request that was let in took that long, while the state service answers within `state_s`: times
  * that are the state service's own do not become shorter by turning users away. */
--- a/src/placement/rank.c
+++ b/src/placement/rank.c
@@ -12,6 +12,15 @@
 
 static struct pm_plan *ranking; /* qsort has no argument for its comparison */
 
+static int by_age(const void *a, const void *b)
+{
+    const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
+
+    if (x->spec->submitted != y->spec->submitted)
+        return x->spec->submitted < y->spec->submitted ? -1 : 1;
+    return strcmp(x->id, y->id);
+}
+
 static int by_rank(const void *a, const void *b)
 {
     const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
@@ -35,9 +44,7 @@
         return x->spec->priority > y->spec->priority ? -1 : 1;
     if (x->left != y->left)
         return x->left < y->left ? -1 : 1;
-    if (x->spec->submitted != y->spec->submitted)
-        return x->spec->submitted < y->spec->submitted ? -1 : 1;
-    return strcmp(x->id, y->id);
+    return by_age(a, b);
 }
 
 void pm_plan_rank(struct pm_plan *p, GPtrArray *jobs)
@@ -69,15 +76,6 @@
     }
 }
 
-static int by_age(const void *a, const void *b)
-{
-    const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
-
-    if (x->spec->submitted != y->spec->submitted)
-        return x->spec->submitted < y->spec->submitted ? -1 : 1;
-    return strcmp(x->id, y->id);
-}
-
 /* Ratio and size order what waits, and each could hold a job back for ever: a team with a high
  * ratio, the job with most work while others keep coming, a gang that never finds its room in one
  * piece. What would else not begin whole within a bound goes first until it has, the oldest before
