Small chunks of tasks stay in one value when the limits fall

Change: a chunk goes in halves only where it is already, where its tasks could outgrow one value, or where the whole was refused.

--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -18,8 +18,7 @@
  * what peers need and a little that stays free. */
 #define CLIENT_SHARE 5
 #define STORE_SHARE 0.36 /* of the state service's requests: for the watches, and for freshness */
-#define WHOLE_KB 4.0  /* a value that holds a chunk of tasks whole; with less, they go in halves */
-#define YIELDED_S 1.0 /* a task that was stopped to make room rests for this long */
+#define YIELDED_S 1.0    /* a task that was stopped to make room rests for this long */
 
 /* ---- what the slices tell ---- */
 
@@ -282,8 +281,6 @@
         n->books.protocol_version = pm_lead_protocol_version(n->lead);
         pm_intake_enable_dependencies(n->intake,
                                       n->books.protocol_version >= PM_PROTOCOL_DEPENDENCIES);
-        n->books.halves |= n->books.protocol_version >= PM_PROTOCOL_DEPENDENCIES &&
-                           n->settings->value_kb < WHOLE_KB;
     } else if (!strncmp(key, "p/b/", 4)) {
         n->blocks_changed |= n->ruling;
         pm_blocks_put(n->blocks, key, value, stamp);
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -80,7 +80,7 @@
 static guint content_of(struct pm_commit *c, struct pm_job *job, int k)
 {
     struct pm_buf buf = {0};
-    guint hash = c->books->halves;
+    guint hash = pm_job_in_halves(c->books, job, k);
 
     pm_jobs_write_chunk(c->books, job, k, -1, &buf);
     for (size_t i = 0; i < buf.size; i++)
@@ -112,8 +112,7 @@
     }
     if (status == 400) { /* too large, most likely: not to be sent again unchanged */
         pm_error("commit.refused", "the state service refuses p/t/%s/%d", part->job->id, part->k);
-        c->books->halves |=
-            part->half < 0 && c->books->protocol_version >= PM_PROTOCOL_DEPENDENCIES;
+        chunk->split |= part->half < 0;
         /* Of several in one transaction it is not known which: each goes alone next time. */
         if (chunk->alone)
             chunk->refused = content_of(c, part->job, part->k);
@@ -255,11 +254,10 @@
 {
     struct pm_chunk *chunk = job->chunk[k];
     bool whole = pm_value_stamp(&chunk->whole) != 0;
-    bool halves = pm_value_stamp(&chunk->half[0]) || pm_value_stamp(&chunk->half[1]);
 
     condition_job(f, job);
     condition_value(f, job, k, -1);
-    if (!c->books->halves && !halves) {
+    if (!pm_job_in_halves(c->books, job, k)) {
         put_value(c, f, job, k, -1);
         return;
     }
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -1033,17 +1033,32 @@
     job->nplaced += (uint32_t)by;
 }
 
+bool pm_job_in_halves(const struct pm_books *books, const struct pm_job *job, int k)
+{
+    const struct pm_chunk *chunk = job->chunk[k];
+    uint32_t tasks = MIN(PM_CHUNK, job->entries - (uint32_t)k * PM_CHUNK);
+
+    if (chunk && (pm_value_stamp(&chunk->half[0]) || pm_value_stamp(&chunk->half[1])))
+        return true;
+    if (books->protocol_version < PM_PROTOCOL_DEPENDENCIES)
+        return false; /* an earlier version would take a half for the whole */
+    return (chunk && chunk->split) ||
+           tasks * PLACE_SIZE + VALUE_SIZE > books->settings->value_kb * 1024;
+}
+
 bool pm_job_has_room(const struct pm_books *books, const struct pm_job *job, uint32_t index)
 {
     const struct pm_chunk *chunk = job->chunk[index / PM_CHUNK];
     const struct pm_settings *s = books->settings;
-    double kb = books->halves ? s->value_kb : MAX(s->value_kb, s->value_kb_now);
+    bool early = books->protocol_version < PM_PROTOCOL_DEPENDENCIES;
+    double kb = early ? MAX(s->value_kb, s->value_kb_now) : s->value_kb;
     unsigned placed;
 
     if (!chunk)
         return true;
-    placed = books->halves ? chunk->placed[index % PM_CHUNK / PM_HALF]
-                           : (unsigned)chunk->placed[0] + chunk->placed[1];
+    placed = pm_job_in_halves(books, job, (int)(index / PM_CHUNK))
+                 ? chunk->placed[index % PM_CHUNK / PM_HALF]
+                 : (unsigned)chunk->placed[0] + chunk->placed[1];
     return (placed + 1) * PLACE_SIZE + VALUE_SIZE <= kb * 1024;
 }
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -33,7 +33,6 @@
     struct pm_names *classes, *images, *types, *machines;
     struct pm_names *dependency_ids; /* of jobs that others need */
     unsigned protocol_version;       /* what every controller reads (base/protocol.h) */
-    bool halves;                     /* they are written so: in one value they would be too large */
     int ntypes; /* machine types that the cloud has told of; 0: not known yet */
     struct pm_type {
         double cpus, gpus, ram_gb, local_gb, pull_gb_per_s, price, spot_price, ready_s;
@@ -128,6 +127,7 @@
     bool in_flight;
     double retry_at;
     uint32_t failures; /* of its writes, in a row */
+    bool split;        /* refused as one value: to be written in halves */
     bool alone;        /* refused together with others: to be written alone */
     unsigned refused;  /* what was refused alone, see commit.c; 0: nothing */
 };
@@ -257,6 +257,9 @@
 struct pm_value *pm_chunk_value(struct pm_chunk *chunk, int half);
 /* A task of the job got a place, or lost it (`by` -1). */
 void pm_job_count_place(struct pm_job *job, uint32_t index, int by);
+/* Whether chunk k is written in halves: it is already, or it could grow too large for one value.
+ * Every further value costs a change of the state service's, the scarcest of all. */
+bool pm_job_in_halves(const struct pm_books *books, const struct pm_job *job, int k);
 /* Whether the value that tells of the task holds one more place. */
 bool pm_job_has_room(const struct pm_books *books, const struct pm_job *job, uint32_t index);
 /* Tasks that are neither done nor placed, and may start. */
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -763,8 +763,8 @@
     pm_job_touch(job, 90);
     assert_true(fake_run_until(loop, has_written, "p/t/job-2/0"));
     assert_true(fake_run_until(loop, replica_is_there, job));
-    books.halves = true;
     books.protocol_version = PM_PROTOCOL_DEPENDENCIES;
+    settings.value_kb = 2; /* less than a hundred places */
     settings.txn_ops = 2;
     pm_job_touch(job, 0);
     fake_state_swallow(state); /* the first step is carried out, without an answer */
@@ -787,6 +787,35 @@
     assert_int_equal(fake_state_stamp(state, "p/t/job-2/0/1"), 0);
 }
 
+/* When the limits fall, what a value holds whole stays whole: a job of few tasks costs one change a
+ * write, as before, and not one for each half and one for the end of the whole. What is refused all
+ * the same, though it ought to fit, goes in halves. */
+static void a_small_chunk_stays_whole(void **arg)
+{
+    struct pm_job *job = accepted("job-3");
+    struct pm_chunk *chunk;
+    uint64_t before;
+
+    (void)arg;
+    place(job);
+    assert_true(fake_run_until(loop, has_written, "p/t/job-3/0"));
+    books.protocol_version = PM_PROTOCOL_DEPENDENCIES;
+    settings.value_kb = 1;
+    assert_false(pm_job_in_halves(&books, job, 0));
+    assert_true(pm_job_has_room(&books, job, 1));
+    before = fake_state_stamp(state, "p/t/job-3/0");
+    pm_job_touch(job, 0);
+    assert_true(fake_run_until(loop, is_clean, job));
+    assert_int_equal(fake_state_stamp(state, "p/t/job-3/0/0"), 0);
+    assert_int_equal(fake_state_stamp(state, "p/t/job-3/0/1"), 0);
+    assert_true(fake_state_stamp(state, "p/t/job-3/0") > before);
+    chunk = job->chunk[0];
+    chunk->split = true;
+    assert_true(pm_job_in_halves(&books, job, 0));
+    books.protocol_version = PM_PROTOCOL_FIRST; /* an earlier version would misread halves */
+    assert_false(pm_job_in_halves(&books, job, 0));
+}
+
 static bool is_doubted(void *arg)
 {
     static struct pm_grounds wrong;
@@ -845,6 +874,7 @@
         cmocka_unit_test_setup(one_write_cancels_a_chain, set_up),
         cmocka_unit_test_setup(many_names_are_kept_beside_the_job, set_up),
         cmocka_unit_test_setup(a_whole_chunk_goes_over_to_halves, set_up),
+        cmocka_unit_test_setup(a_small_chunk_stays_whole, set_up),
         cmocka_unit_test_setup(repeats_grow_rare, set_up),
         cmocka_unit_test_setup(a_late_placement_changes_nothing, set_up),
         cmocka_unit_test_setup(a_late_placement_revives_nothing, set_up),
