Tests: the feature gate through outages, cut-offs, old returns and a leader's end; mixed majority

Five tests in test_leadership.c play an upgrade of three controllers, the third answering as the version before does: the last one is replaced in an outage; it does not reach the state service; an old one dies, returns old, and its late messages come after it is new; the leader dies when half are new; and in mixed company the version before counts for the majority that confirms in an outage. The gate opens within 3 s of the first moment at which it can be known.

--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -388,6 +388,174 @@
     assert_true(fake_run_until(loop, all_are_new, &all[3]));
 }
 
+/* A controller of the version before: it answers as that one does, and never names a version. */
+static void answer_as_before(void *arg, struct pm_http_request *req)
+{
+    Pm__PeerTell tell = PM__PEER_TELL__INIT;
+    Pm__PeerAsk *ask = pm__peer_ask__unpack(NULL, req->body_size, req->body);
+    unsigned char data[128];
+
+    (void)arg;
+    assert_non_null(ask); /* it reads what this version sends */
+    tell.from = "n2";
+    tell.known = ask->epoch;
+    tell.ready = true;
+    tell.refused = true;
+    tell.edition = ask->edition;
+    tell.lists = true;
+    pm_http_reply(req, 200, data, pm__peer_tell__pack(&tell, data), 0);
+    pm__peer_ask__free_unpacked(ask, NULL);
+}
+
+static struct pm_http_server *start_version_before(const struct controller *c)
+{
+    struct pm_http_server *server =
+        pm_http_server_new(loop, c->settings.peer_listen, 16, answer_as_before, NULL);
+
+    assert_non_null(server);
+    return server;
+}
+
+/* The third controller asks as the version before does. */
+static void ask_as_before(struct controller *from, const struct controller *to)
+{
+    Pm__PeerAsk message = PM__PEER_ASK__INIT;
+    unsigned char data[64];
+    int told = 0;
+
+    message.from = "n2";
+    pm_http_call(from->http, to->settings.peer_listen, "POST", "/peer", data,
+                 pm__peer_ask__pack(&message, data), 30, 4096, on_told, &told);
+    assert_true(fake_run_until(loop, is_told, &told));
+    assert_int_equal(told, 200);
+}
+
+/* Two run this version, the third the one before. The first reaches the state service by its second
+ * address, so that a test can take it away from that one alone. */
+static struct pm_http_server *start_mixed(struct controller *all)
+{
+    struct pm_http_server *before;
+
+    acquaint(all, 3);
+    before = start_version_before(&all[2]);
+    all[0].state_addr = fake_state_side(state);
+    start(&all[0]);
+    assert_true(fake_run_until(loop, has_taken, &all[0]));
+    start(&all[1]);
+    assert_true(fake_run_until(loop, has_read, &all[1]));
+    pass(2);
+    assert_int_equal(fake_state_stamp(state, "p/speaks"), 0);
+    return before;
+}
+
+/* How soon after it can be known the feature has to be on, well within the 60 s of a user's
+ * patience. The fake state service and the loopback answer at once. */
+#define GATE_S 3.0
+
+static void assert_gate_opens(struct controller *c, double known_at)
+{
+    assert_true(fake_run_until(loop, all_are_new, c));
+    assert_true(pm_clock_steady() - known_at < GATE_S);
+}
+
+/* The last one is replaced during an outage: nothing can be written then, and at its end all know.
+ */
+static void the_last_one_is_replaced_in_an_outage(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    struct pm_http_server *before = start_mixed(all);
+    double end;
+
+    (void)arg;
+    fake_state_outage(state, true);
+    assert_true(fake_run_until(loop, is_refused, &all[0]));
+    pm_http_server_free(before);
+    start(&all[2]);
+    pass(1.5);
+    assert_false(all_are_new(&all[0]));
+    end = pm_clock_steady();
+    fake_state_outage(state, false);
+    for (int i = 0; i < 3; i++)
+        assert_gate_opens(&all[i], end);
+}
+
+/* The last one does not reach the state service: its messages tell the others what it runs. */
+static void the_last_one_is_out_of_reach_of_the_state_service(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    struct pm_http_server *before = start_mixed(all);
+    double since;
+
+    (void)arg;
+    all[2].state_addr = "127.0.0.1:9"; /* nobody listens there */
+    pm_http_server_free(before);
+    start(&all[2]);
+    since = pm_clock_steady();
+    assert_gate_opens(&all[0], since);
+    assert_gate_opens(&all[1], since);
+    assert_false(all_are_new(&all[2]));
+    assert_false(has_read(&all[2]));
+}
+
+/* It dies before its turn and comes back as it was, in the middle of the others' replacement. */
+static void the_old_one_returns_old_before_its_turn(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    struct pm_http_server *before = start_mixed(all);
+    double since;
+
+    (void)arg;
+    pm_http_server_free(before);
+    pass(1);
+    before = start_version_before(&all[2]);
+    ask_as_before(&all[1], &all[0]);
+    pass(2);
+    assert_false(all_are_new(&all[0]));
+    pm_http_server_free(before);
+    start(&all[2]);
+    since = pm_clock_steady();
+    assert_gate_opens(&all[0], since);
+    /* What it said before, held up on its way, closes nothing again. */
+    ask_as_before(&all[1], &all[0]);
+    ask_as_before(&all[0], &all[1]);
+    pass(1);
+    assert_true(all_are_new(&all[0]));
+    assert_true(all_are_new(&all[1]));
+}
+
+/* The leader dies when half are replaced: its successor knows what each runs, and says so. */
+static void the_leader_dies_when_half_are_new(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+    struct pm_http_server *before = start_mixed(all);
+    double since;
+
+    (void)arg;
+    pm_http_server_free(all[0].back); /* nobody hears of it any more */
+    fake_state_set_side(state, FAKE_REFUSES);
+    fake_state_lapse(state);
+    assert_true(fake_run_until(loop, has_taken, &all[1]));
+    assert_false(all_are_new(&all[1]));
+    pm_http_server_free(before);
+    start(&all[2]);
+    since = pm_clock_steady();
+    assert_gate_opens(&all[1], since);
+}
+
+/* In mixed company an outage is ridden out as ever: the version before counts for a majority. */
+static void the_version_before_counts_in_a_majority(void **arg)
+{
+    struct controller *all = g_new0(struct controller, 3);
+
+    (void)arg;
+    start_mixed(all);
+    fake_state_outage(state, true);
+    assert_true(fake_run_until(loop, is_refused, &all[0]));
+    pm_http_server_free(all[1].back);
+    pass(2 * all[0].op.confirm_s);
+    assert_true(fake_run_until(loop, is_confirmed, &all[0]));
+}
+
 static bool has_successor(void *arg)
 {
     struct controller *all = arg;
@@ -443,6 +611,11 @@
         cmocka_unit_test_setup(back_at_once_it_reads_first, set_up),
         cmocka_unit_test_setup(others_care_for_workers_in_an_outage, set_up),
         cmocka_unit_test_setup(all_speak_once_each_has_said_so, set_up),
+        cmocka_unit_test_setup(the_last_one_is_replaced_in_an_outage, set_up),
+        cmocka_unit_test_setup(the_last_one_is_out_of_reach_of_the_state_service, set_up),
+        cmocka_unit_test_setup(the_old_one_returns_old_before_its_turn, set_up),
+        cmocka_unit_test_setup(the_leader_dies_when_half_are_new, set_up),
+        cmocka_unit_test_setup(the_version_before_counts_in_a_majority, set_up),
         cmocka_unit_test_setup(ten_leaders_in_a_row, set_up),
         cmocka_unit_test_setup(one_refused_alone_cares_for_nobody, set_up),
     };
