--- a/src/base/cbor.c
+++ b/src/base/cbor.c
@@ -8,7 +8,8 @@
 /* Walks one item; the offset behind it, or 0 when malformed. */
 static size_t walk(const unsigned char *d, size_t size, size_t at, int depth)
 {
-    unsigned major, info;
+    unsigned major;
+    unsigned info;
     uint64_t value;
     size_t n;
 
@@ -276,7 +277,8 @@
 void pm_put_item(struct pm_buf *buf, const cbor_item_t *item)
 {
     unsigned char *bytes = NULL;
-    size_t room = 0, size = cbor_serialize_alloc(item, &bytes, &room);
+    size_t room = 0;
+    size_t size = cbor_serialize_alloc(item, &bytes, &room);
 
     pm_buf_add(buf, bytes, size);
     free(bytes);
--- a/src/base/http.c
+++ b/src/base/http.c
@@ -22,20 +22,25 @@
 {
     char host[64];
     const char *colon = strrchr(text, ':');
+    long port;
 
     if (!colon || (size_t)(colon - text) >= sizeof host)
         return -1;
     memcpy(host, text, (size_t)(colon - text));
     host[colon - text] = 0;
+    port = strtol(colon + 1, NULL, 10);
+    if (port < 0 || port > UINT16_MAX)
+        return -1;
     memset(out, 0, sizeof *out);
     out->sin_family = AF_INET;
-    out->sin_port = htons((uint16_t)atoi(colon + 1));
+    out->sin_port = htons((uint16_t)port);
     return inet_pton(AF_INET, host, &out->sin_addr) == 1 ? 0 : -1;
 }
 
 static int new_socket(void)
 {
-    int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int one = 1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
     if (fd >= 0)
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
@@ -135,18 +140,18 @@
     }
 }
 
-void pm_http_reply(struct pm_http_request *pub, int status, const void *body, size_t size,
+void pm_http_reply(struct pm_http_request *req, int status, const void *body, size_t size,
                    int retry_after)
 {
-    struct server_request *req = (struct server_request *)pub;
-    struct conn *c = req->conn;
+    struct server_request *own = (struct server_request *)req;
+    struct conn *c = own->conn;
 
     if (c) {
         c->req = NULL;
         conn_queue(c, status, body, size, retry_after);
     }
-    pm_buf_free(&req->body);
-    g_free(req);
+    pm_buf_free(&own->body);
+    g_free(own);
 }
 
 static void conn_dispatch(struct conn *c)
@@ -367,7 +372,8 @@
     (void)events;
     for (int i = 0; i < 16; i++) {
         struct conn *c;
-        int one = 1, fd = accept4(s->accept_io.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        int one = 1;
+        int fd = accept4(s->accept_io.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
         if (fd < 0)
             return;
@@ -403,7 +409,8 @@
 {
     struct pm_http_server *s;
     struct sockaddr_in sa;
-    int one = 1, fd;
+    int one = 1;
+    int fd;
 
     if (parse_addr(addr, &sa)) {
         errno = EINVAL;
@@ -439,8 +446,10 @@
 
 void pm_http_server_free(struct pm_http_server *s)
 {
-    while (s->open.head)
-        conn_close(s->open.head->data);
+    struct conn *conn;
+
+    while ((conn = g_queue_peek_head(&s->open)))
+        conn_close(conn); /* takes itself out of the queue */
     ev_io_stop(s->loop, &s->accept_io);
     ev_ref(s->loop);
     ev_prepare_stop(s->loop, &s->before_wait);
@@ -657,11 +666,12 @@
 static gboolean target_free(gpointer key, gpointer value, gpointer arg)
 {
     struct target *t = value;
+    struct call *call;
 
     (void)key;
     (void)arg;
-    while (t->idle.head)
-        call_free(t->idle.head->data);
+    while ((call = g_queue_peek_head(&t->idle)))
+        call_free(call); /* takes itself out of the queue */
     g_free(t);
     return TRUE;
 }
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -30,7 +30,8 @@
     static const char *const names[] = {"error", "info", "debug"};
     char line[1024];
     va_list args;
-    int used, more;
+    int used;
+    int more;
 
     if (level > limit)
         return;
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -76,7 +76,8 @@
 /* A limit, and the one to come, if the file tells of one. */
 static double want_limit(struct reader *r, const char *name, double least, double most)
 {
-    char field[64], next[64];
+    char field[64];
+    char next[64];
     double limit;
 
     snprintf(field, sizeof field, "settings.state.%s", name);
@@ -121,7 +122,8 @@
 
 int pm_settings_load(struct pm_settings *out, const char *path, char *err, size_t err_size)
 {
-    struct reader reader = {.err = err, .err_size = err_size}, *r = &reader;
+    struct reader reader = {.err = err, .err_size = err_size};
+    struct reader *r = &reader;
 
     memset(out, 0, sizeof *out);
     r->doc = pm_toml_load(path, err, err_size);
--- a/src/base/tests/test_base.c
+++ b/src/base/tests/test_base.c
@@ -76,7 +76,7 @@
     static char path[] = "/tmp/pumicemount-test-XXXXXX";
     int fd;
 
-    memcpy(path + strlen(path) - 6, "XXXXXX", 6);
+    g_strlcpy(path + strlen(path) - 6, "XXXXXX", 7);
     fd = mkstemp(path);
     assert_true(fd >= 0);
     assert_int_equal(write(fd, text, strlen(text)), (ssize_t)strlen(text));
@@ -113,11 +113,12 @@
 static void names_the_field_at_fault(void **state)
 {
     struct pm_settings s;
-    char err[256], *text = g_strdup(good);
+    char err[256];
+    char *text = g_strdup(good);
     const char *path;
 
     (void)state;
-    memcpy(strstr(text, "lease_s"), "leash_s", 7);
+    strstr(text, "lease_s")[4] = 'h'; /* leash_s */
     path = write_file(text);
     assert_int_equal(pm_settings_load(&s, path, err, sizeof err), -1);
     unlink(path);
--- a/src/blocks/ask.c
+++ b/src/blocks/ask.c
@@ -221,8 +221,8 @@
 {
     Pm__BlockCall call = PM__BLOCK_CALL__INIT;
     struct flight *f = g_new0(struct flight, 1);
-    char **leaving = g_new0(char *, k->entries->len + 1),
-         **stop = g_new0(char *, k->entries->len + 1);
+    char **leaving = g_new0(char *, k->entries->len + 1);
+    char **stop = g_new0(char *, k->entries->len + 1);
     unsigned char *data;
     size_t size;
 
--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -68,7 +68,8 @@
 void pm_blocks_put(struct pm_blocks *b, const char *key, const cbor_item_t *value, uint64_t stamp)
 {
     struct block *k = by_key(b, key);
-    cbor_item_t *hosts = pm_cbor_get(value, "hosts"), *jobs = pm_cbor_get(value, "jobs");
+    cbor_item_t *hosts = pm_cbor_get(value, "hosts");
+    cbor_item_t *jobs = pm_cbor_get(value, "jobs");
     char name[PM_NAME_MAX];
     uint64_t width;
 
--- a/src/blocks/hold.c
+++ b/src/blocks/hold.c
@@ -30,7 +30,8 @@
 
 static void join_machine(struct pm_blocks *b, const cbor_item_t *host, double now)
 {
-    char name[PM_NAME_MAX], text[PM_NAME_MAX];
+    char name[PM_NAME_MAX];
+    char text[PM_NAME_MAX];
     struct pm_machine *m;
     uint64_t session = 0;
 
@@ -106,7 +107,8 @@
     double now = pm_clock_steady();
     unsigned char *data;
     size_t size;
-    int up = 0, heard = 0;
+    int up = 0;
+    int heard = 0;
 
     if (!call) {
         pm_http_reply(req, 400, NULL, 0, 0);
--- a/src/blocks/lend.c
+++ b/src/blocks/lend.c
@@ -162,7 +162,8 @@
 /* Room on each machine that is away, by what the replica says is there. */
 static double (*room_away(struct pm_blocks *b, uint32_t *tasks_on))[3]
 {
-    GPtrArray *all = pm_workers_all(b->workers), *active = pm_jobs_active(b->jobs);
+    GPtrArray *all = pm_workers_all(b->workers);
+    GPtrArray *active = pm_jobs_active(b->jobs);
     double(*room)[3] = g_malloc0(sizeof(double[3]) * (all->len + 1));
 
     for (guint i = 0; i < all->len; i++) {
@@ -232,7 +233,7 @@
 
 /* Work beyond its team's guarantee yields to a team within its own, across blocks: the leader calls
  * machines back on which only such work runs. */
-static void call_back_for(struct pm_blocks *b, const struct shortage *s, bool *used)
+static void call_back_for(struct pm_blocks *b, const struct shortage *s, const bool *used)
 {
     uint32_t missing = s->waiting;
 
@@ -294,7 +295,8 @@
 
 void pm_blocks_allot(struct pm_blocks *b, double now)
 {
-    GPtrArray *all = pm_workers_all(b->workers), *queue = g_ptr_array_new();
+    GPtrArray *all = pm_workers_all(b->workers);
+    GPtrArray *queue = g_ptr_array_new();
     uint32_t *tasks_on = g_new0(uint32_t, all->len + 1);
     bool *used = g_new0(bool, all->len + 1), called = being_called(b);
     double(*room)[3] = room_away(b, tasks_on);
@@ -311,7 +313,9 @@
     short_of = g_new0(struct shortage, queue->len + 1);
     for (guint i = 0; i < queue->len; i++) {
         struct pm_job *job = g_ptr_array_index(queue, i);
-        uint32_t done, placed, left;
+        uint32_t done;
+        uint32_t placed;
+        uint32_t left;
         pm_jobs_count(job, &done, &placed);
         left = job->entries - MIN(job->entries, done + placed);
         short_of[i].job = job;
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -276,7 +276,8 @@
 /* One leads, with a machine that has reported; the other is about to read the state. */
 static int set_up(void **arg)
 {
-    int a = fake_free_port(), b = fake_free_port();
+    int a = fake_free_port();
+    int b = fake_free_port();
 
     (void)arg;
     loop = ev_loop_new(EVFLAG_AUTO);
--- a/src/cmd/plan-bench/main.c
+++ b/src/cmd/plan-bench/main.c
@@ -166,7 +166,8 @@
 static void time_chains(int chains, int length, double now)
 {
     const int first = 500000;
-    double at = seconds(), told;
+    double at = seconds();
+    double told;
 
     for (int i = 0; i < chains; i++)
         for (int k = 0; k < length; k++) { /* an odd number: an array, never a service */
@@ -186,10 +187,15 @@
 
 int main(int argc, char **argv)
 {
-    int machines = argc > 1 ? atoi(argv[1]) : 2000, njobs = argc > 2 ? atoi(argv[2]) : 250,
-        next = 0;
-    double now = 100, plans = 0, reports = 0, longest = 0;
-    long placed = 0, nreports = 0;
+    int machines = argc > 1 ? (int)strtol(argv[1], NULL, 10) : 2000;
+    int njobs = argc > 2 ? (int)strtol(argv[2], NULL, 10) : 250;
+    int next = 0;
+    double now = 100;
+    double plans = 0;
+    double reports = 0;
+    double longest = 0;
+    long placed = 0;
+    long nreports = 0;
     struct pm_operator op;
     struct pm_plan *plan;
 
@@ -197,11 +203,12 @@
     pm_operator_defaults(&op);
     begin(machines);
     plan = pm_plan_new(&books, jobs, workers, &op);
-    for (int round = 0; round < ROUNDS; round++, now += 0.2) {
+    for (int round = 0; round < ROUNDS; round++) {
         GPtrArray *all = pm_workers_all(workers);
-        double at = seconds(), took;
-        while (next < njobs + round)
-            add_job(next, next % 4 == 3 ? next - 1 : -1, now), next++;
+        double at = seconds();
+        double took;
+        for (; next < njobs + round; next++)
+            add_job(next, next % 4 == 3 ? next - 1 : -1, now);
         for (int i = 0; i < machines; i++) {
             struct pm_machine *m = g_ptr_array_index(all, i);
             if (round && (i + round) % SHARE)
@@ -223,6 +230,7 @@
                     place->state = PM_RUNNING;
             }
         }
+        now += 0.2;
     }
     printf("%d machines, %d jobs: plan %.0f us (longest %.0f us), %ld placed; report %.1f us\n",
            machines, next, plans / ROUNDS * 1e6, longest * 1e6, placed,
--- a/src/cmd/pumicemount/main.c
+++ b/src/cmd/pumicemount/main.c
@@ -18,7 +18,10 @@
 {
     static struct pm_settings settings;
     static struct pm_operator op;
-    char *config = NULL, *check = NULL, *operator_file = NULL, err[512];
+    char *config = NULL;
+    char *check = NULL;
+    char *operator_file = NULL;
+    char err[512];
     gboolean version = FALSE;
     GOptionEntry entries[] = {
         {"config", 0, 0, G_OPTION_ARG_FILENAME, &config, "the platform's settings (TOML)", "FILE"},
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -17,6 +17,8 @@
 /* Of the sockets: one in so many for our own requests. Users and workers have the rest, but for
  * what peers need and a little that stays free. */
 #define CLIENT_SHARE 5
+#define SOCKETS_SPARE_SHARE 20 /* and one in so many, and a few more, stay free */
+#define SOCKETS_SPARE 8
 #define STORE_SHARE 0.36 /* of the state service's requests: for the watches, and for freshness */
 #define YIELDED_S 1.0    /* a task that was stopped to make room rests for this long */
 
@@ -407,43 +409,52 @@
     g_mutex_lock(&((struct pm_node *)ev_userdata(loop))->lock);
 }
 
-struct pm_node *pm_node_new(struct ev_loop *loop, const struct pm_settings *settings,
-                            const struct pm_operator *op)
+static void make_names(struct pm_books *books, const struct pm_settings *settings)
 {
-    struct pm_node *n = g_new0(struct pm_node, 1);
-    int back;
+    books->settings = settings;
+    books->classes = pm_names_new();
+    books->images = pm_names_new();
+    books->types = pm_names_new();
+    books->machines = pm_names_new();
+    books->dependency_ids = pm_names_new();
+}
 
-    n->loop = loop;
-    n->settings = settings;
-    n->op = op;
-    n->books.settings = settings;
-    n->books.classes = pm_names_new();
-    n->books.images = pm_names_new();
-    n->books.types = pm_names_new();
-    n->books.machines = pm_names_new();
-    n->books.dependency_ids = pm_names_new();
+/* The loop's thread has the lock but for its waits. */
+static void make_locks(struct pm_node *n)
+{
     g_mutex_init(&n->lock);
-    ev_set_userdata(loop, n);
-    ev_set_loop_release_cb(loop, before_wait, after_wait);
+    ev_set_userdata(n->loop, n);
+    ev_set_loop_release_cb(n->loop, before_wait, after_wait);
     g_mutex_init(&n->wake_lock);
     g_cond_init(&n->wake);
-    n->http = pm_http_client_new(loop, settings->sockets / CLIENT_SHARE);
+}
+
+/* What decides: no I/O of its own but for the fleet's calls to the cloud. */
+static void make_planning(struct pm_node *n)
+{
     n->jobs = pm_jobs_new(&n->books);
     n->workers =
         pm_workers_new(&n->books, n->jobs, &(struct pm_workers_hooks){on_ended, on_ran, n});
-    n->plan = pm_plan_new(&n->books, n->jobs, n->workers, op);
-    n->fleet = pm_fleet_new(n->http, &n->books, n->jobs, n->workers, n->plan, op,
+    n->plan = pm_plan_new(&n->books, n->jobs, n->workers, n->op);
+    n->fleet = pm_fleet_new(n->http, &n->books, n->jobs, n->workers, n->plan, n->op,
                             &(struct pm_fleet_hooks){on_types, on_gone, on_changed, n});
+}
+
+/* What rests on the state service. */
+static void make_replication(struct pm_node *n)
+{
+    const struct pm_settings *settings = n->settings;
+
     n->store = pm_store_new(
-        loop, n->http, settings->state, settings->state_write_rps,
+        n->loop, n->http, settings->state, settings->state_write_rps,
         &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed, on_caught_up, n});
     share_of_others(n);
     pm_store_set_pace(n->store, STORE_SHARE * settings->state_rps / settings->size);
     n->lead =
-        pm_lead_new(loop, n->store, n->http, settings, op,
+        pm_lead_new(n->loop, n->store, n->http, settings, n->op,
                     &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_lead_confirmed,
                                             on_cancelled, on_list_cancelled, on_peer_reached, n});
-    n->cancels = pm_cancels_new(loop, n->store, n->http, settings,
+    n->cancels = pm_cancels_new(n->loop, n->store, n->http, settings,
                                 &(struct pm_cancels_hooks){on_cancelled, n});
     n->commit = pm_commit_new(
         &n->books, n->jobs, n->store,
@@ -452,28 +463,60 @@
     n->blocks = pm_blocks_new(
         &n->books, n->jobs, n->workers, n->plan, n->store, n->http, n->lead,
         &(struct pm_blocks_hooks){on_changed, on_job_back, on_machine_bad, on_block_mine, n});
-    n->intake = pm_intake_new(loop, n->store, n->jobs, &n->books, n->cancels, op);
+    n->intake = pm_intake_new(n->loop, n->store, n->jobs, &n->books, n->cancels, n->op);
+}
+
+static void start_timers(struct pm_node *n)
+{
     ev_async_init(&n->planned, pm_node_on_planned);
     ev_timer_init(&n->pace, pm_node_on_pace, 0., 0.);
     ev_timer_init(&n->commit_timer, pm_node_on_commit_timer, 0., 0.);
     ev_timer_init(&n->round, pm_node_on_round, 0.05, ROUND_S);
     n->planned.data = n->pace.data = n->commit_timer.data = n->round.data = n;
-    ev_async_start(loop, &n->planned);
-    ev_timer_start(loop, &n->round);
-    back = MAX(16, MIN(settings->sockets / 16, 8 * settings->peers));
-    n->front = pm_http_server_new(loop, settings->listen,
-                                  MAX(8, settings->sockets - settings->sockets / CLIENT_SHARE -
-                                             back - settings->sockets / 20 - 8),
-                                  on_front, n);
-    if (!n->front) {
-        pm_error("node.listen", "%s: %s", settings->listen, strerror(errno));
-        return NULL;
-    }
-    n->back = pm_http_server_new(loop, settings->peer_listen, back, on_back, n);
-    if (!n->back) {
-        pm_error("node.listen", "%s: %s", settings->peer_listen, strerror(errno));
+    ev_async_start(n->loop, &n->planned);
+    ev_timer_start(n->loop, &n->round);
+}
+
+static struct pm_http_server *listen_on(struct pm_node *n, const char *addr, int connections,
+                                        pm_http_handler *handler)
+{
+    struct pm_http_server *server = pm_http_server_new(n->loop, addr, connections, handler, n);
+
+    if (!server)
+        pm_error("node.listen", "%s: %s", addr, strerror(errno));
+    return server;
+}
+
+/* Peers get up to a sixteenth of the sockets, users and workers what is left but for a few. */
+static bool start_servers(struct pm_node *n)
+{
+    const struct pm_settings *settings = n->settings;
+    int back = MAX(16, MIN(settings->sockets / 16, 8 * settings->peers));
+    int front = settings->sockets - settings->sockets / CLIENT_SHARE - back -
+                settings->sockets / SOCKETS_SPARE_SHARE - SOCKETS_SPARE;
+
+    n->front = listen_on(n, settings->listen, MAX(8, front), on_front);
+    if (n->front)
+        n->back = listen_on(n, settings->peer_listen, back, on_back);
+    return n->front && n->back;
+}
+
+struct pm_node *pm_node_new(struct ev_loop *loop, const struct pm_settings *settings,
+                            const struct pm_operator *op)
+{
+    struct pm_node *n = g_new0(struct pm_node, 1);
+
+    n->loop = loop;
+    n->settings = settings;
+    n->op = op;
+    make_names(&n->books, settings);
+    make_locks(n);
+    n->http = pm_http_client_new(loop, settings->sockets / CLIENT_SHARE);
+    make_planning(n);
+    make_replication(n);
+    start_timers(n);
+    if (!start_servers(n))
         return NULL;
-    }
     g_mutex_lock(&n->lock); /* the loop's thread has it until its first wait */
     n->planner = g_thread_new("planner", pm_node_planner, n);
     return n;
--- a/src/cmd/pumicemount/planning.c
+++ b/src/cmd/pumicemount/planning.c
@@ -81,7 +81,8 @@
 
 void pm_node_commit(struct pm_node *n)
 {
-    double now = pm_clock_steady(), next;
+    double now = pm_clock_steady();
+    double next;
     struct pm_grounds grounds = {0};
 
     if (!n->ruling)
--- a/src/cmd/pumicemount/round.c
+++ b/src/cmd/pumicemount/round.c
@@ -72,6 +72,19 @@
     }
 }
 
+/* Whether the worker's answer to a command would tell something. */
+static bool is_worth_asking(const struct pm_node *n, const struct pm_machine *m, double now)
+{
+    bool known = m->endpoint[0] && m->listed;
+    bool silent = m->state == PM_UP && now - m->heard > 1.25 * n->settings->report_s + 0.4;
+
+    if (!m->reported && known)
+        return true;
+    if (m->reported && (m->unheard || !pm_workers_proven(m)))
+        return true; /* does it hear us, is it there at all? */
+    return silent;   /* perhaps it reaches another controller only */
+}
+
 void pm_node_find_again(struct pm_node *n, double now)
 {
     GPtrArray *all = pm_workers_all(n->workers);
@@ -88,12 +101,8 @@
          * our token. A wrong session is refused, with the report all the same. */
         if (asked >= ASK_MAX)
             continue; /* the others are asked next time: not all workers at once */
-        if (!m->reported && m->endpoint[0] && m->listed)
+        if (is_worth_asking(n, m, now))
             pm_node_direct(n, m, true);
-        else if (m->reported && (m->unheard || !pm_workers_proven(m)))
-            pm_node_direct(n, m, true); /* does it hear us, is it there at all? */
-        else if (m->state == PM_UP && now - m->heard > 1.25 * n->settings->report_s + 0.4)
-            pm_node_direct(n, m, true); /* silent: perhaps it reaches another controller only */
         asked += m->direct_busy;
     }
     if (doubtful && n->leading && now - n->raised_at > 6) {
@@ -108,7 +117,9 @@
 {
     GPtrArray *all = pm_workers_all(n->workers);
     double limit = MAX(3.5, 1.6 * n->settings->report_s);
-    int silent = 0, deaf = 0, up = 0;
+    int silent = 0;
+    int deaf = 0;
+    int up = 0;
 
     if (!n->settings->peers || now - n->took_at < limit)
         return;
@@ -131,10 +142,17 @@
 /* What there is and what waits, for whoever reads the log. */
 static void tell_state(struct pm_node *n, double now)
 {
-    GPtrArray *all = pm_workers_all(n->workers), *active = pm_jobs_active(n->jobs);
-    int up = 0, booting = 0, lent = 0, silent = 0;
-    unsigned placed = 0, waiting = 0, away = 0;
-    double cpus = 0, idle = 0;
+    GPtrArray *all = pm_workers_all(n->workers);
+    GPtrArray *active = pm_jobs_active(n->jobs);
+    int up = 0;
+    int booting = 0;
+    int lent = 0;
+    int silent = 0;
+    unsigned placed = 0;
+    unsigned waiting = 0;
+    unsigned away = 0;
+    double cpus = 0;
+    double idle = 0;
 
     if (now - n->told_at < TELL_S)
         return;
@@ -154,7 +172,8 @@
     }
     for (guint i = 0; i < active->len; i++) {
         const struct pm_job *job = g_ptr_array_index(active, i);
-        uint32_t done, running;
+        uint32_t done;
+        uint32_t running;
         if (job->away && job->spec) {
             pm_jobs_count(job, &done, &running);
             placed += running;
--- a/src/cmd/pumicemount/workers.c
+++ b/src/cmd/pumicemount/workers.c
@@ -125,7 +125,8 @@
  * below what the worker has seen. */
 void pm_node_report(struct pm_node *n, struct pm_http_request *req)
 {
-    uint64_t epoch = pm_lead_epoch(n->lead), mandate = 0;
+    uint64_t epoch = pm_lead_epoch(n->lead);
+    uint64_t mandate = 0;
     double now = pm_clock_steady();
     struct pm_machine *m;
     cbor_item_t *report;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -68,7 +68,8 @@
 {
     const struct pm_settings *s = f->books->settings;
     const cbor_item_t *heard = pm_cbor_get(ledger, "heard");
-    double at, written;
+    double at;
+    double written;
 
     f->took_at = now;
     if (pm_cbor_number(pm_cbor_get(ledger, "day"), &written))
@@ -101,7 +102,8 @@
     if (!pm_cbor_length(models))
         return false;
     for (size_t i = 0; i < pm_cbor_length(models); i++) {
-        const cbor_item_t *item = pm_cbor_at(models, i), *zones = pm_cbor_get(item, "rooms");
+        const cbor_item_t *item = pm_cbor_at(models, i);
+        const cbor_item_t *zones = pm_cbor_get(item, "rooms");
         struct pm_type type = {0};
         int index;
         if (pm_cbor_text(pm_cbor_get(item, "sku"), name, sizeof name) ||
@@ -164,7 +166,9 @@
 
 static void read_listed(struct pm_fleet *f, const cbor_item_t *item, double now)
 {
-    char name[PM_NAME_MAX], text[PM_NAME_MAX], status[32] = "";
+    char name[PM_NAME_MAX];
+    char text[PM_NAME_MAX];
+    char status[32] = "";
     struct pm_machine *m;
     double age = 0;
     int type;
@@ -202,7 +206,8 @@
 /* Whether `a` was rented before `b`: names go by creation. */
 static bool rented_before(const char *a, const char *b)
 {
-    size_t x = strlen(a), y = strlen(b);
+    size_t x = strlen(a);
+    size_t y = strlen(b);
 
     return x != y ? x < y : strcmp(a, b) < 0;
 }
@@ -234,7 +239,8 @@
     struct pm_fleet *f = call->fleet;
     bool current = call->round == f->round, more = false;
     double now = call->sent; /* ages are as of the list, near enough */
-    cbor_item_t *answer, *hosts;
+    cbor_item_t *answer;
+    cbor_item_t *hosts;
 
     g_free(call);
     if (!current)
@@ -325,7 +331,8 @@
 {
     struct call *call = arg;
     struct pm_fleet *f = call->fleet;
-    cbor_item_t *answer, *hosts;
+    cbor_item_t *answer;
+    cbor_item_t *hosts;
     char name[PM_NAME_MAX];
     size_t got = 0;
 
@@ -461,7 +468,8 @@
 void pm_fleet_run(struct pm_fleet *f, double now, double day)
 {
     struct pm_rent rents[RENT_MAX];
-    int n, in_flight_max = (int)CLAMP(f->books->settings->cloud_rps * 0.6, 3, 8);
+    int n;
+    int in_flight_max = (int)CLAMP(f->books->settings->cloud_rps * 0.6, 3, 8);
 
     if (!f->books->ntypes)
         return;
--- a/src/fleet/review.c
+++ b/src/fleet/review.c
@@ -53,7 +53,8 @@
     GPtrArray *all = pm_workers_all(f->workers);
     double limit = MAX(SILENT_S, 1.25 * f->books->settings->report_s + 2.4);
     GPtrArray *silent;
-    int heard[PM_ZONES_MAX] = {0}, missed[PM_ZONES_MAX] = {0};
+    int heard[PM_ZONES_MAX] = {0};
+    int missed[PM_ZONES_MAX] = {0};
     bool reported[PM_ZONES_MAX] = {0};
 
     if (!f->writable)
@@ -103,13 +104,76 @@
     return op->idle_return_s * CLAMP(sqrt((double)FEW / MAX(machines, 1)), IDLE_LEAST, 1);
 }
 
+/* Why a machine is to be returned that is not there, or never was: NULL, it is to stay. */
+static const char *why_gone(const struct pm_fleet *f, const struct pm_machine *m, double now)
+{
+    const struct pm_type *type = m->type >= 0 ? &f->books->type[m->type] : NULL;
+
+    if (m->failed)
+        return "failed";
+    /* Taken or dead: the confirmed release proves it at once, sooner than its lease. */
+    if (m->absent_since && m->state == PM_UP &&
+        (m->lent || now - m->heard > 1.3 * f->books->settings->report_s + 1))
+        return "no longer listed, and silent";
+    /* One that the list calls running has come up; after a change of leader it has yet to report
+     * here. */
+    if (m->state == PM_BOOTING && type && m->places->len == 0 &&
+        now - (m->runs_since ? m->runs_since : m->rented) > 6 * type->ready_s + 30)
+        return "does not come up";
+    if (!m->lent && m->state == PM_UP && m->places->len == 0 &&
+        now - m->heard > 2 * f->books->settings->lease_s + 20)
+        return "silent and empty";
+    return NULL;
+}
+
+/* Whether an idle machine is kept all the same: for the stream of array work, or for services.
+ * What is returned is taken off both. */
+static bool is_kept(struct pm_fleet *f, const struct pm_machine *m, double *spare, double now)
+{
+    if (m->spot) {
+        if (now - m->idle_since < FLOW_KEEP_S &&
+            f->spot_cpus - m->cpus < pm_fleet_steady_flow(f, now))
+            return true;
+        f->spot_cpus -= m->cpus;
+        return false;
+    }
+    if (*spare - m->cpus < f->spare_want)
+        return true;
+    *spare -= m->cpus;
+    return false;
+}
+
+/* Why a machine that is there is to be returned: NULL, it is to stay. */
+static const char *why_unused(struct pm_fleet *f, struct pm_machine *m, double idle_s,
+                              double *spare, double now)
+{
+    bool waits = pm_plan_wants(f->plan)->len > 0;
+
+    if (m->draining && waits && (m->places->len || now - m->rented < LEAST_AGE_S))
+        m->draining = false; /* it is needed after all */
+    if (m->state != PM_UP || m->places->len) {
+        m->idle_since = 0;
+        return NULL;
+    }
+    /* While nothing can be placed, that a machine idles says nothing about its use: what waits will
+     * want it as soon as the state service is back. Not for ever, though. */
+    if (!m->idle_since || (!f->writable && now - f->wrote_at < OUTAGE_KEEP_S))
+        m->idle_since = now;
+    if (m->draining)
+        return "emptied";
+    if (m->errors >= 3)
+        return "its tasks keep failing";
+    if (now - m->idle_since < idle_s || now - m->rented < LEAST_AGE_S)
+        return NULL;
+    return is_kept(f, m, spare, now) ? NULL : "idle";
+}
+
 void pm_fleet_review(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
     double idle_s;
     int machines = 0;
-    double spare = pm_plan_spare(f->plan, now), lease = f->books->settings->lease_s;
-    bool waits = pm_plan_wants(f->plan)->len > 0;
+    double spare = pm_plan_spare(f->plan, now);
 
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
@@ -117,68 +181,19 @@
     }
     idle_s = pm_fleet_idle_s(f->op, machines);
     give_up_silent(f, now);
-    if (!waits && now - f->emptied > 1) {
+    if (!pm_plan_wants(f->plan)->len && now - f->emptied > 1) {
         f->emptied = now;
         pm_plan_consolidate(f->plan, now);
     }
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
-        const struct pm_type *type;
+        const char *why;
         if (!m || m->state == PM_RELEASING)
             continue;
-        type = m->type >= 0 ? &f->books->type[m->type] : NULL;
-        if (m->failed) {
-            give_back(m, "failed");
-            continue;
-        }
-        /* Taken or dead: the confirmed release proves it at once, sooner than its lease. */
-        if (m->absent_since && m->state == PM_UP &&
-            (m->lent || now - m->heard > 1.3 * f->books->settings->report_s + 1)) {
-            give_back(m, "no longer listed, and silent");
-            continue;
-        }
-        /* One that the list calls running has come up; after a change of leader it has yet to
-         * report here. */
-        if (m->state == PM_BOOTING && type && m->places->len == 0 &&
-            now - (m->runs_since ? m->runs_since : m->rented) > 6 * type->ready_s + 30) {
-            give_back(m, "does not come up");
-            continue;
-        }
-        if (m->lent)
-            continue;
-        if (m->state == PM_UP && m->places->len == 0 && now - m->heard > 2 * lease + 20) {
-            give_back(m, "silent and empty");
-            continue;
-        }
-        if (m->draining && waits && (m->places->len || now - m->rented < LEAST_AGE_S))
-            m->draining = false; /* it is needed after all */
-        if (m->state != PM_UP || m->places->len) {
-            m->idle_since = 0;
-            continue;
-        }
-        /* While nothing can be placed, that a machine idles says nothing about its use: what waits
-         * will want it as soon as the state service is back. Not for ever, though. */
-        if (!m->idle_since || (!f->writable && now - f->wrote_at < OUTAGE_KEEP_S))
-            m->idle_since = now;
-        if (m->draining) {
-            give_back(m, "emptied");
-            continue;
-        }
-        if (m->errors >= 3) {
-            give_back(m, "its tasks keep failing");
-            continue;
-        }
-        if (now - m->idle_since < idle_s || now - m->rented < LEAST_AGE_S)
-            continue;
-        if (m->spot && now - m->idle_since < FLOW_KEEP_S &&
-            f->spot_cpus - m->cpus < pm_fleet_steady_flow(f, now))
-            continue;
-        if (m->spot)
-            f->spot_cpus -= m->cpus;
-        if (!m->spot && spare - m->cpus < f->spare_want)
-            continue;
-        if (!m->spot)
-            spare -= m->cpus;
-        give_back(m, "idle");
+        why = why_gone(f, m, now);
+        if (!why && !m->lent)
+            why = why_unused(f, m, idle_s, &spare, now);
+        if (why)
+            give_back(m, why);
     }
 }
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -40,8 +40,8 @@
     for (int type = 0; type < s->f->books->ntypes; type++) {
         const struct pm_type *t = &s->f->books->type[type];
         bool service = job->spec->form == PM_SERVICE;
-        int most = (int)pm_spec_fit(job->spec, t->cpus, t->gpus, t->ram_gb),
-            fit = service ? most : MIN(most, left);
+        int most = (int)pm_spec_fit(job->spec, t->cpus, t->gpus, t->ram_gb);
+        int fit = service ? most : MIN(most, left);
         for (int zone = 0; fit > 0 && zone < s->f->books->settings->zones; zone++) {
             for (int spot = spot_only; spot < 2; spot++) {
                 /* Longer boots cost as well, as a share of a machine's usual stay; users of a
@@ -98,14 +98,16 @@
 /* What array tasks that run now still have before them. */
 static double running_work(const struct pm_fleet *f, double now)
 {
-    GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
+    GPtrArray *all = pm_workers_all(f->workers);
+    GPtrArray *active = pm_jobs_active(f->jobs);
     double work = 0;
 
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         for (guint j = 0; m && j < m->places->len; j++) {
             const struct pm_place *place = g_ptr_array_index(m->places, j);
-            double each, ran;
+            double each;
+            double ran;
             if (place->state == PM_ENDED || !in_flow(place->job))
                 continue;
             each = task_seconds(f, place->job);
@@ -115,7 +117,8 @@
     }
     for (guint i = 0; i < active->len; i++) {
         const struct pm_job *job = g_ptr_array_index(active, i);
-        uint32_t done, placed;
+        uint32_t done;
+        uint32_t placed;
         if (!job->away || !in_flow(job))
             continue;
         pm_jobs_count(job, &done, &placed);
@@ -135,7 +138,10 @@
                       double caution)
 {
     const struct pm_spec *spec = want->job->spec;
-    double each = task_seconds(s->f, want->job), boot = INFINITY, left, need;
+    double each = task_seconds(s->f, want->job);
+    double boot = INFINITY;
+    double left;
+    double need;
 
     if (!in_flow(want->job))
         return (int)want->tasks;
@@ -171,7 +177,7 @@
  * `used_up`, machines that are up are left out: the planner found no room on them. */
 static void fill(struct sizing *s, const struct pm_job *job, int tasks, int dear, bool used_up)
 {
-    struct pm_rent rent;
+    struct pm_rent rent = {0};
     bool late = too_late(s, job);
     int zone = job->spec->same_place && job->spec->form == PM_GANG ? -2 : -1;
 
@@ -263,11 +269,15 @@
         .f = f, .bins = f->bins, .out = out, .max = max, .now = now, .day = day};
     struct sizing *s = &sizing;
     const GArray *wants = pm_plan_wants(f->plan);
-    GPtrArray *all = pm_workers_all(f->workers), *active = pm_jobs_active(f->jobs);
-    double service_cpus = 0, spare = 0, share;
+    GPtrArray *all = pm_workers_all(f->workers);
+    GPtrArray *active = pm_jobs_active(f->jobs);
+    double service_cpus = 0;
+    double spare = 0;
+    double share;
     int services = 0;
     struct pm_job *typical = NULL;
-    struct flow flow, dear_flow;
+    struct flow flow;
+    struct flow dear_flow;
 
     g_array_set_size(s->bins, 0);
     f->spot_cpus = 0;
@@ -295,7 +305,8 @@
     dear_flow = (struct flow){flow.work * DEAR, flow.pool};
     for (guint i = 0; i < wants->len; i++) {
         const struct pm_want *want = &g_array_index(wants, struct pm_want, i);
-        int cheap = more_tasks(s, &flow, want, 1), dear = more_tasks(s, &dear_flow, want, DEAR);
+        int cheap = more_tasks(s, &flow, want, 1);
+        int dear = more_tasks(s, &dear_flow, want, DEAR);
         fill(s, want->job, MAX(cheap, dear), dear, true);
     }
     rent_for_flow(s);
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -85,7 +85,8 @@
 static int asked(int type, bool spot, int *all)
 {
     struct pm_rent rents[16];
-    int n, of_kind = 0;
+    int n;
+    int of_kind = 0;
 
     pm_plan_run(plan, NOW, NOW);
     n = pm_fleet_size(fleet, NOW, NOW, rents, 16);
@@ -119,7 +120,9 @@
 
 static void what_can_follow_on_the_same_machines_rents_none(void **state)
 {
-    int all, hurried, relaxed;
+    int all;
+    int hurried;
+    int relaxed;
 
     (void)state;
     wait_for("job-1", PM_ARRAY, 8, 4, 20, 60);
@@ -163,8 +166,8 @@
 static enum pm_machine_state reviewed(double ago, double written, bool here, bool elsewhere)
 {
     struct pm_buf buf = {0};
-    struct pm_machine *m = pm_workers_add(workers, "i-000001"),
-                      *other = pm_workers_add(workers, "i-000002");
+    struct pm_machine *m = pm_workers_add(workers, "i-000001");
+    struct pm_machine *other = pm_workers_add(workers, "i-000002");
     struct pm_spec spec = {.zone = -1, .types = 1, .entries = 1, .cpus = 1, .due_s = -1};
     cbor_item_t *ledger;
 
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -73,7 +73,8 @@
 
 static void put_state(const struct pm_job *job, struct pm_buf *out)
 {
-    uint32_t done, running;
+    uint32_t done;
+    uint32_t running;
 
     pm_jobs_count(job, &done, &running);
     pm_put_map(out);
@@ -372,7 +373,7 @@
     pm_txn_put(txn, key);
     if (item->kind == SUBMIT)
         pm_jobs_write(in->books, item->spec, item->spec->entries, PM_LIVE, true, &txn->writes);
-    else
+    else if (job) /* whoever is cancelled is known */
         pm_jobs_write(in->books, job->spec, job->entries, PM_CANCELLED, job->spec != NULL,
                       &txn->writes);
     pm_txn_put_end(txn, 0);
@@ -549,7 +550,8 @@
 
 void pm_intake_ready(struct pm_intake *in, struct pm_http_request *req, bool refused_alone)
 {
-    double now = pm_clock_steady(), silent = now - pm_store_served(in->store);
+    double now = pm_clock_steady();
+    double silent = now - pm_store_served(in->store);
     bool ready;
 
     if (req->method != PM_HTTP_GET) {
--- a/src/intake/tests/test_limit.c
+++ b/src/intake/tests/test_limit.c
@@ -57,7 +57,8 @@
 static void follows_measured_times(void **state)
 {
     struct pm_limit *limit = pm_limit_new(8, 256);
-    unsigned usual, slow;
+    unsigned usual;
+    unsigned slow;
 
     (void)state;
     for (int i = 0; i < 50; i++)
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -362,20 +362,23 @@
     return f;
 }
 
-/* 0: intents of services, 1: other intents, 2: the rest, 3: not due, and the time in `next`. */
-static int chunk_rank(const struct pm_job *job, const struct pm_chunk *chunk, double now,
-                      double *next)
+/* In this order: intents of services and finals, other intents, and what no launch waits for. */
+enum pass { PASS_SERVICES, PASS_LAUNCHES, PASS_LAZY, NOT_DUE };
+
+/* In which pass the chunk is to be written; not due: the time is in `next`. */
+static enum pass chunk_rank(const struct pm_job *job, const struct pm_chunk *chunk, double now,
+                            double *next)
 {
     if (!chunk->dirty || chunk->in_flight)
-        return 3;
+        return NOT_DUE;
     if (chunk->retry_at > now) {
         *next = *next ? MIN(*next, chunk->retry_at) : chunk->retry_at;
-        return 3;
+        return NOT_DUE;
     }
     for (int i = 0; i < PM_CHUNK; i++)
         if (chunk->task[i].place && chunk->task[i].place->state == PM_INTENT)
-            return job->spec->priority == PM_PRODUCTION ? 0 : 1;
-    return 2;
+            return job->spec->priority == PM_PRODUCTION ? PASS_SERVICES : PASS_LAUNCHES;
+    return PASS_LAZY;
 }
 
 static bool full(const struct flight *f, int room)
@@ -386,16 +389,15 @@
 
 /* Of a job that is cancelled with one that it needs, nothing waits for the final state: it follows
  * from the other's. A long chain's go when there is room to spare. */
-static int final_pass(const struct pm_job *job)
+static enum pass final_pass(const struct pm_job *job)
 {
-    return job->inferred ? 2 : 0;
+    return job->inferred ? PASS_LAZY : PASS_SERVICES;
 }
 
-static int add_pass(struct pm_commit *c, struct flight *f, int pass, int room, double now,
-                    double *next)
+static void add_pass(struct pm_commit *c, struct flight *f, enum pass pass, int room, double now,
+                     double *next)
 {
     GPtrArray *active = pm_jobs_active(c->jobs);
-    int found = 0;
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
@@ -403,7 +405,6 @@
             continue;
         if (over(job)) {
             if (pass == final_pass(job) && job->retry_at <= now) {
-                found++;
                 if (!full(f, room))
                     add_final(c, f, job, room - f->txn.nwrites);
             } else if (job->retry_at > now) {
@@ -416,14 +417,12 @@
                 continue;
             if (job->chunk[k]->refused && job->chunk[k]->refused == content_of(c, job, k))
                 continue; /* until it changes */
-            found++;
             if (full(f, room) || (job->chunk[k]->alone && f->parts->len))
                 continue;
             add_chunk(c, f, job, k, room - f->txn.nwrites);
             f->closed = job->chunk[k]->alone;
         }
     }
-    return found;
 }
 
 /* What no launch waits for gives way: the ends of tasks go with the next launch of their chunk, or
@@ -433,13 +432,49 @@
     return pm_store_room(c->store, now) >= 0.3 * c->books->settings->state_write_rps;
 }
 
+/* Whether there is anything to write that no launch waits for. */
+static bool has_lazy(const struct pm_commit *c, double now)
+{
+    GPtrArray *active = pm_jobs_active(c->jobs);
+    double ignored = 0;
+
+    for (guint i = 0; i < active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(active, i);
+        if (!job->spec || job->away)
+            continue;
+        if (over(job)) {
+            if (!job->final_in_flight && job->retry_at <= now && final_pass(job) == PASS_LAZY)
+                return true;
+            continue;
+        }
+        for (int k = 0; k < job->nchunks; k++)
+            if (job->chunk[k] && chunk_rank(job, job->chunk[k], now, &ignored) == PASS_LAZY)
+                return true;
+    }
+    return false;
+}
+
+/* Adds what no launch waits for, once it has waited for company and the budget has room to spare.
+ */
+static void add_lazy(struct pm_commit *c, struct flight *f, int room, double now, double *next)
+{
+    if (c->lazy_since && now - c->lazy_since >= BATCH_S && room_for_lazy(c, now)) {
+        add_pass(c, f, PASS_LAZY, room, now, next);
+        c->lazy_since = 0;
+    } else if (!has_lazy(c, now)) {
+        c->lazy_since = 0;
+    } else if (!c->lazy_since) {
+        c->lazy_since = now;
+    }
+}
+
 double pm_commit_run(struct pm_commit *c, const struct pm_grounds *grounds, double now, double day)
 {
     int txn_ops = c->books->settings->txn_ops;
 
     c->day = day;
     for (;;) {
-        int room = MIN(pm_store_room(c->store, now), txn_ops), lazy = 0;
+        int room = MIN(pm_store_room(c->store, now), txn_ops);
         double next = 0;
         struct flight *f;
 
@@ -448,27 +483,9 @@
         if (room < MIN(4, txn_ops))
             return now + 0.05;
         f = flight_new(c, grounds, now);
-        add_pass(c, f, 0, room, now, &next);
-        add_pass(c, f, 1, room, now, &next);
-        if (c->lazy_since && now - c->lazy_since >= BATCH_S && room_for_lazy(c, now)) {
-            lazy = add_pass(c, f, 2, room, now, &next);
-            c->lazy_since = 0;
-        } else {
-            double ignored = 0;
-            GPtrArray *active = pm_jobs_active(c->jobs);
-            for (guint i = 0; !lazy && i < active->len; i++) {
-                struct pm_job *job = g_ptr_array_index(active, i);
-                lazy = over(job) && !job->away && !job->final_in_flight && job->retry_at <= now &&
-                       final_pass(job) == 2;
-                for (int k = 0; job->spec && !job->away && !over(job) && !lazy && k < job->nchunks;
-                     k++)
-                    lazy = job->chunk[k] && chunk_rank(job, job->chunk[k], now, &ignored) == 2;
-            }
-            if (lazy && !c->lazy_since)
-                c->lazy_since = now;
-            if (!lazy)
-                c->lazy_since = 0;
-        }
+        add_pass(c, f, PASS_SERVICES, room, now, &next);
+        add_pass(c, f, PASS_LAUNCHES, room, now, &next);
+        add_lazy(c, f, room, now, &next);
         if (!f->parts->len) {
             flight_free(f);
             if (c->lazy_since) {
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -52,7 +52,7 @@
 
 static void chunks_free(struct pm_job *job)
 {
-    for (int k = 0; k < job->nchunks; k++)
+    for (int k = 0; job->chunk && k < job->nchunks; k++)
         chunk_free(job->chunk[k]);
     g_free(job->chunk);
     job->chunk = NULL;
@@ -153,7 +153,8 @@
 
 static gint by_stamp(gconstpointer a, gconstpointer b)
 {
-    const struct pm_cancelled *x = a, *y = b;
+    const struct pm_cancelled *x = a;
+    const struct pm_cancelled *y = b;
 
     return (x->stamp > y->stamp) - (x->stamp < y->stamp);
 }
@@ -162,7 +163,9 @@
                                                    size_t most, size_t *n, bool *more)
 {
     struct pm_cancelled *all;
-    size_t from = 0, to = jobs->cancelled->len, end;
+    size_t from = 0;
+    size_t to = jobs->cancelled->len;
+    size_t end;
 
     if (jobs->unsorted)
         g_array_sort(jobs->cancelled, by_stamp);
@@ -565,8 +568,9 @@
 
     for (uint32_t i = 0; i < spec->ndependencies; i++)
         size += strlen(pm_names_text(books->dependency_ids, spec->dependencies[i])) + 3;
-    return size + 32 <= books->settings->value_kb * 1024 ? 0
-                                                         : (spec->ndependencies + per - 1) / per;
+    return (double)size + 32 <= books->settings->value_kb * 1024
+               ? 0
+               : (spec->ndependencies + per - 1) / per;
 }
 
 void pm_jobs_write_overflow_list(const struct pm_books *books, const struct pm_spec *spec,
@@ -587,9 +591,11 @@
  * it may not start. */
 static void complete(struct pm_jobs *jobs, struct pm_job *job)
 {
-    GPtrArray *lists = g_hash_table_lookup(jobs->lists, job->id), *ids;
+    GPtrArray *lists = g_hash_table_lookup(jobs->lists, job->id);
+    GPtrArray *ids;
 
-    if (!job->incomplete || !job->spec || !lists || lists->len < job->spec->overflow_lists)
+    if (!job->incomplete || !job->spec || !job->spec->overflow_lists || !lists ||
+        lists->len < job->spec->overflow_lists)
         return;
     for (uint32_t k = 0; k < job->spec->overflow_lists; k++)
         if (!g_ptr_array_index(lists, k))
@@ -617,9 +623,11 @@
 static struct pm_job *put_list(struct pm_jobs *jobs, const char *rest, const cbor_item_t *value)
 {
     char id[PM_ID_MAX];
-    GPtrArray *lists, *ids;
+    GPtrArray *lists;
+    GPtrArray *ids;
     struct pm_job *job;
-    int k, half;
+    int k;
+    int half;
 
     if (!split_chunk_key(rest, id, &k, &half) || half >= 0 || !pm_jobs_id_valid(id))
         return NULL;
@@ -644,94 +652,145 @@
     return job;
 }
 
+/* A job's state and number of tasks, which every value of it has. False: unreadable. */
+static bool read_summary(const cbor_item_t *value, enum pm_job_state *state, uint32_t *entries)
+{
+    char now[16];
+    uint64_t count;
+    int index;
+
+    if (pm_cbor_text(pm_cbor_get(value, "now"), now, sizeof now))
+        return false;
+    index = name_index(state_names, 3, now);
+    if (index < 0 || pm_cbor_count(pm_cbor_get(value, "entries"), &count))
+        return false;
+    if (count < 1 || count > PM_ENTRIES_MAX)
+        return false;
+    *state = (enum pm_job_state)index;
+    *entries = (uint32_t)count;
+    return true;
+}
+
+static struct pm_job *job_new(struct pm_jobs *jobs, const char *id, uint32_t entries)
+{
+    struct pm_job *job = g_new0(struct pm_job, 1);
+
+    g_strlcpy(job->id, id, sizeof job->id);
+    job->entries = entries;
+    g_hash_table_insert(jobs->by_id, job->id, job);
+    job->cancelled = take_unknown(jobs, id);
+    job->due = INFINITY;
+    return job;
+}
+
+static void set_state(struct pm_jobs *jobs, struct pm_job *job, enum pm_job_state state)
+{
+    if (state == PM_CANCELLED)
+        job->inferred = false; /* its own value says so */
+    /* What is known cancelled stays so: this value is an older one then. */
+    job->state = job->cancelled ? PM_CANCELLED : state;
+    if (job->state == PM_CANCELLED && !job->cancelled) {
+        job->cancelled = job->stamp;
+        note_cancelled(jobs, job->id, job->stamp);
+    }
+}
+
+/* What the job needs, from its value. Where that can't be told, or not yet, it may not start. */
+static void read_needs(struct pm_jobs *jobs, struct pm_job *job, struct pm_spec *spec,
+                       const cbor_item_t *value)
+{
+    GPtrArray *dependencies = NULL;
+    uint64_t lists = 0;
+    bool readable = !pm_jobs_read_dependencies(value, &dependencies);
+
+    if (pm_cbor_has(value, "lists"))
+        readable &= !pm_cbor_count(pm_cbor_get(value, "lists"), &lists);
+    if (!readable)
+        pm_error("jobs.value", "unreadable dependencies of job %s", job->id);
+    if (!readable || lists) {
+        spec->overflow_lists = (uint32_t)MIN(lists, PM_ENTRIES_MAX);
+        job->incomplete = true;
+        job->unmet++;
+    }
+    if (dependencies) {
+        pm_spec_set_dependencies(jobs->books, spec, dependencies);
+        g_ptr_array_free(dependencies, TRUE);
+    }
+}
+
+/* Reads the description from the job's value. False: unreadable. */
+static bool read_spec(struct pm_jobs *jobs, struct pm_job *job, const cbor_item_t *value)
+{
+    const struct pm_settings *settings = jobs->books->settings;
+    bool known = job->spec != NULL;
+    struct pm_spec *spec = known ? job->spec : g_new0(struct pm_spec, 1);
+    struct raw_names names;
+    const char *why;
+
+    if (read_fields(jobs->books, value, spec, &names, &why) ||
+        (spec->team = find_team(settings, names.team)) < 0) {
+        pm_error("jobs.value", "unreadable description of job %s", job->id);
+        if (!known)
+            pm_spec_free(spec);
+        return false;
+    }
+    spec->zone = names.zone[0] ? pm_settings_zone(settings, names.zone) : -1;
+    spec->class_index = pm_names_add(jobs->books->classes, names.class_name);
+    spec->image = pm_names_add(jobs->books->images, names.image);
+    pm_cbor_number(pm_cbor_get(value, "at"), &spec->submitted);
+    if (!known) {
+        job->spec = spec;
+        read_needs(jobs, job, spec, value);
+    }
+    return true;
+}
+
+/* Over, and nothing of it is left anywhere: the final state alone is kept. */
+static void keep_final_state_only(struct pm_jobs *jobs, struct pm_job *job)
+{
+    pm_spec_free(job->spec);
+    job->spec = NULL;
+    chunks_free(job);
+    deactivate(jobs, job);
+}
+
 static struct pm_job *put_job(struct pm_jobs *jobs, const char *id, const cbor_item_t *value,
                               uint64_t stamp)
 {
     struct pm_job *job = pm_jobs_find(jobs, id);
-    struct raw_names names;
-    GPtrArray *awaits;
-    char now[16];
-    uint64_t entries, lists = 0;
-    const char *why;
-    bool readable = true;
-    int state;
+    enum pm_job_state state = PM_LIVE;
+    uint32_t entries = 1;
+    bool readable;
 
-    if (job && job->stamp >= stamp)
-        return NULL;
-    if (!pm_jobs_id_valid(id))
+    if ((job && job->stamp >= stamp) || !pm_jobs_id_valid(id))
         return NULL;
-    if (pm_cbor_text(pm_cbor_get(value, "now"), now, sizeof now) ||
-        (state = name_index(state_names, 3, now)) < 0 ||
-        pm_cbor_count(pm_cbor_get(value, "entries"), &entries) || entries < 1 ||
-        entries > PM_ENTRIES_MAX) {
+    readable = read_summary(value, &state, &entries);
+    if (!readable) {
         pm_error("jobs.value", "unreadable value of job %s", id);
         if (job)
             return NULL;
         /* It was accepted once, so it stays known, whatever became of its value. */
-        state = PM_LIVE;
-        entries = 1;
-        readable = false;
-    }
-    if (!job) {
-        job = g_new0(struct pm_job, 1);
-        g_strlcpy(job->id, id, sizeof job->id);
-        job->entries = (uint32_t)entries;
-        g_hash_table_insert(jobs->by_id, job->id, job);
-        job->cancelled = take_unknown(jobs, id);
-        job->due = INFINITY;
     }
+    if (!job)
+        job = job_new(jobs, id, entries);
     job->stamp = stamp;
-    if (state == PM_CANCELLED)
-        job->inferred = false; /* its own value says so */
+    set_state(jobs, job, state);
     if (state == PM_DONE)
         pm_cbor_number(pm_cbor_get(value, "ended"), &job->ended);
-    /* What is known cancelled stays so: this value is an older one then. */
-    job->state = job->cancelled ? PM_CANCELLED : (enum pm_job_state)state;
-    if (job->state == PM_CANCELLED && !job->cancelled) {
-        job->cancelled = stamp;
-        note_cancelled(jobs, id, stamp);
-    }
     if (!readable)
         return job; /* not to be run: it may have been cancelled */
     if (!job->chunk)
-        job->entries = (uint32_t)entries;
+        job->entries = entries;
     if (pm_cbor_has(value, "form")) {
-        struct pm_spec *spec = job->spec ? job->spec : g_new0(struct pm_spec, 1);
-        if (read_fields(jobs->books, value, spec, &names, &why) ||
-            (spec->team = find_team(jobs->books->settings, names.team)) < 0) {
-            pm_error("jobs.value", "unreadable description of job %s", id);
-            if (!job->spec)
-                pm_spec_free(spec);
+        if (!read_spec(jobs, job, value))
             return job;
-        }
-        spec->zone = names.zone[0] ? pm_settings_zone(jobs->books->settings, names.zone) : -1;
-        spec->class_index = pm_names_add(jobs->books->classes, names.class_name);
-        spec->image = pm_names_add(jobs->books->images, names.image);
-        pm_cbor_number(pm_cbor_get(value, "at"), &spec->submitted);
-        if (!job->spec && !pm_cbor_count(pm_cbor_get(value, "lists"), &lists) && lists) {
-            spec->overflow_lists = (uint32_t)MIN(lists, PM_ENTRIES_MAX);
-            job->incomplete = true;
-            job->unmet++;
-        }
-        if (!job->spec && !pm_jobs_read_dependencies(value, &awaits) && awaits) {
-            pm_spec_set_dependencies(jobs->books, spec, awaits);
-            g_ptr_array_free(awaits, TRUE);
-        }
-        job->spec = spec;
         job_size(job);
         activate(jobs, job);
-        update_graph(jobs, job);
-        complete(jobs, job);
     } else if (!job->nplaced) {
-        /* Over, and nothing of it is left anywhere: the final state alone is kept. */
-        pm_spec_free(job->spec);
-        job->spec = NULL;
-        chunks_free(job);
-        deactivate(jobs, job);
-        update_graph(jobs, job);
-    } else {
-        update_graph(jobs, job);
+        keep_final_state_only(jobs, job);
     }
+    update_graph(jobs, job);
+    complete(jobs, job);
     return job;
 }
 
@@ -742,7 +801,8 @@
     memset(done, 0, PM_CHUNK / 8);
     while (*text) {
         char *end;
-        unsigned long from = strtoul(text, &end, 10), to = from;
+        unsigned long from = strtoul(text, &end, 10);
+        unsigned long to = from;
         if (end == text)
             return;
         if (*end == '-')
@@ -834,13 +894,15 @@
 static struct pm_job *put_chunk(struct pm_jobs *jobs, const char *rest, const cbor_item_t *value,
                                 uint64_t stamp)
 {
-    char id[PM_ID_MAX], text[1024];
+    char id[PM_ID_MAX];
+    char text[1024];
     struct pm_job *job;
     struct pm_chunk *chunk;
     struct pm_value *v;
     uint64_t last_try = 0;
     cbor_item_t *spots;
-    int k, half;
+    int k;
+    int half;
 
     if (!split_chunk_key(rest, id, &k, &half) || !(job = pm_jobs_find(jobs, id)))
         return NULL;
@@ -863,7 +925,9 @@
     spots = pm_cbor_get(value, "at");
     for (size_t i = 0; i < pm_cbor_length(spots); i++) {
         const cbor_item_t *item = pm_cbor_at(spots, i);
-        uint64_t task, attempt, session;
+        uint64_t task;
+        uint64_t attempt;
+        uint64_t session;
         if (pm_cbor_length(item) != 4 || pm_cbor_count(pm_cbor_at(item, 0), &task) ||
             pm_cbor_count(pm_cbor_at(item, 1), &attempt) ||
             pm_cbor_text(pm_cbor_at(item, 2), text, sizeof text) ||
@@ -884,7 +948,8 @@
                          struct pm_buf *out)
 {
     const struct pm_chunk *chunk = job->chunk[k];
-    int from = half < 0 ? 0 : half * PM_HALF, to = half < 0 ? PM_CHUNK : from + PM_HALF;
+    int from = half < 0 ? 0 : half * PM_HALF;
+    int to = half < 0 ? PM_CHUNK : from + PM_HALF;
     char text[1024];
 
     write_ranges(chunk->task, from, to, text, sizeof text);
@@ -927,7 +992,8 @@
     char id[PM_ID_MAX];
     struct pm_job *job;
     struct pm_value *value;
-    int k, half;
+    int k;
+    int half;
 
     if (strncmp(key, "p/t/", 4) || !split_chunk_key(key + 4, id, &k, &half) ||
         !(job = pm_jobs_find(jobs, id)) || k >= job->nchunks || !job->chunk[k])
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -406,7 +406,8 @@
 /* Answered, one after the other, whatever the listing took: it comes by pages of 200 keys. */
 static void known_by_all_pages(void **arg)
 {
-    char id[32], target[64];
+    char id[32];
+    char target[64];
 
     (void)arg;
     for (int i = 0; i < 450; i++) {
@@ -669,7 +670,8 @@
  * durable first is the answer from then on, whoever asks. */
 static void one_decision_at_the_end(void **arg)
 {
-    struct pm_job *job = accepted("job-1"), *other = accepted("job-2");
+    struct pm_job *job = accepted("job-1");
+    struct pm_job *other = accepted("job-2");
     int before;
 
     (void)arg;
@@ -734,7 +736,8 @@
 
 static uint32_t placed_by_the_replica(const struct pm_job *job)
 {
-    uint32_t done, placed;
+    uint32_t done;
+    uint32_t placed;
 
     pm_jobs_count(job, &done, &placed);
     return placed;
--- a/src/jobs/tests/test_dependencies.c
+++ b/src/jobs/tests/test_dependencies.c
@@ -50,7 +50,8 @@
                            .submitted = 1000,
                            .priority = priority};
     GPtrArray *ids = g_ptr_array_new();
-    char **each = g_strsplit(awaits, " ", -1), key[64];
+    char **each = g_strsplit(awaits, " ", -1);
+    char key[64];
     struct pm_buf buf = {0};
     cbor_item_t *value;
 
@@ -136,8 +137,10 @@
  * that the first one's tasks were all reported done is not enough. */
 static void a_diamond(void **state)
 {
-    struct pm_job *top = live("job-1", ""), *left = live("job-2", "job-1"),
-                  *right = live("job-3", "job-1"), *bottom = live("job-4", "job-2 job-3");
+    struct pm_job *top = live("job-1", "");
+    struct pm_job *left = live("job-2", "job-1");
+    struct pm_job *right = live("job-3", "job-1");
+    struct pm_job *bottom = live("job-4", "job-2 job-3");
 
     (void)state;
     assert_int_equal(pm_job_waiting(top), 2);
@@ -158,7 +161,8 @@
  * over by then, and a value may be told again. */
 static void told_in_any_order(void **state)
 {
-    struct pm_job *last = live("job-10", "job-5 job-7 job-9"), *seven;
+    struct pm_job *last = live("job-10", "job-5 job-7 job-9");
+    struct pm_job *seven;
 
     (void)state;
     assert_int_equal(last->unmet, 3);
@@ -231,8 +235,10 @@
  * stays done, what is beside it goes on. */
 static void cancelled_in_the_middle(void **state)
 {
-    struct pm_job *first = live("job-1", ""), *second = live("job-2", "job-1"),
-                  *third = live("job-3", "job-2"), *beside = live("job-4", "job-1");
+    struct pm_job *first = live("job-1", "");
+    struct pm_job *second = live("job-2", "job-1");
+    struct pm_job *third = live("job-3", "job-2");
+    struct pm_job *beside = live("job-4", "job-1");
     size_t n;
     bool more;
 
@@ -276,7 +282,9 @@
  * first or last. */
 static void the_end_counts_for_all(void **state)
 {
-    struct pm_job *first = live("job-1", ""), *second = live("job-2", "job-1"), *third;
+    struct pm_job *first = live("job-1", "");
+    struct pm_job *second = live("job-2", "job-1");
+    struct pm_job *third;
 
     (void)state;
     assert_true(isinf(first->due));
@@ -308,7 +316,11 @@
 {
     for (int i = 0; i < LEVELS; i++) {
         int level = last_first ? LEVELS - 1 - i : i;
-        char join[16], left[16], right[16], below[16], sides[40];
+        char join[16];
+        char left[16];
+        char right[16];
+        char below[16];
+        char sides[40];
         uint64_t at = 1 + 3 * (uint64_t)level;
         snprintf(join, sizeof join, "job-%d", 1000 + 10 * level);
         snprintf(left, sizeof left, "job-%d", 1000 + 10 * level - 2);
@@ -427,12 +439,37 @@
     assert_int_equal(second->state, PM_CANCELLED);
 }
 
+/* A value whose needs can't be read, say of a later version: the job is known and may be cancelled,
+ * but not started, and lists beside it don't change that. */
+static void with_unreadable_needs_it_waits(void **state)
+{
+    cbor_item_t *value;
+    struct pm_job *job;
+    size_t size;
+    unsigned char *bytes = earlier_bytes(VERSION_2_JOB, &size);
+    unsigned char *name = memmem(bytes, size, "job-000398", strlen("job-000398"));
+
+    (void)state;
+    assert_non_null(name);
+    name[0] = 'J'; /* no id of the known form */
+    value = pm_cbor_parse(bytes, size);
+    job = pm_jobs_put(jobs, "p/j/job-1", value, ++stamp);
+    pm_cbor_free(value);
+    g_free(bytes);
+    assert_non_null(job);
+    assert_int_equal(pm_job_waiting(job), 0);
+    put_earlier("p/n/job-1/0", VERSION_2_LIST);
+    assert_int_equal(pm_job_waiting(job), 0);
+    assert_true(pm_jobs_cancel(jobs, "job-1", 77));
+}
+
 /* A job waits from the end of the last job that it needs, which the state service keeps: a
  * controller that reads it later, in whatever order, counts from the same moment. Where the version
  * before recorded an end, its time is not known. */
 static void the_wait_counts_from_the_last_end(void **state)
 {
-    struct pm_job *job, *early;
+    struct pm_job *job;
+    struct pm_job *early;
 
     (void)state;
     books.protocol_version = PM_PROTOCOL_END_TIMES;
@@ -474,7 +511,8 @@
 /* A chain of thousands, and hundreds that need one: no walk is by recursion. */
 static void long_and_wide(void **state)
 {
-    char id[32], before[32];
+    char id[32];
+    char before[32];
 
     (void)state;
     live("job-0", "");
@@ -539,7 +577,8 @@
 /* Protocol version 2 wrote it, this one reads it as it was meant, and writes the same. */
 static void reads_and_writes_as_protocol_version_2(void **state)
 {
-    struct pm_job *job, *listed;
+    struct pm_job *job;
+    struct pm_job *listed;
     struct pm_place place = {.index = 130, .attempt = 7, .session = 3, .state = PM_RUNNING};
     struct pm_buf buf = {0};
 
@@ -588,6 +627,7 @@
         cmocka_unit_test_setup_teardown(hundreds_need_hundreds, set_up, tear_down),
         cmocka_unit_test_setup_teardown(hundreds_need_hundreds_told_last_first, set_up, tear_down),
         cmocka_unit_test_setup_teardown(needing_one_another_ends_no_walk, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(with_unreadable_needs_it_waits, set_up, tear_down),
         cmocka_unit_test_setup_teardown(the_wait_counts_from_the_last_end, set_up, tear_down),
         cmocka_unit_test_setup_teardown(the_end_is_written_once_all_read_it, set_up, tear_down),
         cmocka_unit_test_setup_teardown(reads_and_writes_as_protocol_version_2, set_up, tear_down),
--- a/src/jobs/tests/test_jobs.c
+++ b/src/jobs/tests/test_jobs.c
@@ -226,7 +226,8 @@
 {
     struct pm_spec spec = {.zone = -1, .types = ~(uint64_t)0, .entries = 300, .due_s = -1};
     struct pm_buf buf = {0};
-    cbor_item_t *good, *bad;
+    cbor_item_t *good;
+    cbor_item_t *bad;
     struct pm_job *job;
 
     (void)state;
--- a/src/leadership/cancels.c
+++ b/src/leadership/cancels.c
@@ -70,7 +70,8 @@
 {
     for (guint i = 0; i < c->waiting->len;) {
         struct waiter *w = g_ptr_array_index(c->waiting, i);
-        int known = 1, hopeful = 0;
+        int known = 1;
+        int hopeful = 0;
         bool ok;
         for (int j = 0; j < c->settings->peers; j++) {
             bool knows = w->acked[j] || c->edition[j] >= w->stamp;
@@ -125,7 +126,8 @@
 static void send_to(struct pm_cancels *c, int peer)
 {
     Pm__CancelCall message = PM__CANCEL_CALL__INIT;
-    Pm__Cancelled entry[CALL_MAX], *list[CALL_MAX];
+    Pm__Cancelled entry[CALL_MAX];
+    Pm__Cancelled *list[CALL_MAX];
     struct call *call;
     unsigned char *data;
     size_t size;
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -497,7 +497,8 @@
 static void answer_peer(struct pm_lead *l, struct pm_http_request *req, const Pm__PeerAsk *ask)
 {
     Pm__PeerTell tell = PM__PEER_TELL__INIT;
-    Pm__Cancelled *entry, **list;
+    Pm__Cancelled *entry;
+    Pm__Cancelled **list;
     const struct pm_cancelled *known;
     unsigned char *data;
     size_t n = 0;
@@ -677,7 +678,8 @@
 
 void pm_lead_put(struct pm_lead *l, const char *key, const cbor_item_t *value, uint64_t stamp)
 {
-    char leader[PM_NAME_MAX] = "", boot[24] = "";
+    char leader[PM_NAME_MAX] = "";
+    char boot[24] = "";
     uint64_t epoch;
 
     if (!strncmp(key, "p/speaks/", 9)) {
--- a/src/leadership/tests/test_cancels.c
+++ b/src/leadership/tests/test_cancels.c
@@ -331,7 +331,8 @@
 {
     struct controller *all = g_new0(struct controller, 3);
     Pm__CancelCall call = PM__CANCEL_CALL__INIT;
-    Pm__Cancelled entry = PM__CANCELLED__INIT, *list[] = {&entry};
+    Pm__Cancelled entry = PM__CANCELLED__INIT;
+    Pm__Cancelled *list[] = {&entry};
     unsigned char data[256];
     char *large = g_malloc0(100 * 1024);
     size_t n;
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -74,7 +74,8 @@
 static void a_raise_without_an_answer_is_found_again(void **arg)
 {
     struct controller *c = g_new0(struct controller, 1);
-    uint64_t first, stamp;
+    uint64_t first;
+    uint64_t stamp;
 
     (void)arg;
     acquaint(c, 1);
@@ -242,7 +243,8 @@
 static void others_care_for_workers_in_an_outage(void **arg)
 {
     struct controller *all = g_new0(struct controller, 3);
-    double later, back;
+    double later;
+    double back;
 
     (void)arg;
     acquaint(all, 3);
--- a/src/placement/empty.c
+++ b/src/placement/empty.c
@@ -58,7 +58,8 @@
 {
     GPtrArray *all = pm_workers_all(p->workers);
     struct pm_place *best = NULL;
-    double best_gain = 0, *room = g_new(double, all->len + 1); /* NAN: not to be used */
+    double best_gain = 0;
+    double *room = g_new(double, all->len + 1); /* NAN: not to be used */
 
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
@@ -103,13 +104,15 @@
 {
     GPtrArray *all = pm_workers_all(p->workers);
     size_t size = sizeof(double[2]) * (all->len + 1);
-    double(*left)[2] = g_malloc(size), (*best)[2] = g_malloc(size);
+    double(*left)[2] = g_malloc(size);
+    double(*best)[2] = g_malloc(size);
     struct pm_machine *worst = NULL;
     double worst_value = 0;
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
-        double used, value;
+        double used;
+        double value;
         bool fits = true;
         if (!m || m->spot || !pm_plan_usable(p, m, now) || m->type < 0 || !m->places->len ||
             now - m->rented < 60 || !movable(m, now))
@@ -145,7 +148,10 @@
     GPtrArray *all = pm_workers_all(p->workers);
     double spare = 0;
     double(*room)[2];
-    int draining = 0, ordinary = 0, batch, emptied = 0;
+    int draining = 0;
+    int ordinary = 0;
+    int batch;
+    int emptied = 0;
 
     if (!p->writable)
         return;
--- a/src/placement/fit.c
+++ b/src/placement/fit.c
@@ -69,9 +69,8 @@
                             const struct spread *at, int team)
 {
     const struct pm_spec *spec = job->spec;
-    struct need need;
+    struct need need = {0};
 
-    memset(&need, 0, sizeof need); /* compared byte by byte */
     need.types = spec->types;
     need.team = team;
     need.priority = job->priority;
@@ -85,10 +84,17 @@
     return need;
 }
 
+static bool same_need(const struct need *a, const struct need *b)
+{
+    return a->types == b->types && a->zones == b->zones && a->team == b->team &&
+           a->priority == b->priority && a->spot == b->spot && a->cpus == b->cpus &&
+           a->gpus == b->gpus && a->ram_gb == b->ram_gb;
+}
+
 bool pm_plan_hopeless(const struct pm_plan *p, const struct need *need)
 {
     for (guint i = 0; i < p->hopeless->len; i++)
-        if (!memcmp(&g_array_index(p->hopeless, struct need, i), need, sizeof *need))
+        if (same_need(&g_array_index(p->hopeless, struct need, i), need))
             return true;
     return false;
 }
--- a/src/placement/gangs.c
+++ b/src/placement/gangs.c
@@ -67,7 +67,8 @@
 bool pm_plan_await_room(struct pm_plan *p, struct pm_job *job, int only_zone, double now)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    uint32_t n = 0, fit;
+    uint32_t n = 0;
+    uint32_t fit;
 
     for (guint i = 0; i < all->len && n < job->entries; i++)
         if (g_ptr_array_index(all, i))
--- a/src/placement/lease.c
+++ b/src/placement/lease.c
@@ -32,7 +32,9 @@
 {
     const struct pm_spec *spec = job->spec;
     double left = p->books->settings->team[spec->team].cpus - p->actual[spec->team];
-    uint32_t done, placed, n;
+    uint32_t done;
+    uint32_t placed;
+    uint32_t n;
 
     pm_jobs_count(job, &done, &placed);
     if (left <= 0 || spec->cpus <= 0)
--- a/src/placement/ledger.c
+++ b/src/placement/ledger.c
@@ -5,6 +5,8 @@
 #include <math.h>
 #include <string.h>
 
+enum { HALF_WINDOW = BUCKETS / 2 }; /* buckets */
+
 /* Best-effort work declares a minimum runtime of zero: it is unallocated and free of charge. */
 bool pm_plan_unallocated(const struct pm_job *job)
 {
@@ -59,7 +61,9 @@
     for (guint i = 0; i < active->len; i++) {
         const struct pm_job *job = g_ptr_array_index(active, i);
         const struct pm_spec *spec = job->spec;
-        uint32_t done, placed, width;
+        uint32_t done;
+        uint32_t placed;
+        uint32_t width;
         if (!job->away || !spec || job->width == UINT32_MAX)
             continue;
         /* What is done, durably, never runs again: it takes nothing of the limit any more. */
@@ -112,7 +116,8 @@
 double pm_plan_ratio(struct pm_plan *p, int team)
 {
     const struct pm_settings *s = p->books->settings;
-    double total = 0, mine;
+    double total = 0;
+    double mine;
 
     for (int t = 0; t < s->teams; t++)
         total += s->team[t].cpus;
@@ -125,8 +130,10 @@
 static void write_images(const struct pm_plan *p, struct pm_buf *out)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    size_t most = (size_t)(p->books->settings->value_kb * 1024 * 0.85), used = 100;
-    int count = pm_names_count(p->books->images), known = 0;
+    size_t most = (size_t)(p->books->settings->value_kb * 1024 * 0.85);
+    size_t used = 100;
+    int count = pm_names_count(p->books->images);
+    int known = 0;
     int *place = g_new(int, count + 1);
     struct pm_buf machines = {0};
 
@@ -172,7 +179,8 @@
 void pm_plan_read_images(struct pm_plan *p, const cbor_item_t *value)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    cbor_item_t *images = pm_cbor_get(value, "images"), *table = pm_cbor_get(value, "table");
+    cbor_item_t *images = pm_cbor_get(value, "images");
+    cbor_item_t *table = pm_cbor_get(value, "table");
     char name[PM_NAME_MAX];
     uint64_t place;
 
@@ -242,8 +250,8 @@
         if (pm_cbor_number(pm_cbor_get(teams, p->books->settings->team[t].name), &l->sum))
             l->sum = 0;
         /* The total alone is kept: its age is taken to be even over half the window. */
-        for (int b = 0; b < BUCKETS / 2; b++)
-            l->bucket[(p->bucket - b + BUCKETS) % BUCKETS] = l->sum / (BUCKETS / 2);
+        for (int b = 0; b < HALF_WINDOW; b++)
+            l->bucket[(p->bucket - b + BUCKETS) % BUCKETS] = l->sum / HALF_WINDOW;
     }
 }
 
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -110,7 +110,8 @@
 {
     struct pm_machine *m = NULL;
     struct spread at;
-    uint32_t placed = 0, i;
+    uint32_t placed = 0;
+    uint32_t i;
     const struct pm_task *task;
 
     while (job->hint < job->entries && (task = pm_job_peek(job, job->hint)) &&
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -41,7 +41,8 @@
 static bool may_preempt(struct pm_plan *p, const struct pm_job *job, const struct pm_place *place,
                         double now)
 {
-    const struct pm_spec *mine = job->spec, *theirs = place->job->spec;
+    const struct pm_spec *mine = job->spec;
+    const struct pm_spec *theirs = place->job->spec;
     bool is_protected;
 
     if (place->stop || place->state == PM_ENDED || place->job == job)
@@ -86,7 +87,8 @@
 
 static int by_loss(const void *a, const void *b)
 {
-    const struct victim *x = a, *y = b;
+    const struct victim *x = a;
+    const struct victim *y = b;
 
     return x->loss < y->loss ? -1 : x->loss > y->loss;
 }
@@ -143,7 +145,8 @@
 {
     GPtrArray *all = pm_workers_all(p->workers);
     struct pm_machine *best = NULL;
-    double cost, best_cost = INFINITY;
+    double cost;
+    double best_cost = INFINITY;
     struct victim victims[VICTIMS_MAX];
     int n;
 
@@ -287,7 +290,8 @@
 /* One whose job is cancelled goes at once; a gang whose attempt lost a task goes whole. */
 void pm_plan_stop_the_lost(struct pm_plan *p, double now)
 {
-    GPtrArray *active = pm_jobs_active(p->jobs), *all = pm_workers_all(p->workers);
+    GPtrArray *active = pm_jobs_active(p->jobs);
+    GPtrArray *all = pm_workers_all(p->workers);
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
--- a/src/placement/rank.c
+++ b/src/placement/rank.c
@@ -30,7 +30,8 @@
 
 static int by_age(const void *a, const void *b)
 {
-    const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
+    const struct pm_job *x = *(struct pm_job *const *)a;
+    const struct pm_job *y = *(struct pm_job *const *)b;
 
     if (pm_plan_since(x) != pm_plan_since(y))
         return pm_plan_since(x) < pm_plan_since(y) ? -1 : 1;
@@ -39,8 +40,10 @@
 
 static int by_rank(const void *a, const void *b)
 {
-    const struct pm_job *x = *(struct pm_job *const *)a, *y = *(struct pm_job *const *)b;
-    double rx, ry;
+    const struct pm_job *x = *(struct pm_job *const *)a;
+    const struct pm_job *y = *(struct pm_job *const *)b;
+    double rx;
+    double ry;
 
     /* Production first, whatever the ratios: the rules let it preempt the rest, so ranking it lower
      * would only start work in order to stop it. Unallocated work takes what is left. */
@@ -82,7 +85,8 @@
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        uint32_t done = job->ndone, placed = job->nplaced;
+        uint32_t done = job->ndone;
+        uint32_t placed = job->nplaced;
         if (job->spec && !job->unmet && !job->since)
             job->since = ready_since(job, p->day);
         job->left = 0;
@@ -105,8 +109,11 @@
  * bound, and hardly anything would be in time. */
 void pm_plan_mark_overdue(struct pm_plan *p, double now)
 {
-    GPtrArray *active = pm_jobs_active(p->jobs), *old = g_ptr_array_new();
-    double pool = MAX(pm_plan_pool(p, now), 1), work = 0, cpus = 0;
+    GPtrArray *active = pm_jobs_active(p->jobs);
+    GPtrArray *old = g_ptr_array_new();
+    double pool = MAX(pm_plan_pool(p, now), 1);
+    double work = 0;
+    double cpus = 0;
     guint overdue = 0;
 
     for (guint i = 0; i < active->len; i++) {
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -99,7 +99,7 @@
 {
     const char *text = word(words, key, NULL);
 
-    return text ? atof(text) : otherwise;
+    return text ? strtod(text, NULL) : otherwise;
 }
 
 static void do_type(struct world *w, char **words)
@@ -161,10 +161,11 @@
 }
 
 /* A new process leads: it has the jobs as the state service told them, and no working state. */
-static void do_new_leader(struct world *w)
+static void do_new_leader(struct world *w, char **words)
 {
     GPtrArray *active = pm_jobs_active(w->jobs);
 
+    (void)words;
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         job->since = 0;
@@ -181,8 +182,9 @@
     static const char *const forms[] = {"array", "group", "standing"};
     static const char *const priorities[] = {"best_effort", "normal", "urgent", "production"};
     struct pm_spec spec = {.zone = -1, .types = ~(uint64_t)0};
-    const char *team = word(words, "team", "a"), *form = word(words, "form", "array"),
-               *priority = word(words, "priority", "normal");
+    const char *team = word(words, "team", "a");
+    const char *form = word(words, "form", "array");
+    const char *priority = word(words, "priority", "normal");
 
     for (int i = 0; i < w->settings.teams; i++)
         if (!strcmp(w->settings.team[i].name, team))
@@ -235,9 +237,9 @@
     char **part = g_strsplit_set(words[1], "/:", 3);
     struct pm_machine *m = pm_workers_add(w->workers, words[2]);
 
-    pm_workers_place(w->workers, pm_jobs_find(w->jobs, part[0]), (uint32_t)atoi(part[1]), m,
-                     (uint32_t)atoi(part[2]), (uint64_t)number(words, "shift", 1), PM_DURABLE,
-                     w->now);
+    pm_workers_place(w->workers, pm_jobs_find(w->jobs, part[0]),
+                     (uint32_t)strtoul(part[1], NULL, 10), m, (uint32_t)strtoul(part[2], NULL, 10),
+                     (uint64_t)number(words, "shift", 1), PM_DURABLE, w->now);
     m->state = PM_UP;
     m->heard = w->now;
     g_strfreev(part);
@@ -281,10 +283,14 @@
 static cbor_item_t *read_message(struct world *w, char **words)
 {
     struct pm_buf buf = {0};
-    unsigned long shift = 1, tally = 1;
+    unsigned long shift = 1;
+    unsigned long tally = 1;
+    char *rest;
     cbor_item_t *report;
 
-    sscanf(words[2], "%lu.%lu", &shift, &tally);
+    shift = strtoul(words[2], &rest, 10);
+    if (*rest == '.')
+        tally = strtoul(rest + 1, NULL, 10);
     pm_put_map(&buf);
     pm_put_pair_text(&buf, "host", words[1]);
     pm_put_pair_text(&buf, "endpoint", "127.0.0.1:9");
@@ -305,7 +311,7 @@
         part = g_strsplit(*entry, ":", 4);
         pm_put_map(&buf);
         pm_put_pair_text(&buf, "entry", part[0]);
-        pm_put_pair_count(&buf, "try", (uint64_t)atoi(part[1]));
+        pm_put_pair_count(&buf, "try", (uint64_t)strtoul(part[1], NULL, 10));
         pm_put_pair_text(&buf, "status", part[2]);
         if (part[3])
             pm_put_pair_text(&buf, "cause", part[3]);
@@ -342,7 +348,8 @@
 
     for (size_t i = 0; i < pm_cbor_length(orders); i++) {
         const cbor_item_t *order = pm_cbor_at(orders, i);
-        char verb[16], entry[64];
+        char verb[16];
+        char entry[64];
         uint64_t attempt;
         double leave;
         pm_cbor_text(pm_cbor_get(order, "verb"), verb, sizeof verb);
@@ -410,88 +417,159 @@
     }
 }
 
-static void step(struct world *w, char **words)
+static struct pm_machine *machine_of(const struct world *w, char **words)
+{
+    return pm_workers_find(w->workers, words[1]);
+}
+
+/* told JOB: cancelled, by a peer's word */
+static void do_told(struct world *w, char **words)
+{
+    if (!pm_jobs_cancel(w->jobs, words[1], ++w->stamp))
+        g_string_append(w->said, "> known\n");
+}
+
+static void do_report(struct world *w, char **words)
+{
+    do_message(w, words, PM_REPORT);
+}
+
+static void do_direct(struct world *w, char **words)
+{
+    do_message(w, words, PM_DIRECT);
+}
+
+static void do_places(struct world *w, char **words)
+{
+    (void)words;
+    each_place(w, say_place);
+}
+
+static void do_plan(struct world *w, char **words)
+{
+    (void)words;
+    pm_plan_run(w->plan, w->now, 1000 + w->now);
+}
+
+static void do_durable(struct world *w, char **words)
+{
+    (void)words;
+    each_place(w, make_durable);
+    clean_chunks(w);
+}
+
+static void do_wait(struct world *w, char **words)
+{
+    w->now += strtod(words[1], NULL);
+}
+
+static void do_epoch(struct world *w, char **words)
+{
+    w->epoch = strtoul(words[1], NULL, 10);
+}
+
+/* unanswered HOST: a /do has no answer */
+static void do_unanswered(struct world *w, char **words)
+{
+    pm_workers_direct_done(machine_of(w, words), w->epoch, PM_HTTP_LOST);
+    pm_workers_unheard(machine_of(w, words), "a /do has no answer", w->now);
+}
+
+static void do_answered(struct world *w, char **words)
+{
+    pm_workers_direct_done(machine_of(w, words), w->epoch, 200);
+}
+
+/* lease_tasks JOB KEPT: how many a lease may take */
+static void do_lease_tasks(struct world *w, char **words)
+{
+    const struct pm_job *job = pm_jobs_find(w->jobs, words[1]);
+
+    g_string_append_printf(w->said, "> %u\n",
+                           pm_plan_lease_tasks(w->plan, job->spec, strtod(words[2], NULL)));
+}
+
+/* away JOB WIDTH: leased to another controller */
+static void do_away(struct world *w, char **words)
+{
+    struct pm_job *job = pm_jobs_find(w->jobs, words[1]);
+
+    job->away = true;
+    job->width = (uint32_t)strtoul(words[2], NULL, 10);
+}
+
+/* lease HOST: with no other controller since time 0 */
+static void do_lease(struct world *w, char **words)
+{
+    bool lapsed = pm_workers_lapsed(machine_of(w, words), 0, w->settings.lease_s, w->now);
+
+    g_string_append(w->said, lapsed ? "> lapsed\n" : "> holds\n");
+}
+
+/* speaks HOST: do its reports come here? */
+static void do_speaks(struct world *w, char **words)
+{
+    bool mute = pm_workers_mute(machine_of(w, words), &w->settings, w->now);
+
+    g_string_append(w->said, mute ? "> mute\n" : "> speaks\n");
+}
+
+static void do_answer(struct world *w, char **words)
+{
+    pm_workers_answered(machine_of(w, words), w->epoch, w->now);
+}
+
+/* hears HOST: does what we send arrive there? */
+static void do_hears(struct world *w, char **words)
 {
-    const char *verb = words[0];
-
-    if (!strcmp(verb, "type"))
-        do_type(w, words);
-    else if (!strcmp(verb, "team"))
-        do_team(w, words);
-    else if (!strcmp(verb, "job"))
-        do_job(w, words);
-    else if (!strcmp(verb, "booting"))
-        do_booting(w, words);
-    else if (!strcmp(verb, "found"))
-        do_found(w, words);
-    else if (!strcmp(verb, "cancel"))
-        do_cancel(w, words);
-    else if (!strcmp(verb, "done"))
-        do_done(w, words);
-    else if (!strcmp(verb, "new_leader"))
-        do_new_leader(w);
-    else if (!strcmp(verb, "told")) /* told JOB: cancelled, by a peer's word */
-        g_string_append(w->said, pm_jobs_cancel(w->jobs, words[1], ++w->stamp) ? "" : "> known\n");
-    else if (!strcmp(verb, "kills"))
-        do_kills(w, words);
-    else if (!strcmp(verb, "dies"))
-        do_dies(w, words);
-    else if (!strcmp(verb, "report"))
-        do_message(w, words, PM_REPORT);
-    else if (!strcmp(verb, "direct"))
-        do_message(w, words, PM_DIRECT);
-    else if (!strcmp(verb, "orders"))
-        do_orders(w, words);
-    else if (!strcmp(verb, "places"))
-        each_place(w, say_place);
-    else if (!strcmp(verb, "plan"))
-        pm_plan_run(w->plan, w->now, 1000 + w->now);
-    else if (!strcmp(verb, "durable")) {
-        each_place(w, make_durable);
-        clean_chunks(w);
-    } else if (!strcmp(verb, "wait"))
-        w->now += atof(words[1]);
-    else if (!strcmp(verb, "epoch"))
-        w->epoch = (uint64_t)atoi(words[1]);
-    else if (!strcmp(verb, "unanswered")) {
-        pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, PM_HTTP_LOST);
-        pm_workers_unheard(pm_workers_find(w->workers, words[1]), "a /do has no answer", w->now);
-    } else if (!strcmp(verb, "answered"))
-        pm_workers_direct_done(pm_workers_find(w->workers, words[1]), w->epoch, 200);
-    else if (!strcmp(verb, "lease_tasks")) /* lease_tasks JOB KEPT: how many a lease may take */
-        g_string_append_printf(
-            w->said, "> %u\n",
-            pm_plan_lease_tasks(w->plan, pm_jobs_find(w->jobs, words[1])->spec, atof(words[2])));
-    else if (!strcmp(verb, "away")) { /* away JOB WIDTH: leased to another controller */
-        pm_jobs_find(w->jobs, words[1])->away = true;
-        pm_jobs_find(w->jobs, words[1])->width = (uint32_t)atoi(words[2]);
-    } else if (!strcmp(verb, "lease")) /* lease HOST: with no other controller since time 0 */
-        g_string_append(w->said, pm_workers_lapsed(pm_workers_find(w->workers, words[1]), 0,
-                                                   w->settings.lease_s, w->now)
-                                     ? "> lapsed\n"
-                                     : "> holds\n");
-    else if (!strcmp(verb, "speaks")) /* speaks HOST: do its reports come here? */
-        g_string_append(w->said,
-                        pm_workers_mute(pm_workers_find(w->workers, words[1]), &w->settings, w->now)
-                            ? "> mute\n"
-                            : "> speaks\n");
-    else if (!strcmp(verb, "answer"))
-        pm_workers_answered(pm_workers_find(w->workers, words[1]), w->epoch, w->now);
-    else if (!strcmp(verb, "hears")) /* hears HOST: does what we send arrive there? */
-        g_string_append(w->said, pm_workers_deaf(pm_workers_find(w->workers, words[1]), w->now)
-                                     ? "> deaf\n"
-                                 : pm_workers_find(w->workers, words[1])->unheard ? "> unsure\n"
-                                                                                  : "> hears\n");
-    else if (!strcmp(verb, "lapsed"))
-        pm_workers_gone(w->workers, pm_workers_find(w->workers, words[1]), w->now);
+    if (pm_workers_deaf(machine_of(w, words), w->now))
+        g_string_append(w->said, "> deaf\n");
     else
-        fail_msg("unknown word in a trace: %s", verb);
+        g_string_append(w->said, machine_of(w, words)->unheard ? "> unsure\n" : "> hears\n");
+}
+
+static void do_lapsed(struct world *w, char **words)
+{
+    pm_workers_gone(w->workers, machine_of(w, words), w->now);
+}
+
+static void step(struct world *w, char **words)
+{
+    static const struct {
+        const char *verb;
+        void (*run)(struct world *w, char **words);
+    } steps[] = {
+        {"type", do_type},         {"team", do_team},
+        {"job", do_job},           {"booting", do_booting},
+        {"found", do_found},       {"cancel", do_cancel},
+        {"done", do_done},         {"new_leader", do_new_leader},
+        {"told", do_told},         {"kills", do_kills},
+        {"dies", do_dies},         {"report", do_report},
+        {"direct", do_direct},     {"orders", do_orders},
+        {"places", do_places},     {"plan", do_plan},
+        {"durable", do_durable},   {"wait", do_wait},
+        {"epoch", do_epoch},       {"unanswered", do_unanswered},
+        {"answered", do_answered}, {"lease_tasks", do_lease_tasks},
+        {"away", do_away},         {"lease", do_lease},
+        {"speaks", do_speaks},     {"answer", do_answer},
+        {"hears", do_hears},       {"lapsed", do_lapsed},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        if (!strcmp(steps[i].verb, words[0])) {
+            steps[i].run(w, words);
+            return;
+        }
+    }
+    fail_msg("unknown word in a trace: %s", words[0]);
 }
 
 static void replay(const char *path)
 {
-    struct world world, *w = &world;
-    char *text, **lines;
+    struct world world;
+    struct world *w = &world;
+    char *text;
+    char **lines;
     GString *expected = g_string_new("");
     int number_of_checks = 0;
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -144,7 +144,8 @@
 {
     struct step *step = arg;
     struct pm_store *s = step->store;
-    cbor_item_t *answer, *items;
+    cbor_item_t *answer;
+    cbor_item_t *items;
     uint64_t edition;
     bool more = false, current = step->round == s->round;
 
@@ -209,8 +210,10 @@
 {
     struct step *step = arg;
     struct pm_store *s = step->store;
-    cbor_item_t *answer, *events;
-    uint64_t edition, stamp;
+    cbor_item_t *answer;
+    cbor_item_t *events;
+    uint64_t edition;
+    uint64_t stamp;
     uint64_t round = step->round;
     char key[256];
     size_t n;
@@ -479,9 +482,9 @@
 
 int pm_store_room(struct pm_store *s, double now)
 {
-    double others = MAX(0, s->others) * exp((s->others_at - now) / OTHERS_S) / OTHERS_S,
-           share = MAX(s->share, MIN(s->most, 0.95 - others / s->write_rps)),
-           rate = s->write_rps * share;
+    double others = MAX(0, s->others) * exp((s->others_at - now) / OTHERS_S) / OTHERS_S;
+    double share = MAX(s->share, MIN(s->most, 0.95 - others / s->write_rps));
+    double rate = s->write_rps * share;
 
     /* However small the share: a transaction of some changes has to fit sometime. */
     s->tokens = MIN(s->tokens + (now - s->filled) * rate, MAX(rate, 0.4 * s->write_rps));
--- a/src/store/tests/fake_state.c
+++ b/src/store/tests/fake_state.c
@@ -138,8 +138,10 @@
 static void do_txn(struct fake_state *s, struct pm_http_request *req, const void *data, size_t size)
 {
     cbor_item_t *body = pm_cbor_parse(data, size);
-    cbor_item_t *conditions = pm_cbor_get(body, "if"), *writes = pm_cbor_get(body, "writes");
-    struct pm_buf failed = {0}, out = {0};
+    cbor_item_t *conditions = pm_cbor_get(body, "if");
+    cbor_item_t *writes = pm_cbor_get(body, "writes");
+    struct pm_buf failed = {0};
+    struct pm_buf out = {0};
     char key[256];
     uint64_t stamp;
     int nfailed = 0;
@@ -222,12 +224,13 @@
 {
     struct pm_buf out = {0};
     struct listing l = {.out = &out, .left = 1000};
-    const char *since = strstr(req->query, "since="), *page = strstr(req->query, "page=");
+    const char *since = strstr(req->query, "since=");
+    const char *page = strstr(req->query, "page=");
 
     if (since)
         g_strlcpy(l.since, since + 6, MIN(sizeof l.since, strcspn(since + 6, "&") + 1));
     if (page)
-        l.left = atoi(page + 5);
+        l.left = (int)strtol(page + 5, NULL, 10);
     pm_put_map(&out);
     pm_put_text(&out, "items");
     pm_put_list(&out);
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -322,7 +322,9 @@
 static void read_task(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *item,
                       double now)
 {
-    char text[64], id[PM_ID_MAX], status[16];
+    char text[64];
+    char id[PM_ID_MAX];
+    char status[16];
     struct pm_entry entry;
     struct pm_place *place = NULL;
     uint64_t attempt;
@@ -424,7 +426,8 @@
 
 static int read_identity(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *report)
 {
-    char type[PM_NAME_MAX], zone[PM_NAME_MAX];
+    char type[PM_NAME_MAX];
+    char zone[PM_NAME_MAX];
 
     if (pm_cbor_text(pm_cbor_get(report, "endpoint"), m->endpoint, sizeof m->endpoint) ||
         pm_cbor_text(pm_cbor_get(report, "model"), type, sizeof type) ||
@@ -441,7 +444,9 @@
                                      enum pm_message kind, uint64_t epoch, double now, bool *fresh)
 {
     char name[PM_NAME_MAX];
-    uint64_t session, tally, mandate;
+    uint64_t session;
+    uint64_t tally;
+    uint64_t mandate;
     struct pm_machine *m;
     cbor_item_t *entries = pm_cbor_get(report, "entries");
     double recall;
@@ -608,7 +613,9 @@
     pm_put_list(out);
     for (size_t i = 0; i < pm_cbor_length(entries) && n < ORDERS_MAX; i++) {
         const cbor_item_t *item = pm_cbor_at(entries, i);
-        char text[64], id[PM_ID_MAX], status[16] = "";
+        char text[64];
+        char id[PM_ID_MAX];
+        char status[16] = "";
         uint64_t attempt;
         uint32_t index;
         pm_cbor_text(pm_cbor_get(item, "status"), status, sizeof status);
