--- /dev/null
+++ b/src/jobs/cancellations.c
@@ -0,0 +1,88 @@
+/* Which jobs are durably cancelled, as far as known: from the replica, from this controller's own
+ * writes, and from peers. */
+#include "jobs/internal.h"
+
+#include <string.h>
+
+void pm_jobs_note_cancelled(struct pm_jobs *jobs, const char *id, uint64_t stamp)
+{
+    struct pm_cancelled entry = {.stamp = stamp};
+    GArray *list = jobs->cancelled;
+
+    g_strlcpy(entry.id, id, sizeof entry.id);
+    /* A listing goes by key, and peers tell in their own order: sorted when next asked for. */
+    if (list->len && g_array_index(list, struct pm_cancelled, list->len - 1).stamp > stamp)
+        jobs->unsorted = true;
+    g_array_append_val(list, entry);
+}
+
+/* A job that needs a cancelled one. Peers infer it as we do, so it is not told them. */
+void pm_jobs_infer_cancelled(void *arg, struct pm_job *job)
+{
+    if (job->cancelled)
+        return;
+    job->cancelled = *(const uint64_t *)arg;
+    job->state = PM_CANCELLED;
+    job->inferred = true;
+}
+
+bool pm_jobs_cancel(struct pm_jobs *jobs, const char *id, uint64_t stamp)
+{
+    struct pm_job *job = g_hash_table_lookup(jobs->by_id, id);
+
+    if (!pm_jobs_id_valid(id) || !stamp || pm_jobs_cancelled(jobs, id) ||
+        (job && job->state == PM_DONE))
+        return false;
+    if (job) {
+        job->cancelled = stamp;
+        job->state = PM_CANCELLED;
+    } else {
+        g_hash_table_insert(jobs->unknown, g_strdup(id), g_memdup2(&stamp, sizeof stamp));
+    }
+    pm_jobs_note_cancelled(jobs, id, stamp);
+    pm_dependencies_cancelled(jobs->dependencies, id, pm_jobs_infer_cancelled, &stamp);
+    return true;
+}
+
+uint64_t pm_jobs_cancelled(const struct pm_jobs *jobs, const char *id)
+{
+    const struct pm_job *job = g_hash_table_lookup(jobs->by_id, id);
+    const uint64_t *stamp = job ? &job->cancelled : g_hash_table_lookup(jobs->unknown, id);
+
+    return stamp ? *stamp : 0;
+}
+
+static gint by_stamp(gconstpointer a, gconstpointer b)
+{
+    const struct pm_cancelled *x = a;
+    const struct pm_cancelled *y = b;
+
+    return (x->stamp > y->stamp) - (x->stamp < y->stamp);
+}
+
+const struct pm_cancelled *pm_jobs_cancelled_after(struct pm_jobs *jobs, uint64_t stamp,
+                                                   size_t most, size_t *n, bool *more)
+{
+    struct pm_cancelled *all;
+    size_t from = 0;
+    size_t to = jobs->cancelled->len;
+    size_t end;
+
+    if (jobs->unsorted)
+        g_array_sort(jobs->cancelled, by_stamp);
+    jobs->unsorted = false;
+    all = (struct pm_cancelled *)(void *)jobs->cancelled->data;
+    while (from < to) { /* the first with a later stamp */
+        size_t middle = from + (to - from) / 2;
+        if (all[middle].stamp > stamp)
+            to = middle;
+        else
+            from = middle + 1;
+    }
+    end = MIN(from + most, jobs->cancelled->len);
+    while (end > from && end < jobs->cancelled->len && all[end].stamp == all[end - 1].stamp)
+        end++;
+    *n = end - from;
+    *more = end < jobs->cancelled->len;
+    return all + from;
+}
--- /dev/null
+++ b/src/jobs/chunks.c
@@ -0,0 +1,228 @@
+/* The tasks of a job by chunks, as the state service keeps them: values of p/t. */
+#include "jobs/internal.h"
+#include "base/protocol.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Of a chunk's value, in bytes of JSON: a place in it, and the rest. */
+enum { PLACE_SIZE = 28, VALUE_SIZE = 140 };
+enum { DONE_MAX = 1024 }; /* the text of which tasks are done */
+
+void pm_chunk_free(struct pm_chunk *chunk)
+{
+    if (!chunk)
+        return;
+    for (int half = -1; half < 2; half++)
+        if (pm_chunk_value(chunk, half)->spots)
+            g_array_free(pm_chunk_value(chunk, half)->spots, TRUE);
+    if (chunk->spots)
+        g_array_free(chunk->spots, TRUE);
+    g_free(chunk->task);
+    g_free(chunk);
+}
+
+/* ---- values of p/t ---- */
+
+static void read_ranges(const char *text, uint64_t done[PM_CHUNK / 64])
+{
+    memset(done, 0, PM_CHUNK / 8);
+    while (*text) {
+        char *end;
+        unsigned long from = strtoul(text, &end, 10);
+        unsigned long to = from;
+        if (end == text)
+            return;
+        if (*end == '-')
+            to = strtoul(end + 1, &end, 10);
+        for (; from <= to && from < PM_CHUNK; from++)
+            done[from / 64] |= (uint64_t)1 << (from % 64);
+        text = *end == ',' ? end + 1 : end;
+    }
+}
+
+static void write_ranges(const struct pm_task *task, int first, int end, char *out, size_t size)
+{
+    size_t used = 0;
+
+    out[0] = 0;
+    for (int i = first; i < end; i++) {
+        int from = i;
+        if (!task[i].done)
+            continue;
+        while (i + 1 < end && task[i + 1].done)
+            i++;
+        used += (size_t)snprintf(out + used, size - used, i > from ? "%s%d-%d" : "%s%d",
+                                 used ? "," : "", from, i);
+    }
+}
+
+/* ID/K, or ID/K/H: `half` is -1 for the whole chunk. */
+bool pm_chunk_split_key(const char *rest, char *id, int *k, int *half)
+{
+    const char *slash = strchr(rest, '/');
+    char *end;
+    unsigned long number;
+
+    if (!slash || (size_t)(slash - rest) >= PM_ID_MAX)
+        return false;
+    memcpy(id, rest, (size_t)(slash - rest));
+    id[slash - rest] = 0;
+    number = strtoul(slash + 1, &end, 10);
+    if (end == slash + 1 || number > PM_ENTRIES_MAX / PM_CHUNK)
+        return false;
+    *k = (int)number;
+    *half = -1;
+    if (*end == '/' && (end[1] == '0' || end[1] == '1') && !end[2])
+        *half = end[1] - '0';
+    else if (*end)
+        return false;
+    return true;
+}
+
+struct pm_chunk *pm_job_chunk(struct pm_job *job, int k)
+{
+    if (k < 0 || k >= job->nchunks)
+        return NULL;
+    if (!job->chunk[k])
+        job->chunk[k] = g_new0(struct pm_chunk, 1);
+    return job->chunk[k];
+}
+
+struct pm_value *pm_chunk_value(struct pm_chunk *chunk, int half)
+{
+    return half < 0 ? &chunk->whole : &chunk->half[half];
+}
+
+/* What the chunk's values say together. */
+void pm_chunk_merge(struct pm_chunk *chunk)
+{
+    if (!chunk->spots)
+        chunk->spots = g_array_new(FALSE, FALSE, sizeof(struct pm_spot));
+    g_array_set_size(chunk->spots, 0);
+    chunk->stored = false;
+    chunk->last_try = 0;
+    for (int h = 0; h < 2; h++) {
+        const struct pm_value *value = chunk->half[h].stamp ? &chunk->half[h] : &chunk->whole;
+        chunk->done[h] = value->stamp ? value->done[h] : 0;
+        if (!value->stamp)
+            continue;
+        chunk->stored = true;
+        chunk->last_try = MAX(chunk->last_try, value->last_try);
+        for (guint i = 0; i < value->spots->len; i++) {
+            const struct pm_spot *spot = &g_array_index(value->spots, struct pm_spot, i);
+            if (spot->task / PM_HALF == h)
+                g_array_append_vals(chunk->spots, spot, 1);
+        }
+    }
+    if (chunk->whole.stamp)
+        chunk->last_try = MAX(chunk->last_try, chunk->whole.last_try);
+}
+
+/* A place as stored: [task, attempt, machine, session]. False: unreadable. */
+static bool read_place(struct pm_books *books, const cbor_item_t *item, struct pm_spot *out)
+{
+    char machine[TEXT_MAX];
+    uint64_t task;
+    uint64_t attempt;
+    uint64_t session;
+
+    if (pm_cbor_length(item) != 4 || pm_cbor_count(pm_cbor_at(item, 0), &task) ||
+        pm_cbor_count(pm_cbor_at(item, 1), &attempt) ||
+        pm_cbor_text(pm_cbor_at(item, 2), machine, sizeof machine) ||
+        pm_cbor_count(pm_cbor_at(item, 3), &session) || task >= PM_CHUNK)
+        return false;
+    *out = (struct pm_spot){.task = (uint16_t)task,
+                            .attempt = (uint32_t)attempt,
+                            .session = (uint32_t)session,
+                            .machine = pm_names_add(books->machines, machine)};
+    return true;
+}
+
+bool pm_chunk_read(struct pm_books *books, const cbor_item_t *value, struct pm_value *out)
+{
+    char done[DONE_MAX];
+    uint64_t last_try = 0;
+    cbor_item_t *places;
+
+    if (pm_cbor_text(pm_cbor_get(value, "done"), done, sizeof done) ||
+        pm_cbor_count(pm_cbor_get(value, "try"), &last_try))
+        return false;
+    read_ranges(done, out->done);
+    out->last_try = (uint32_t)last_try;
+    if (out->spots)
+        g_array_set_size(out->spots, 0);
+    else
+        out->spots = g_array_new(FALSE, FALSE, sizeof(struct pm_spot));
+    places = pm_cbor_get(value, "at");
+    for (size_t i = 0; i < pm_cbor_length(places); i++) {
+        struct pm_spot spot;
+        if (read_place(books, pm_cbor_at(places, i), &spot))
+            g_array_append_val(out->spots, spot);
+    }
+    return true;
+}
+
+void pm_jobs_write_chunk(const struct pm_books *books, const struct pm_job *job, int k, int half,
+                         struct pm_buf *out)
+{
+    const struct pm_chunk *chunk = job->chunk[k];
+    int from = half < 0 ? 0 : half * PM_HALF;
+    int to = half < 0 ? PM_CHUNK : from + PM_HALF;
+    char text[DONE_MAX];
+
+    write_ranges(chunk->task, from, to, text, sizeof text);
+    pm_put_map(out);
+    pm_put_pair_text(out, "done", text);
+    pm_put_pair_count(out, "try", job->last_try);
+    pm_put_text(out, "at");
+    pm_put_list(out);
+    for (int i = from; i < to; i++) {
+        const struct pm_place *place = chunk->task[i].place;
+        if (!place || place->state == PM_ENDED)
+            continue;
+        pm_put_list(out);
+        pm_put_count(out, (uint64_t)i);
+        pm_put_count(out, place->attempt);
+        pm_put_text(out, pm_names_text(books->machines, place->machine_index));
+        pm_put_count(out, place->session);
+        pm_put_end(out);
+    }
+    pm_put_end(out);
+    pm_put_end(out);
+}
+
+uint64_t pm_value_stamp(const struct pm_value *value)
+{
+    return MAX(value->stamp, value->written);
+}
+
+bool pm_job_in_halves(const struct pm_books *books, const struct pm_job *job, int k)
+{
+    const struct pm_chunk *chunk = job->chunk[k];
+    uint32_t tasks = MIN(PM_CHUNK, job->entries - (uint32_t)k * PM_CHUNK);
+
+    if (chunk && (pm_value_stamp(&chunk->half[0]) || pm_value_stamp(&chunk->half[1])))
+        return true;
+    if (books->protocol_version < PM_PROTOCOL_DEPENDENCIES)
+        return false; /* an earlier version would take a half for the whole */
+    return (chunk && chunk->split) ||
+           tasks * PLACE_SIZE + VALUE_SIZE > books->settings->value_kb * 1024;
+}
+
+bool pm_job_has_room(const struct pm_books *books, const struct pm_job *job, uint32_t index)
+{
+    const struct pm_chunk *chunk = job->chunk[index / PM_CHUNK];
+    const struct pm_settings *s = books->settings;
+    bool early = books->protocol_version < PM_PROTOCOL_DEPENDENCIES;
+    double kb = early ? MAX(s->value_kb, s->value_kb_now) : s->value_kb;
+    unsigned placed;
+
+    if (!chunk)
+        return true;
+    placed = pm_job_in_halves(books, job, (int)(index / PM_CHUNK))
+                 ? chunk->placed[index % PM_CHUNK / PM_HALF]
+                 : (unsigned)chunk->placed[0] + chunk->placed[1];
+    return (placed + 1) * PLACE_SIZE + VALUE_SIZE <= kb * 1024;
+}
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -1,11 +1,17 @@
 /* Jobs and their tasks: the replica of what the state service holds, and, on the leader, the
  * working state that is written back to it.
  *
- * Keys:  p/j/ID      the job: its description while it lives, its final state for ever after
- *        p/n/ID/K    {awaits}: more of the jobs that the job needs than its own value holds;
- * written before that, which says how many such lists there are p/t/ID/K    tasks 128*K ..
- * 128*K+127: which are done, and where the others are placed p/t/ID/K/H  the same of its first (H
- * 0) or second half alone, in place of what p/t/ID/K says of them
+ * Keys:
+ *
+ * - p/j/ID: the job: its description while it lives, its final state for ever after
+ *
+ * - p/n/ID/K: {awaits}: more of the jobs that the job needs than its own value holds; written
+ * before that value, which says how many such lists there are
+ *
+ * - p/t/ID/K: tasks 128*K to 128*K+127: which are done, and where the others are placed
+ *
+ * - p/t/ID/K/H: the same of the first (H 0) or second half alone, in place of what p/t/ID/K says of
+ * it
  *
  * Only users' submissions and cancellations, and the final states of whoever places the job, write
  * p/j; only the latter (the leader, or a block's holder) writes p/t, on the condition of the
--- /dev/null
+++ b/src/jobs/spec.c
@@ -0,0 +1,358 @@
+/* Descriptions of jobs: read from users' submissions and from the state service, and written there.
+ */
+#include "jobs/internal.h"
+#include "base/protocol.h"
+
+#include <ctype.h>
+#include <math.h>
+#include <string.h>
+
+static const char *const form_names[] = {"array", "group", "standing"};
+static const char *const priority_names[] = {"best_effort", "normal", "urgent", "production"};
+const char *const pm_job_state_names[] = {"live", "cancelled", "done"};
+
+int pm_name_index(const char *const *names, int n, const char *text)
+{
+    for (int i = 0; i < n; i++)
+        if (!strcmp(names[i], text))
+            return i;
+    return -1;
+}
+
+void pm_spec_free(struct pm_spec *spec)
+{
+    if (spec)
+        g_free(spec->dependencies);
+    g_free(spec);
+}
+
+bool pm_jobs_id_valid(const char *id)
+{
+    size_t n = strlen(id);
+
+    if (n < 5 || n >= PM_ID_MAX || strncmp(id, "job-", 4))
+        return false;
+    for (const char *c = id + 4; *c; c++)
+        if (!isdigit((unsigned char)*c))
+            return false;
+    return true;
+}
+
+/* ---- reading a job's fields, from a user or from the state service ---- */
+
+static int read_name(const cbor_item_t *body, const char *key, char *out, const char **why)
+{
+    if (pm_cbor_text(pm_cbor_get(body, key), out, TEXT_MAX) || !out[0]) {
+        *why = key;
+        return -1;
+    }
+    return 0;
+}
+
+static int read_amount(const cbor_item_t *body, const char *key, double *out, const char **why)
+{
+    if (pm_cbor_number(pm_cbor_get(body, key), out) || *out < 0 || *out > 1e12) {
+        *why = key;
+        return -1;
+    }
+    return 0;
+}
+
+static int read_flag(const cbor_item_t *body, const char *key, bool *out, const char **why)
+{
+    *out = false;
+    if (pm_cbor_has(body, key) && pm_cbor_flag(pm_cbor_get(body, key), out)) {
+        *why = key;
+        return -1;
+    }
+    return 0;
+}
+
+static int read_types(const struct pm_books *books, const cbor_item_t *list, uint64_t *out)
+{
+    char name[TEXT_MAX];
+
+    if (!list) {
+        *out = ~(uint64_t)0;
+        return 0;
+    }
+    if (!cbor_isa_array(list))
+        return -1;
+    *out = 0;
+    for (size_t i = 0; i < pm_cbor_length(list); i++) {
+        int type;
+        if (pm_cbor_text(pm_cbor_at(list, i), name, sizeof name))
+            return -1;
+        type = pm_names_find(books->types, name);
+        if (type >= 0 && type < PM_TYPES_MAX)
+            *out |= (uint64_t)1 << type;
+    }
+    return 0;
+}
+
+int pm_spec_find_team(const struct pm_settings *settings, const char *name)
+{
+    for (int i = 0; i < settings->teams; i++)
+        if (!strcmp(settings->team[i].name, name))
+            return i;
+    return -1;
+}
+
+/* 0, or -1 with the field at fault in `why`. Names are left for the caller to judge. */
+int pm_spec_read_fields(const struct pm_books *books, const cbor_item_t *body, struct pm_spec *spec,
+                        struct pm_raw_names *names, const char **why)
+{
+    char text[TEXT_MAX];
+    uint64_t entries;
+    int found;
+
+    *why = "not a map";
+    if (!body || !cbor_isa_map(body))
+        return -1;
+    if (read_name(body, "ledger", names->class_name, why) ||
+        read_name(body, "desk", names->team, why) || read_name(body, "bundle", names->image, why) ||
+        read_name(body, "form", text, why))
+        return -1;
+    *why = "form";
+    if ((found = pm_name_index(form_names, 3, text)) < 0)
+        return -1;
+    spec->form = (enum pm_form)found;
+    if (read_name(body, "urgency", text, why))
+        return -1;
+    *why = "urgency";
+    if ((found = pm_name_index(priority_names, 4, text)) < 0)
+        return -1;
+    spec->priority = (enum pm_priority)found;
+    *why = "entries";
+    if (pm_cbor_count(pm_cbor_get(body, "entries"), &entries) || entries < 1 ||
+        entries > PM_ENTRIES_MAX)
+        return -1;
+    spec->entries = (uint32_t)entries;
+    if (read_amount(body, "cpus", &spec->cpus, why) ||
+        read_amount(body, "accelerators", &spec->gpus, why) ||
+        read_amount(body, "ram_gb", &spec->ram_gb, why) ||
+        read_amount(body, "size_gb", &spec->image_gb, why) ||
+        read_amount(body, "expected_s", &spec->expected_s, why) ||
+        read_amount(body, "bookmark_s", &spec->bookmark_s, why) ||
+        read_amount(body, "filing_s", &spec->filing_s, why))
+        return -1;
+    spec->due_s = -1;
+    if (pm_cbor_has(body, "due_s") && read_amount(body, "due_s", &spec->due_s, why))
+        return -1;
+    if (read_flag(body, "same_place", &spec->same_place, why) ||
+        read_flag(body, "spread", &spec->spread, why) ||
+        read_flag(body, "borrowed", &spec->spot, why))
+        return -1;
+    *why = "models";
+    if (read_types(books, pm_cbor_get(body, "models"), &spec->types))
+        return -1;
+    names->zone[0] = 0;
+    if (pm_cbor_has(body, "room") && read_name(body, "room", names->zone, why))
+        return -1;
+    return 0;
+}
+
+static bool fits_some_type(const struct pm_books *books, const struct pm_spec *spec)
+{
+    for (int i = 0; i < books->ntypes; i++) {
+        const struct pm_type *type = &books->type[i];
+        bool offered = spec->zone < 0 || (type->zones >> spec->zone & 1);
+        if (offered && spec->types >> i & 1 && type->cpus >= spec->cpus &&
+            type->gpus >= spec->gpus && type->ram_gb >= spec->ram_gb)
+            return true;
+    }
+    return false;
+}
+
+int pm_jobs_read_dependencies(const cbor_item_t *body, GPtrArray **out)
+{
+    const cbor_item_t *list = pm_cbor_get(body, "awaits");
+    GHashTable *seen;
+    char id[TEXT_MAX];
+
+    *out = NULL;
+    if (!list)
+        return 0;
+    if (!cbor_isa_array(list))
+        return -1;
+    for (size_t i = 0; i < pm_cbor_length(list); i++)
+        if (pm_cbor_text(pm_cbor_at(list, i), id, sizeof id) || !pm_jobs_id_valid(id))
+            return -1;
+    if (!pm_cbor_length(list))
+        return 0;
+    *out = g_ptr_array_new_with_free_func(g_free);
+    seen = g_hash_table_new(g_str_hash, g_str_equal);
+    for (size_t i = 0; i < pm_cbor_length(list); i++) {
+        pm_cbor_text(pm_cbor_at(list, i), id, sizeof id);
+        if (g_hash_table_contains(seen, id))
+            continue;
+        g_ptr_array_add(*out, g_strdup(id));
+        g_hash_table_add(seen, g_ptr_array_index(*out, (*out)->len - 1));
+    }
+    g_hash_table_destroy(seen);
+    return 0;
+}
+
+void pm_spec_set_dependencies(struct pm_books *books, struct pm_spec *spec, const GPtrArray *ids)
+{
+    spec->dependencies = g_new(int, ids->len);
+    spec->ndependencies = ids->len;
+    for (guint i = 0; i < ids->len; i++)
+        spec->dependencies[i] = pm_names_add(books->dependency_ids, g_ptr_array_index(ids, i));
+}
+
+int pm_jobs_read(struct pm_books *books, const cbor_item_t *body, char *id, struct pm_spec *spec,
+                 const char **why)
+{
+    static const char *const flags[] = {"same_place", "spread", "borrowed"};
+    const struct pm_settings *settings = books->settings;
+    struct pm_raw_names names;
+    const struct pm_team_setting *team;
+    double tasks;
+
+    memset(spec, 0, sizeof *spec);
+    *why = "name_id";
+    if (pm_cbor_text(pm_cbor_get(body, "name_id"), id, PM_ID_MAX) || !pm_jobs_id_valid(id))
+        return 400;
+    /* Users say whether or not; what was accepted before they had to is still read. */
+    for (size_t i = 0; i < G_N_ELEMENTS(flags); i++) {
+        *why = flags[i];
+        if (!pm_cbor_has(body, flags[i]))
+            return 400;
+    }
+    if (pm_spec_read_fields(books, body, spec, &names, why))
+        return 400;
+    if (!books->ntypes) {
+        *why = "machine types not known yet";
+        return 503;
+    }
+    spec->team = pm_spec_find_team(settings, names.team);
+    spec->zone = names.zone[0] ? pm_settings_zone(settings, names.zone) : -1;
+    *why = "unknown team or room";
+    if (spec->team < 0 || (names.zone[0] && spec->zone < 0))
+        return 422;
+    *why = "fits no allowed machine type";
+    if (!fits_some_type(books, spec))
+        return 422;
+    team = &settings->team[spec->team];
+    tasks = spec->form == PM_ARRAY ? 1 : spec->entries;
+    *why = "above the team's limit";
+    if (tasks * spec->cpus > team->cpus_max + EPS || tasks * spec->gpus > team->gpus_max + EPS)
+        return 422;
+    spec->class_index = pm_names_add(books->classes, names.class_name);
+    spec->image = pm_names_add(books->images, names.image);
+    return 200;
+}
+
+/* ---- values of p/j ---- */
+
+/* `ended`: the time of day at which it was done, 0: not to be written. */
+static void write_value(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
+                        enum pm_job_state state, bool full, double ended, struct pm_buf *out)
+{
+    pm_put_map(out);
+    pm_put_pair_text(out, "now", pm_job_state_names[state]);
+    pm_put_pair_count(out, "entries", entries);
+    if (ended > 0)
+        pm_put_pair_number(out, "ended", ended);
+    if (full) {
+        pm_put_pair_text(out, "ledger", pm_names_text(books->classes, spec->class_index));
+        pm_put_pair_text(out, "desk", books->settings->team[spec->team].name);
+        pm_put_pair_text(out, "bundle", pm_names_text(books->images, spec->image));
+        pm_put_pair_text(out, "form", form_names[spec->form]);
+        pm_put_pair_text(out, "urgency", priority_names[spec->priority]);
+        pm_put_pair_number(out, "cpus", spec->cpus);
+        pm_put_pair_number(out, "accelerators", spec->gpus);
+        pm_put_pair_number(out, "ram_gb", spec->ram_gb);
+        pm_put_pair_number(out, "size_gb", spec->image_gb);
+        pm_put_pair_number(out, "expected_s", spec->expected_s);
+        pm_put_pair_number(out, "bookmark_s", spec->bookmark_s);
+        pm_put_pair_number(out, "filing_s", spec->filing_s);
+        if (spec->due_s >= 0)
+            pm_put_pair_number(out, "due_s", spec->due_s);
+        pm_put_pair_flag(out, "same_place", spec->same_place);
+        pm_put_pair_flag(out, "spread", spec->spread);
+        pm_put_pair_flag(out, "borrowed", spec->spot);
+        if (spec->types != ~(uint64_t)0) {
+            pm_put_text(out, "models");
+            pm_put_list(out);
+            for (int i = 0; i < books->ntypes; i++)
+                if (spec->types >> i & 1)
+                    pm_put_text(out, pm_names_text(books->types, i));
+            pm_put_end(out);
+        }
+        if (spec->zone >= 0)
+            pm_put_pair_text(out, "room", books->settings->zone_name[spec->zone]);
+        if (spec->overflow_lists)
+            pm_put_pair_count(out, "lists", spec->overflow_lists);
+        else if (spec->ndependencies) {
+            pm_put_text(out, "awaits");
+            pm_put_list(out);
+            for (uint32_t i = 0; i < spec->ndependencies; i++)
+                pm_put_text(out, pm_names_text(books->dependency_ids, spec->dependencies[i]));
+            pm_put_end(out);
+        }
+        pm_put_pair_number(out, "at", spec->submitted);
+    }
+    pm_put_end(out);
+}
+
+void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
+                   enum pm_job_state state, bool full, struct pm_buf *out)
+{
+    write_value(books, spec, entries, state, full, 0, out);
+}
+
+void pm_jobs_write_done(const struct pm_books *books, const struct pm_job *job, bool full,
+                        struct pm_buf *out)
+{
+    bool says_when = books->protocol_version >= PM_PROTOCOL_END_TIMES;
+
+    write_value(books, job->spec, job->entries, PM_DONE, full, says_when ? job->ended : 0, out);
+}
+
+/* ---- what a job needs, where its own value does not name it ---- */
+
+static uint32_t ids_in_list(const struct pm_books *books)
+{
+    return (uint32_t)MAX(1, (books->settings->value_kb * 1024 - 64) / (PM_ID_MAX + 3));
+}
+
+uint32_t pm_spec_overflow_lists(const struct pm_books *books, const struct pm_spec *spec,
+                                size_t size)
+{
+    uint32_t per = ids_in_list(books);
+
+    for (uint32_t i = 0; i < spec->ndependencies; i++)
+        size += strlen(pm_names_text(books->dependency_ids, spec->dependencies[i])) + 3;
+    return (double)size + 32 <= books->settings->value_kb * 1024
+               ? 0
+               : (spec->ndependencies + per - 1) / per;
+}
+
+void pm_jobs_write_overflow_list(const struct pm_books *books, const struct pm_spec *spec,
+                                 uint32_t k, struct pm_buf *out)
+{
+    uint32_t per = ids_in_list(books);
+
+    pm_put_map(out);
+    pm_put_text(out, "awaits");
+    pm_put_list(out);
+    for (uint32_t i = k * per; i < MIN((k + 1) * per, spec->ndependencies); i++)
+        pm_put_text(out, pm_names_text(books->dependency_ids, spec->dependencies[i]));
+    pm_put_end(out);
+    pm_put_end(out);
+}
+
+uint32_t pm_spec_fit(const struct pm_spec *spec, double cpus, double gpus, double ram_gb)
+{
+    double n = 1e6;
+
+    if (spec->cpus > 0)
+        n = MIN(n, floor((cpus + EPS) / spec->cpus));
+    if (spec->gpus > 0)
+        n = MIN(n, floor((gpus + EPS) / spec->gpus));
+    if (spec->ram_gb > 0)
+        n = MIN(n, floor((ram_gb + EPS) / spec->ram_gb));
+    return n < 0 ? 0 : (uint32_t)n;
+}
--- /dev/null
+++ b/src/jobs/work.c
@@ -0,0 +1,89 @@
+/* The working state of whoever places a job: its tasks, and what of them is to be written. */
+#include "jobs/internal.h"
+
+#include <string.h>
+
+struct pm_task *pm_job_task(struct pm_job *job, uint32_t index)
+{
+    struct pm_chunk *chunk = pm_job_chunk(job, (int)(index / PM_CHUNK));
+
+    if (!chunk->task)
+        chunk->task = g_new0(struct pm_task, PM_CHUNK);
+    return &chunk->task[index % PM_CHUNK];
+}
+
+const struct pm_task *pm_job_peek(const struct pm_job *job, uint32_t index)
+{
+    const struct pm_chunk *chunk = job->chunk[index / PM_CHUNK];
+
+    return chunk && chunk->task ? &chunk->task[index % PM_CHUNK] : NULL;
+}
+
+void pm_job_touch(struct pm_job *job, uint32_t index)
+{
+    pm_job_task(job, index);
+    job->chunk[index / PM_CHUNK]->dirty |= 1u << (index % PM_CHUNK / PM_HALF);
+}
+
+void pm_job_count_place(struct pm_job *job, uint32_t index, int by)
+{
+    struct pm_chunk *chunk = pm_job_chunk(job, (int)(index / PM_CHUNK));
+    uint16_t *placed = &chunk->placed[index % PM_CHUNK / PM_HALF];
+
+    *placed = (uint16_t)(*placed + by);
+    job->nplaced += (uint32_t)by;
+}
+
+uint32_t pm_job_waiting(const struct pm_job *job)
+{
+    if (job->state != PM_LIVE || !job->spec || job->unmet)
+        return 0;
+    return job->entries - job->ndone - job->nplaced;
+}
+
+void pm_job_reset_work(struct pm_job *job)
+{
+    job->ndone = job->nplaced = job->last_try = job->hint = 0;
+    job->final_in_flight = job->tried = job->sized = false;
+    job->retry_at = 0;
+    for (int k = 0; k < job->nchunks; k++) {
+        struct pm_chunk *chunk = job->chunk[k];
+        if (!chunk)
+            continue;
+        g_free(chunk->task);
+        chunk->task = NULL;
+        chunk->dirty = 0;
+        memset(chunk->placed, 0, sizeof chunk->placed);
+        chunk->in_flight = false;
+        chunk->retry_at = 0;
+        for (int half = -1; half < 2; half++)
+            pm_chunk_value(chunk, half)->written = 0;
+        if (!chunk->stored)
+            continue;
+        chunk->task = g_new0(struct pm_task, PM_CHUNK);
+        job->tried = true;
+        job->last_try = MAX(job->last_try, chunk->last_try);
+        for (int t = 0; t < PM_CHUNK; t++) {
+            if (chunk->done[t / 64] >> (t % 64) & 1) {
+                chunk->task[t].done = true;
+                job->ndone++;
+            }
+        }
+    }
+}
+
+void pm_jobs_reset_work(struct pm_jobs *jobs)
+{
+    for (guint i = 0; i < jobs->active->len; i++)
+        pm_job_reset_work(g_ptr_array_index(jobs->active, i));
+}
+
+void pm_jobs_set_away(struct pm_jobs *jobs, bool away)
+{
+    jobs->away = away;
+    for (guint i = 0; i < jobs->active->len; i++) {
+        struct pm_job *job = g_ptr_array_index(jobs->active, i);
+        job->away = away;
+        job->width = UINT32_MAX;
+    }
+}
