--- a/src/jobs/tests/test_jobs.c
+++ b/src/jobs/tests/test_jobs.c
@@ -10,17 +10,17 @@
 #include <cmocka.h>
 
 static struct pm_settings settings;
-static struct pm_books books;
+static struct pm_name_tables tables;
 static struct pm_jobs *jobs;
 
 static int set_up(void **state)
 {
     (void)state;
     memset(&settings, 0, sizeof settings);
-    books_begin(&books, &settings);
+    books_begin(&tables, &settings);
     settings.team[0].cpus_max = 32;
     strcpy(settings.zone_name[settings.zones++], "b");
-    jobs = pm_jobs_new(&books);
+    jobs = pm_jobs_new(&tables);
     return 0;
 }
 
@@ -28,7 +28,7 @@
 {
     (void)state;
     pm_jobs_free(jobs);
-    books_end(&books);
+    books_end(&tables);
     return 0;
 }
 
@@ -73,7 +73,7 @@
         pm_put_pair_text(&buf, "room", f.room);
     pm_put_end(&buf);
     item = pm_cbor_parse(buf.data, buf.size);
-    status = pm_jobs_read(&books, item, id, &spec, &why);
+    status = pm_jobs_read(&tables, item, id, &spec, &why);
     pm_cbor_free(item);
     pm_buf_free(&buf);
     return status;
@@ -117,14 +117,14 @@
     assert_int_equal(judge(f), 422);
     f.kind = "standing";
     assert_int_equal(judge(f), 422);
-    books.ntypes = 0; /* not yet able to decide */
+    tables.ntypes = 0; /* not yet able to decide */
     assert_int_equal(judge(good), 503);
 }
 
-static struct pm_job *put(const char *key, struct pm_buf *buf, uint64_t stamp)
+static struct pm_job *put(const char *key, struct pm_buf *buf, uint64_t revision)
 {
     cbor_item_t *item = pm_cbor_parse(buf->data, buf->size);
-    struct pm_job *job = pm_jobs_put(jobs, key, item, stamp);
+    struct pm_job *job = pm_jobs_put(jobs, key, item, revision);
 
     assert_non_null(item);
     pm_cbor_free(item);
@@ -132,15 +132,15 @@
     return job;
 }
 
-static struct pm_job *put_live(uint64_t stamp)
+static struct pm_job *put_live(uint64_t revision)
 {
     struct pm_spec spec = {.zone = -1, .types = ~(uint64_t)0, .entries = 300, .due_s = 9};
     struct pm_buf buf = {0};
 
-    spec.class_index = pm_names_add(books.classes, "train");
-    spec.image = pm_names_add(books.images, "img");
-    pm_jobs_write(&books, &spec, spec.entries, PM_LIVE, true, &buf);
-    return put("p/j/job-1", &buf, stamp);
+    spec.class_index = pm_names_add(tables.classes, "train");
+    spec.image = pm_names_add(tables.images, "img");
+    pm_jobs_write(&tables, &spec, spec.entries, PM_LIVE, true, &buf);
+    return put("p/j/job-1", &buf, revision);
 }
 
 static void chunks_survive_a_new_leader(void **state)
@@ -148,16 +148,16 @@
     struct pm_buf buf = {0};
     struct pm_place place = {.index = 130, .attempt = 7, .session = 3, .state = PM_RUNNING};
     struct pm_job *job = put_live(5);
-    struct pm_spot *spot;
+    struct pm_stored_place *spot;
 
     (void)state;
     assert_int_equal(job->nchunks, 3);
-    place.machine_index = pm_names_add(books.machines, "i-000001");
+    place.machine_index = pm_names_add(tables.machines, "i-000001");
     pm_job_task(job, 130)->place = &place;
     for (uint32_t i = 128; i < 256; i += 2)
         pm_job_task(job, i + (i == 130))->done = true; /* every other one: the longest text */
     job->last_try = 7;
-    pm_jobs_write_chunk(&books, job, 1, -1, &buf);
+    pm_jobs_write_chunk(&tables, job, 1, -1, &buf);
     assert_true(buf.size < 4096);
     put("p/t/job-1/1", &buf, 6);
     pm_jobs_reset_work(jobs);
@@ -165,12 +165,12 @@
     assert_int_equal(job->last_try, 7);
     assert_true(pm_job_peek(job, 131)->done);
     assert_false(pm_job_peek(job, 130)->done);
-    assert_int_equal(job->chunk[1]->spots->len, 1);
-    spot = &g_array_index(job->chunk[1]->spots, struct pm_spot, 0);
+    assert_int_equal(job->chunk[1]->stored_places->len, 1);
+    spot = &g_array_index(job->chunk[1]->stored_places, struct pm_stored_place, 0);
     assert_int_equal(spot->task, 2);
     assert_int_equal(spot->attempt, 7);
     assert_int_equal(spot->session, 3);
-    assert_string_equal(pm_names_text(books.machines, spot->machine), "i-000001");
+    assert_string_equal(pm_names_text(tables.machines, spot->machine), "i-000001");
 }
 
 static void final_states_stay(void **state)
@@ -179,7 +179,7 @@
     struct pm_job *job = put_live(5);
 
     (void)state;
-    pm_jobs_write(&books, job->spec, job->entries, PM_CANCELLED, false, &buf);
+    pm_jobs_write(&tables, job->spec, job->entries, PM_CANCELLED, false, &buf);
     assert_ptr_equal(put("p/j/job-1", &buf, 9), job);
     assert_int_equal(job->state, PM_CANCELLED);
     assert_null(job->spec);
@@ -201,14 +201,15 @@
     assert_true(pm_jobs_cancel(jobs, "job-1", 9));
     assert_false(pm_jobs_cancel(jobs, "job-1", 9));
     assert_int_equal(job->state, PM_CANCELLED);
-    assert_int_equal(job->stamp, 5); /* what is written on it fails */
+    assert_int_equal(job->revision, 5); /* what is written on it fails */
     put_live(7);
     assert_int_equal(job->state, PM_CANCELLED);
     assert_int_equal(pm_jobs_cancelled(jobs, "job-2"), 0);
     assert_true(pm_jobs_cancel(jobs, "job-2", 8));
     assert_int_equal(pm_jobs_cancelled(jobs, "job-2"), 8);
     assert_false(pm_jobs_cancel(jobs, "nonsense", 8));
-    /* By stamp, whatever the order in which they became known; those of one stamp together. */
+    /* By revision, whatever the order in which they became known; those of one revision together.
+     */
     assert_true(pm_jobs_cancel(jobs, "job-3", 8));
     assert_string_equal(pm_jobs_cancelled_after(jobs, 0, 1, &n, &more)[0].id, "job-2");
     assert_int_equal(n, 2);
@@ -231,9 +232,9 @@
     struct pm_job *job;
 
     (void)state;
-    spec.class_index = pm_names_add(books.classes, "train");
-    spec.image = pm_names_add(books.images, "img");
-    pm_jobs_write(&books, &spec, 300, PM_LIVE, true, &buf);
+    spec.class_index = pm_names_add(tables.classes, "train");
+    spec.image = pm_names_add(tables.images, "img");
+    pm_jobs_write(&tables, &spec, 300, PM_LIVE, true, &buf);
     good = pm_cbor_parse(buf.data, buf.size);
     for (size_t i = 0; i + 4 < buf.size; i++)
         if (!memcmp(buf.data + i, "live", 4))
--- a/src/jobs/work.c
+++ b/src/jobs/work.c
@@ -78,12 +78,12 @@
         pm_job_reset_work(g_ptr_array_index(jobs->active, i));
 }
 
-void pm_jobs_set_away(struct pm_jobs *jobs, bool away)
+void pm_jobs_set_delegated(struct pm_jobs *jobs, bool delegated)
 {
-    jobs->away = away;
+    jobs->delegated = delegated;
     for (guint i = 0; i < jobs->active->len; i++) {
         struct pm_job *job = g_ptr_array_index(jobs->active, i);
-        job->away = away;
-        job->width = UINT32_MAX;
+        job->delegated = delegated;
+        job->parallelism = UINT32_MAX;
     }
 }
--- a/src/leadership/cancels.c
+++ b/src/leadership/cancels.c
@@ -17,7 +17,7 @@
 
 struct waiter { /* a cancellation whose user waits */
     char id[32];
-    uint64_t stamp;
+    uint64_t revision;
     double until;
     bool acked[PM_PEERS_MAX];
     uint8_t tries[PM_PEERS_MAX];
@@ -31,7 +31,7 @@
     struct pm_http_client *http;
     const struct pm_settings *settings;
     struct pm_cancels_hooks hooks;
-    uint64_t edition[PM_PEERS_MAX]; /* the peers' books have reached this */
+    uint64_t store_revision[PM_PEERS_MAX]; /* the peers' replicas have reached this */
     bool busy[PM_PEERS_MAX];
     GPtrArray *waiting; /* of struct waiter */
     ev_timer tick;
@@ -47,7 +47,7 @@
     size_t n;
     struct pm_cancels_item {
         char id[32];
-        uint64_t stamp;
+        uint64_t revision;
     } item[];
 };
 
@@ -56,12 +56,12 @@
     return c->settings->size / 2 + 1;
 }
 
-bool pm_cancels_known(const struct pm_cancels *c, uint64_t stamp)
+bool pm_cancels_known(const struct pm_cancels *c, uint64_t revision)
 {
     int n = 1; /* ourselves */
 
     for (int i = 0; i < c->settings->peers; i++)
-        n += c->edition[i] >= stamp;
+        n += c->store_revision[i] >= revision;
     return n >= majority(c);
 }
 
@@ -74,7 +74,7 @@
         int hopeful = 0;
         bool ok;
         for (int j = 0; j < c->settings->peers; j++) {
-            bool knows = w->acked[j] || c->edition[j] >= w->stamp;
+            bool knows = w->acked[j] || c->store_revision[j] >= w->revision;
             known += knows;
             hopeful += !knows && w->tries[j] < TRIES_MAX;
         }
@@ -106,7 +106,7 @@
     for (size_t i = 0; i < call->n; i++)
         for (guint j = 0; j < c->waiting->len; j++) {
             struct waiter *w = g_ptr_array_index(c->waiting, j);
-            if (w->stamp != call->item[i].stamp || strcmp(w->id, call->item[i].id))
+            if (w->revision != call->item[i].revision || strcmp(w->id, call->item[i].id))
                 continue;
             if (tell)
                 w->acked[call->peer] = true;
@@ -114,7 +114,7 @@
                 w->tries[call->peer]++;
         }
     if (tell) {
-        pm_cancels_reached(c, call->peer, tell->edition);
+        pm_cancels_reached(c, call->peer, tell->store_revision);
         pm__cancel_tell__free_unpacked(tell, NULL);
     }
     g_free(call);
@@ -140,13 +140,13 @@
     for (guint i = 0; i < c->waiting->len && call->n < CALL_MAX; i++) {
         const struct waiter *w = g_ptr_array_index(c->waiting, i);
         struct pm_cancels_item *item = &call->item[call->n];
-        if (w->acked[peer] || c->edition[peer] >= w->stamp || w->tries[peer] >= TRIES_MAX)
+        if (w->acked[peer] || c->store_revision[peer] >= w->revision || w->tries[peer] >= TRIES_MAX)
             continue;
         g_strlcpy(item->id, w->id, sizeof item->id);
-        item->stamp = w->stamp;
+        item->revision = w->revision;
         pm__cancelled__init(&entry[call->n]);
         entry[call->n].id = item->id;
-        entry[call->n].stamp = item->stamp;
+        entry[call->n].revision = item->revision;
         list[call->n] = &entry[call->n];
         call->n++;
     }
@@ -156,7 +156,7 @@
     }
     c->busy[peer] = true;
     message.from = (char *)c->settings->name;
-    message.edition = pm_store_edition(c->store);
+    message.store_revision = pm_store_revision(c->store);
     message.cancelled = list;
     message.n_cancelled = call->n;
     size = pm__cancel_call__get_packed_size(&message);
@@ -173,18 +173,18 @@
         send_to(c, i);
 }
 
-void pm_cancels_tell(struct pm_cancels *c, const char *id, uint64_t stamp, pm_cancels_done *done,
+void pm_cancels_tell(struct pm_cancels *c, const char *id, uint64_t revision, pm_cancels_done *done,
                      void *arg)
 {
     struct waiter *w;
 
-    if (pm_cancels_known(c, stamp)) {
+    if (pm_cancels_known(c, revision)) {
         done(arg, true);
         return;
     }
     w = g_new0(struct waiter, 1);
     g_strlcpy(w->id, id, sizeof w->id);
-    w->stamp = stamp;
+    w->revision = revision;
     w->until = pm_clock_steady() + GIVE_UP_S;
     w->done = done;
     w->arg = arg;
@@ -193,9 +193,9 @@
     send_all(c);
 }
 
-void pm_cancels_reached(struct pm_cancels *c, int peer, uint64_t edition)
+void pm_cancels_reached(struct pm_cancels *c, int peer, uint64_t store_revision)
 {
-    c->edition[peer] = MAX(c->edition[peer], edition);
+    c->store_revision[peer] = MAX(c->store_revision[peer], store_revision);
 }
 
 static int find_peer(const struct pm_cancels *c, const char *name)
@@ -208,13 +208,13 @@
 
 void pm_cancels_put(struct pm_cancels *c, const char *key, const cbor_item_t *value)
 {
-    uint64_t edition;
+    uint64_t store_revision;
     int peer;
 
     if (strncmp(key, "p/seen/", 7) || (peer = find_peer(c, key + 7)) < 0 ||
-        pm_cbor_count(pm_cbor_get(value, "edition"), &edition))
+        pm_cbor_count(pm_cbor_get(value, "edition"), &store_revision))
         return;
-    pm_cancels_reached(c, peer, edition);
+    pm_cancels_reached(c, peer, store_revision);
     settle(c, pm_clock_steady());
 }
 
@@ -233,14 +233,14 @@
         return;
     }
     for (size_t i = 0; i < call->n_cancelled; i++) {
-        c->hooks.cancelled(c->hooks.arg, call->cancelled[i]->id, call->cancelled[i]->stamp);
-        if (call->cancelled[i]->stamp >= c->untold)
+        c->hooks.cancelled(c->hooks.arg, call->cancelled[i]->id, call->cancelled[i]->revision);
+        if (call->cancelled[i]->revision >= c->untold)
             c->untold = 0;
     }
-    pm_cancels_reached(c, peer, call->edition);
+    pm_cancels_reached(c, peer, call->store_revision);
     pm__cancel_call__free_unpacked(call, NULL);
     tell.from = (char *)c->settings->name;
-    tell.edition = pm_store_edition(c->store);
+    tell.store_revision = pm_store_revision(c->store);
     pm_http_reply(req, 200, data,
                   pm__cancel_tell__get_packed_size(&tell) <= sizeof data
                       ? pm__cancel_tell__pack(&tell, data)
@@ -249,23 +249,23 @@
     settle(c, pm_clock_steady());
 }
 
-/* ---- saying by way of the state service how far our books go ---- */
+/* ---- saying by way of the state service how far our replica goes ---- */
 
-void pm_cancels_read(struct pm_cancels *c, uint64_t stamp)
+void pm_cancels_read(struct pm_cancels *c, uint64_t revision)
 {
-    if (!c->settings->peers || stamp <= c->untold)
+    if (!c->settings->peers || revision <= c->untold)
         return;
     if (!c->untold)
         c->untold_since = pm_clock_steady();
-    c->untold = stamp;
+    c->untold = revision;
     ev_timer_again(c->loop, &c->tick);
 }
 
-static void on_seen(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_seen(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     struct pm_cancels *c = arg;
 
-    (void)edition;
+    (void)store_revision;
     (void)failed;
     c->seen_busy = false;
     if (status != 200)
@@ -287,7 +287,7 @@
     snprintf(key, sizeof key, "p/seen/%s", c->settings->name);
     pm_txn_put(&txn, key);
     pm_put_map(&txn.writes);
-    pm_put_pair_count(&txn.writes, "edition", pm_store_edition(c->store));
+    pm_put_pair_count(&txn.writes, "edition", pm_store_revision(c->store));
     pm_put_end(&txn.writes);
     pm_txn_put_end(&txn, 0);
     pm_store_commit(c->store, &txn, on_seen, c);
--- a/src/leadership/cancels.h
+++ b/src/leadership/cancels.h
@@ -5,11 +5,11 @@
  * majority knows it, and who answers workers in an outage first asks a majority what it knows
  * (leadership.h): any two majorities have a controller in common.
  *
- * A controller knows a cancellation when its books have reached the stamp, or it was told. Each
- * tells the others of those that it is about to confirm. Where those messages don't arrive, though
- * the state service is well, the others' books have them all the same; they say so there:
+ * A controller knows a cancellation when its replica has reached the revision, or it was told.
+ * Each tells the others of those that it is about to confirm. Where those messages don't arrive,
+ * though the state service is well, the others' replicas have them all the same; they say so there:
  *
- * Key:  p/seen/CONTROLLER  {edition}: its books have reached this. Written only when a
+ * Key:  p/seen/CONTROLLER  {edition}: its replica has reached this. Written only when a
  *       cancellation was read that no controller told of. */
 #ifndef PM_LEADERSHIP_CANCELS_H
 #define PM_LEADERSHIP_CANCELS_H
@@ -26,7 +26,7 @@
 
 struct pm_cancels_hooks {
     /* Another controller says that this job's cancellation is durable. */
-    void (*cancelled)(void *arg, const char *id, uint64_t stamp);
+    void (*cancelled)(void *arg, const char *id, uint64_t revision);
     void *arg;
 };
 
@@ -34,17 +34,17 @@
                                   struct pm_http_client *http, const struct pm_settings *settings,
                                   const struct pm_cancels_hooks *hooks);
 void pm_cancels_free(struct pm_cancels *cancels);
-/* Whether a majority is known to have books that reach this stamp. */
-bool pm_cancels_known(const struct pm_cancels *cancels, uint64_t stamp);
+/* Whether a majority is known to have replica that reach this revision. */
+bool pm_cancels_known(const struct pm_cancels *cancels, uint64_t revision);
 /* Calls back once a majority knows that this cancellation is durable; `ok` false when that can't be
  * had within about a second, at once when too few of the others are reached. */
 typedef void pm_cancels_done(void *arg, bool ok);
-void pm_cancels_tell(struct pm_cancels *cancels, const char *id, uint64_t stamp,
+void pm_cancels_tell(struct pm_cancels *cancels, const char *id, uint64_t revision,
                      pm_cancels_done *done, void *arg);
-/* The books of the peer with that index have reached this edition. */
-void pm_cancels_reached(struct pm_cancels *cancels, int peer, uint64_t edition);
-/* The replica told of a cancellation at that stamp. */
-void pm_cancels_read(struct pm_cancels *cancels, uint64_t stamp);
+/* The replica of the peer with that index has reached this store revision. */
+void pm_cancels_reached(struct pm_cancels *cancels, int peer, uint64_t store_revision);
+/* The replica told of a cancellation at that revision. */
+void pm_cancels_read(struct pm_cancels *cancels, uint64_t revision);
 /* The replica's feed, for p/seen. */
 void pm_cancels_put(struct pm_cancels *cancels, const char *key, const cbor_item_t *value);
 /* POST /cancelled on the back address. */
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -17,94 +17,97 @@
  * anew. By then its worker has taken a later token, or is in a later session. */
 #define TOKEN_LEASES 0.7
 #define RAISE_PACE_S 1.0
-#define RESIGNED_S 15.0  /* who resigned leaves the lead to the others for so long */
-#define SERVED_S 6.0     /* a quiet watch answers within this */
-#define PEER_S 1.0       /* a peer's answer counts only within this */
-#define CARE_AFTER_S 2.5 /* an outage has to last this long: by then its leader has noticed it */
-#define REFUSED_S 1.0    /* how old a refusal may be to speak of an outage */
-#define LEADER_S 1.5     /* a leader silent for this long is not reached */
-#define LAG_S 6.0        /* how old the books may be of who answers workers, at most */
-#define PAGE 300         /* cancellations in one message */
+#define STAND_BACK_S 15.0 /* who stepped down leaves the lead to the others for so long */
+#define SERVED_S 6.0      /* a quiet watch answers within this */
+#define PEER_S 1.0        /* a peer's answer counts only within this */
+#define RENEWAL_AFTER_S                                                                            \
+    2.5                 /* an outage has to last this long: by then its leader has noticed it      \
+                         */
+#define REFUSED_S 1.0   /* how old a refusal may be to speak of an outage */
+#define LEADER_S 1.5    /* a leader silent for this long is not reached */
+#define STALENESS_S 6.0 /* how old the replica may be of who answers workers, at most */
+#define PAGE 300        /* cancellations in one message */
 #define TELL_MAX (64 * 1024)
 #define ANNOUNCE_S 0.7 /* until all are known to run this version, they are asked so often */
 
-struct pm_lead {
+struct pm_leader {
     struct ev_loop *loop;
     struct pm_store *store;
     struct pm_http_client *http;
     const struct pm_settings *settings;
     const struct pm_operator *op;
-    struct pm_lead_hooks hooks;
+    struct pm_leader_hooks hooks;
     char boot[24]; /* tells this process from its predecessors of the same name */
     ev_timer tick;
     /* From the replica. */
-    uint64_t epoch, epoch_stamp;
-    uint64_t lead_stamp; /* 0: nobody holds p/lead */
+    uint64_t epoch, epoch_revision;
+    uint64_t lead_revision; /* 0: nobody holds p/lead */
     char holder[PM_NAME_MAX], holder_boot[24];
     uint64_t heard; /* the highest epoch a peer spoke of */
     /* Trying, leading. */
-    bool trying, leads, raising;
-    uint64_t tenure, mine, mine_stamp;
-    uint64_t reach; /* edition of the transaction that made us leader */
+    bool candidate, leads, raising;
+    uint64_t lease_id, mine, mine_revision;
+    uint64_t reach; /* store revision of the transaction that made us leader */
     double vacant_since, renewed, checked, confirmed, asked;
     bool renew_busy, check_busy;
     /* Peers' words on our epoch: for the acknowledgement, and for confirmation in an outage. */
     bool acked[PM_PEERS_MAX];
-    double ack_at, first_ack_at; /* of the epoch in force; of the reign's first */
+    double ack_at, first_ack_at; /* of the epoch in force; of the term's first */
     uint64_t ack_epoch;
     /* Holding a block instead of leading. */
     char block_key[PM_NAME_MAX + 8];
-    uint64_t block_stamp;
-    double resigned_until;
+    uint64_t block_revision;
+    double standing_back_until;
     double peer_served; /* steady: a peer last said that the state service answers it */
     int ask_round, ask_yes;
     uint64_t ask_epoch;
-    /* Caring for workers in an outage whose leader is not reached; see pm_lead_caretaker. */
-    int care_yes;
-    double refused_since, cared, leader_heard;
-    double sure_since; /* see pm_lead_sure_since */
-    /* Our books hold every cancellation that was confirmed to a user before `abreast`. */
+    /* Renewing the leases of workers in an outage whose leader is not reached; see
+     * pm_leader_may_renew_in_outage. */
+    int renewal_votes;
+    double refused_since, renewal_confirmed, leader_heard;
+    double sure_since; /* see pm_leader_sure_since */
+    /* Our replica holds every cancellation that was confirmed to a user before `caught_up_at`. */
     /* Protocol versions: of each peer as far as it said so, and of all controllers (p/speaks). */
     unsigned peer_version[PM_PEERS_MAX], common_version;
     bool version_busy;
     bool version_announced; /* our own is in the state service */
     double announced_at;
-    double abreast, reaching_sent;
-    uint64_t reaching;         /* the edition that they have to reach for a later one, 0: none */
+    double caught_up_at, reaching_sent;
+    uint64_t reaching; /* the store revision that they have to reach for a later one, 0: none */
     double epoch_at, raise_at; /* steady: our epoch is that old; a raise was last tried */
 };
 
 struct ask {
-    struct pm_lead *lead;
+    struct pm_leader *lead;
     int peer, round;
     double sent;   /* of the first page */
-    uint64_t from; /* our books' edition by then */
+    uint64_t from; /* our replica' store revision by then */
 };
 
 /* Whether this controller has any say over workers, and in which epoch. */
-static bool acts(const struct pm_lead *l)
+static bool acts(const struct pm_leader *l)
 {
-    return l->leads || l->block_stamp;
+    return l->leads || l->block_revision;
 }
 
-static uint64_t acting(const struct pm_lead *l)
+static uint64_t acting(const struct pm_leader *l)
 {
     return l->leads ? l->mine : l->epoch;
 }
 
-static int majority(const struct pm_lead *l)
+static int majority(const struct pm_leader *l)
 {
     return l->settings->size / 2 + 1;
 }
 
 /* Answered 503 so lately that it counts as a word on the present. Who is cut off says nothing. */
-static bool refused_now(const struct pm_lead *l, double now)
+static bool refused_now(const struct pm_leader *l, double now)
 {
     return pm_store_refusing(l->store) && now - pm_store_refused(l->store) < REFUSED_S;
 }
 
 /* The epoch held at `sent`. */
-static void confirm(struct pm_lead *l, double sent)
+static void confirm(struct pm_leader *l, double sent)
 {
     if (sent > l->confirmed + l->op->confirm_s * (1 - PM_DRIFT))
         l->sure_since = sent;
@@ -114,41 +117,41 @@
 /* ---- knowing what was cancelled ---- */
 
 /* Half of what a cancellation leaves when a lease is taken off, if that is less. */
-static double lag_most(const struct pm_settings *settings)
+static double most_staleness(const struct pm_settings *settings)
 {
     double spare = (settings->cancel_s - settings->lease_s) / 2;
 
-    return settings->cancel_s > 0 && spare > 0 ? MIN(LAG_S, spare) : LAG_S;
+    return settings->cancel_s > 0 && spare > 0 ? MIN(STALENESS_S, spare) : STALENESS_S;
 }
 
-double pm_lead_blind_s(const struct pm_settings *settings, const struct pm_operator *op)
+double pm_leader_blind_s(const struct pm_settings *settings, const struct pm_operator *op)
 {
-    return MAX(lag_most(settings), op->confirm_s);
+    return MAX(most_staleness(settings), op->confirm_s);
 }
 
-static void on_abreast(void *arg, bool ok)
+static void on_caught_up_to(void *arg, bool ok)
 {
-    struct pm_lead *l = arg;
+    struct pm_leader *l = arg;
 
     if (ok)
-        l->abreast = MAX(l->abreast, l->reaching_sent);
+        l->caught_up_at = MAX(l->caught_up_at, l->reaching_sent);
     l->reaching = 0;
 }
 
-/* The state service was at `edition` when it answered what was sent at `sent`. Served, we could
- * still be following it through a watch that hangs: the books have to get there as well. */
-static void follow(struct pm_lead *l, double sent, uint64_t edition)
+/* The state service was at `store_revision` when it answered what was sent at `sent`. Served, we
+ * could still be following it through a watch that hangs: the replica has to get there as well. */
+static void follow(struct pm_leader *l, double sent, uint64_t store_revision)
 {
-    if (pm_store_ready(l->store) && pm_store_edition(l->store) >= edition) {
-        l->abreast = MAX(l->abreast, sent);
+    if (pm_store_ready(l->store) && pm_store_revision(l->store) >= store_revision) {
+        l->caught_up_at = MAX(l->caught_up_at, sent);
     } else if (!l->reaching) {
-        l->reaching = edition;
+        l->reaching = store_revision;
         l->reaching_sent = sent;
-        pm_store_reach(l->store, edition, on_abreast, l);
+        pm_store_reach(l->store, store_revision, on_caught_up_to, l);
     }
 }
 
-static void step_down(struct pm_lead *l, const char *why)
+static void step_down(struct pm_leader *l, const char *why)
 {
     if (!l->leads)
         return;
@@ -161,7 +164,7 @@
 
 /* ---- taking the lead ---- */
 
-static void put_epoch(struct pm_lead *l, struct pm_txn *txn, uint64_t epoch)
+static void put_epoch(struct pm_leader *l, struct pm_txn *txn, uint64_t epoch)
 {
     pm_txn_put(txn, "p/epoch");
     pm_put_map(&txn->writes);
@@ -174,7 +177,7 @@
 
 static void on_reached(void *arg, bool ok)
 {
-    struct pm_lead *l = arg;
+    struct pm_leader *l = arg;
 
     if (!l->leads || !l->reach)
         return;
@@ -187,68 +190,68 @@
 }
 
 struct attempt {
-    struct pm_lead *lead;
-    uint64_t epoch, tenure;
+    struct pm_leader *lead;
+    uint64_t epoch, lease_id;
     double sent;
     bool leads;
 };
 
-static void on_taken(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_taken(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     struct attempt *attempt = arg;
-    struct pm_lead *l = attempt->lead;
+    struct pm_leader *l = attempt->lead;
     double now = pm_clock_steady();
 
     (void)failed;
-    l->trying = false;
+    l->candidate = false;
     l->vacant_since = now; /* the next try waits its turn again */
     if (status == 200) {
         l->leads = true;
         l->mine = l->epoch = attempt->epoch;
-        l->mine_stamp = l->epoch_stamp = edition;
-        l->tenure = attempt->tenure;
+        l->mine_revision = l->epoch_revision = store_revision;
+        l->lease_id = attempt->lease_id;
         l->renewed = l->checked = l->epoch_at = now;
-        l->confirmed = l->sure_since = l->abreast = attempt->sent; /* no say before `reach` */
+        l->confirmed = l->sure_since = l->caught_up_at = attempt->sent; /* no say before `reach` */
         l->ack_at = l->first_ack_at = majority(l) <= 1 ? now : 0;
         l->ack_epoch = l->mine;
-        l->block_stamp = 0;
+        l->block_revision = 0;
         l->asked = 0;
         memset(l->acked, 0, sizeof l->acked);
-        l->reach = edition;
+        l->reach = store_revision;
         pm_info("lead.taken", "epoch %llu", (unsigned long long)l->mine);
-        pm_store_reach(l->store, edition, on_reached, l);
+        pm_store_reach(l->store, store_revision, on_reached, l);
     } else {
         pm_debug("lead.try", "status %d", status);
     }
     g_free(attempt);
 }
 
-static void on_tenure(void *arg, int status, uint64_t tenure)
+static void on_lease_id(void *arg, int status, uint64_t lease_id)
 {
-    struct pm_lead *l = arg;
+    struct pm_leader *l = arg;
     struct pm_txn txn = {0};
     struct attempt *attempt;
     char key[PM_NAME_MAX + 8];
 
     if (status != 200) {
-        l->trying = false;
+        l->candidate = false;
         l->vacant_since = pm_clock_steady();
         return;
     }
     attempt = g_new0(struct attempt, 1);
     attempt->lead = l;
     attempt->epoch = MAX(l->epoch, l->heard) + 1;
-    attempt->tenure = tenure;
+    attempt->lease_id = lease_id;
     attempt->sent = pm_clock_steady();
-    pm_txn_if(&txn, "p/epoch", l->epoch_stamp);
-    pm_txn_if(&txn, "p/lead", l->lead_stamp);
+    pm_txn_if(&txn, "p/epoch", l->epoch_revision);
+    pm_txn_if(&txn, "p/lead", l->lead_revision);
     put_epoch(l, &txn, attempt->epoch);
     pm_txn_put(&txn, "p/lead");
     pm_put_map(&txn.writes);
     pm_put_pair_text(&txn.writes, "leader", l->settings->name);
     pm_put_pair_text(&txn.writes, "boot", l->boot);
     pm_put_end(&txn.writes);
-    pm_txn_put_end(&txn, tenure);
+    pm_txn_put_end(&txn, lease_id);
     /* A leader holds no block: whatever it held becomes the leader's with the same stroke. */
     snprintf(key, sizeof key, "p/b/%s", l->settings->name);
     pm_txn_drop(&txn, key);
@@ -256,18 +259,18 @@
 }
 
 /* Whether nobody leads: p/lead is free, or its holder is a dead predecessor of this process. */
-static bool vacant(const struct pm_lead *l)
+static bool vacant(const struct pm_leader *l)
 {
-    return !l->lead_stamp ||
+    return !l->lead_revision ||
            (!strcmp(l->holder, l->settings->name) && strcmp(l->holder_boot, l->boot));
 }
 
 /* ---- raising the epoch while leading ---- */
 
-static void adopt(struct pm_lead *l, uint64_t epoch, uint64_t stamp)
+static void adopt(struct pm_leader *l, uint64_t epoch, uint64_t revision)
 {
     l->mine = l->epoch = epoch;
-    l->mine_stamp = l->epoch_stamp = stamp;
+    l->mine_revision = l->epoch_revision = revision;
     l->epoch_at = pm_clock_steady();
     /* Acknowledged anew: a holder that lost its block with the old epoch may answer its workers
      * until a majority knows this one. */
@@ -279,23 +282,23 @@
     l->hooks.raised(l->hooks.arg, epoch);
 }
 
-static void on_raised(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_raised(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     struct attempt *attempt = arg;
-    struct pm_lead *l = attempt->lead;
+    struct pm_leader *l = attempt->lead;
 
     (void)failed;
     l->raising = false;
     if (l->leads && status == 200 && l->mine < attempt->epoch) {
-        adopt(l, attempt->epoch, edition);
-        pm_lead_confirm(l, attempt->sent, edition);
+        adopt(l, attempt->epoch, store_revision);
+        pm_leader_confirm(l, attempt->sent, store_revision);
     } else if (l->leads && status == 409) {
-        pm_lead_doubt(l);
+        pm_leader_suspect(l);
     }
     g_free(attempt);
 }
 
-void pm_lead_raise(struct pm_lead *l, const char *key, uint64_t stamp)
+void pm_leader_raise(struct pm_leader *l, const char *key, uint64_t revision)
 {
     struct pm_txn txn = {0};
     struct attempt *attempt;
@@ -307,10 +310,10 @@
     attempt->lead = l;
     attempt->epoch = MAX(l->mine, l->heard) + 1;
     attempt->sent = pm_clock_steady();
-    pm_txn_if(&txn, "p/epoch", l->mine_stamp);
+    pm_txn_if(&txn, "p/epoch", l->mine_revision);
     put_epoch(l, &txn, attempt->epoch);
     if (key) {
-        pm_txn_if(&txn, key, stamp);
+        pm_txn_if(&txn, key, revision);
         pm_txn_drop(&txn, key);
     }
     pm_store_commit(l->store, &txn, on_raised, attempt);
@@ -318,39 +321,39 @@
 
 /* ---- confirming it ---- */
 
-/* A transaction failed on our stamp, and the replica has caught up with that: it is another's
- * epoch, or our own that was raised by a transaction whose answer we never saw (pm_lead_put adopts
- * it). */
+/* A transaction failed on our revision, and the replica has caught up with that: it is another's
+ * epoch, or our own that was raised by a transaction whose answer we never saw (pm_leader_put
+ * adopts it). */
 static void on_judged(void *arg, bool ok)
 {
-    struct pm_lead *l = arg;
+    struct pm_leader *l = arg;
 
     if (ok && l->leads && l->epoch > l->mine)
         step_down(l, "the epoch has moved on");
 }
 
-static void on_checked(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_checked(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     struct attempt *attempt = arg;
-    struct pm_lead *l = attempt->lead;
+    struct pm_leader *l = attempt->lead;
 
     (void)failed;
     l->check_busy = false;
     if (acts(l) && acting(l) == attempt->epoch && l->leads == attempt->leads) {
         if (status == 200) {
             bool first = !l->confirmed;
-            pm_lead_confirm(l, attempt->sent, edition);
+            pm_leader_confirm(l, attempt->sent, store_revision);
             if (first)
                 l->hooks.confirmed(l->hooks.arg);
         } else if (status == 409 && l->leads)
-            pm_store_reach(l->store, edition, on_judged, l);
+            pm_store_reach(l->store, store_revision, on_judged, l);
         else if (status == 409)
             l->checked = 0; /* a holder: the watch tells what became of its block */
     }
     g_free(attempt);
 }
 
-static void check(struct pm_lead *l, double now)
+static void check(struct pm_leader *l, double now)
 {
     struct pm_txn txn = {0};
     struct attempt *attempt = g_new0(struct attempt, 1);
@@ -361,46 +364,46 @@
     attempt->epoch = acting(l);
     attempt->leads = l->leads;
     attempt->sent = now;
-    pm_txn_if(&txn, "p/epoch", l->leads ? l->mine_stamp : l->epoch_stamp);
+    pm_txn_if(&txn, "p/epoch", l->leads ? l->mine_revision : l->epoch_revision);
     if (!l->leads)
-        pm_txn_if(&txn, l->block_key, l->block_stamp);
+        pm_txn_if(&txn, l->block_key, l->block_revision);
     pm_store_commit(l->store, &txn, on_checked, attempt);
 }
 
-void pm_lead_doubt(struct pm_lead *l)
+void pm_leader_suspect(struct pm_leader *l)
 {
     if (l->leads && !l->check_busy && !l->raising)
         check(l, pm_clock_steady());
 }
 
-static void on_renewed(void *arg, int status, uint64_t tenure)
+static void on_renewed(void *arg, int status, uint64_t lease_id)
 {
-    struct pm_lead *l = arg;
+    struct pm_leader *l = arg;
 
     l->renew_busy = false;
-    if (status == 404 && l->leads && tenure == l->tenure)
+    if (status == 404 && l->leads && lease_id == l->lease_id)
         step_down(l, "the hold has lapsed");
 }
 
-static void ask_peer(struct pm_lead *l, struct ask *ask, uint64_t after);
+static void ask_peer(struct pm_leader *l, struct ask *ask, uint64_t after);
 
 /* What the peer knows cancelled is known here now. False while it has more to tell. */
-static bool take_cancelled(struct pm_lead *l, struct ask *ask, const Pm__PeerTell *tell)
+static bool take_cancelled(struct pm_leader *l, struct ask *ask, const Pm__PeerTell *tell)
 {
     uint64_t last = 0;
 
     for (size_t i = 0; i < tell->n_cancelled; i++) {
-        l->hooks.cancelled(l->hooks.arg, tell->cancelled[i]->id, tell->cancelled[i]->stamp);
-        last = MAX(last, tell->cancelled[i]->stamp);
+        l->hooks.cancelled(l->hooks.arg, tell->cancelled[i]->id, tell->cancelled[i]->revision);
+        last = MAX(last, tell->cancelled[i]->revision);
     }
-    l->hooks.reached(l->hooks.arg, ask->peer, tell->edition);
+    l->hooks.reached(l->hooks.arg, ask->peer, tell->store_revision);
     if (!tell->more || !last)
         return true;
     ask_peer(l, ask, last);
     return false;
 }
 
-static void on_acknowledged(struct pm_lead *l, int peer)
+static void on_acknowledged(struct pm_leader *l, int peer)
 {
     int acks = 1;
 
@@ -415,27 +418,27 @@
 }
 
 /* A vote in an outage of the state service: the peer has read the state, knows no higher epoch,
- * and has told all that was cancelled after our books end (safety invariant 7). A majority of such
- * votes confirms the epoch. We are one of it: what we were told of counts as much as what the
+ * and has told all that was cancelled after our replica ends (safety invariant 7). A majority of
+ * such votes confirms the epoch. We are one of it: what we were told of counts as much as what the
  * others were. */
-static void on_vote(struct pm_lead *l, const struct ask *ask, const Pm__PeerTell *tell)
+static void on_vote(struct pm_leader *l, const struct ask *ask, const Pm__PeerTell *tell)
 {
     if (!tell->ready || !tell->lists || ask->round != l->ask_round || l->heard > acting(l) ||
         tell->known > acting(l) || l->ask_epoch != acting(l))
         return;
     if (acts(l) && ++l->ask_yes >= majority(l) && pm_store_refusing(l->store)) {
         confirm(l, ask->sent);
-        l->abreast = MAX(l->abreast, ask->sent);
+        l->caught_up_at = MAX(l->caught_up_at, ask->sent);
     }
-    if (!l->leads && tell->refused && ++l->care_yes >= majority(l) && l->refused_since &&
-        ask->sent - l->refused_since > CARE_AFTER_S)
-        l->cared = MAX(l->cared, ask->sent);
+    if (!l->leads && tell->refused && ++l->renewal_votes >= majority(l) && l->refused_since &&
+        ask->sent - l->refused_since > RENEWAL_AFTER_S)
+        l->renewal_confirmed = MAX(l->renewal_confirmed, ask->sent);
 }
 
 static void on_peer(void *arg, int status, const unsigned char *body, size_t size)
 {
     struct ask *ask = arg;
-    struct pm_lead *l = ask->lead;
+    struct pm_leader *l = ask->lead;
     Pm__PeerTell *tell = status == 200 ? pm__peer_tell__unpack(NULL, size, body) : NULL;
 
     if (!tell) {
@@ -449,7 +452,7 @@
         l->heard = tell->known;
     if (l->leads && tell->known >= l->mine) {
         if (tell->known > l->mine && !l->raising)
-            pm_lead_doubt(l);
+            pm_leader_suspect(l);
         on_acknowledged(l, ask->peer);
     }
     if (!strcmp(tell->from, l->holder))
@@ -462,14 +465,14 @@
 }
 
 /* Consumes `ask`, or leaves it to the answer. */
-static void ask_peer(struct pm_lead *l, struct ask *ask, uint64_t after)
+static void ask_peer(struct pm_leader *l, struct ask *ask, uint64_t after)
 {
     Pm__PeerAsk message = PM__PEER_ASK__INIT;
     unsigned char data[256];
 
     message.from = (char *)l->settings->name;
     message.epoch = l->ask_epoch;
-    message.edition = ask->from;
+    message.store_revision = ask->from;
     message.after = after;
     message.protocol_version = PM_PROTOCOL_VERSION;
     if (pm__peer_ask__get_packed_size(&message) > sizeof data) {
@@ -480,21 +483,21 @@
                  pm__peer_ask__pack(&message, data), PEER_S, TELL_MAX, on_peer, ask);
 }
 
-static void ask_peers(struct pm_lead *l, double now)
+static void ask_peers(struct pm_leader *l, double now)
 {
     l->asked = now;
     l->ask_round++;
     l->ask_epoch = acting(l);
     l->ask_yes = 1; /* ourselves: who leads, or holds a block, has read the state */
-    l->care_yes = pm_store_ready(l->store) && refused_now(l, now);
+    l->renewal_votes = pm_store_ready(l->store) && refused_now(l, now);
     for (int i = 0; i < l->settings->peers; i++) {
         struct ask *ask = g_new0(struct ask, 1);
-        *ask = (struct ask){l, i, l->ask_round, now, pm_store_edition(l->store)};
+        *ask = (struct ask){l, i, l->ask_round, now, pm_store_revision(l->store)};
         ask_peer(l, ask, 0);
     }
 }
 
-static void answer_peer(struct pm_lead *l, struct pm_http_request *req, const Pm__PeerAsk *ask)
+static void answer_peer(struct pm_leader *l, struct pm_http_request *req, const Pm__PeerAsk *ask)
 {
     Pm__PeerTell tell = PM__PEER_TELL__INIT;
     Pm__Cancelled *entry;
@@ -504,13 +507,14 @@
     size_t n = 0;
     bool more = false;
 
-    known = l->hooks.list_cancelled(l->hooks.arg, MAX(ask->edition, ask->after), PAGE, &n, &more);
+    known = l->hooks.list_cancelled(l->hooks.arg, MAX(ask->store_revision, ask->after), PAGE, &n,
+                                    &more);
     entry = g_new0(Pm__Cancelled, n + 1);
     list = g_new0(Pm__Cancelled *, n + 1);
     for (size_t i = 0; i < n; i++) {
         pm__cancelled__init(&entry[i]);
         entry[i].id = (char *)known[i].id;
-        entry[i].stamp = known[i].stamp;
+        entry[i].revision = known[i].revision;
         list[i] = &entry[i];
     }
     tell.from = (char *)l->settings->name;
@@ -519,7 +523,7 @@
     tell.served =
         !pm_store_refusing(l->store) && pm_clock_steady() - pm_store_served(l->store) < SERVED_S;
     tell.refused = refused_now(l, pm_clock_steady());
-    tell.edition = pm_store_edition(l->store);
+    tell.store_revision = pm_store_revision(l->store);
     tell.lists = true;
     tell.cancelled = list;
     tell.n_cancelled = n;
@@ -532,7 +536,7 @@
     g_free(entry);
 }
 
-void pm_lead_peer(struct pm_lead *l, struct pm_http_request *req)
+void pm_leader_peer(struct pm_leader *l, struct pm_http_request *req)
 {
     Pm__PeerAsk *ask = pm__peer_ask__unpack(NULL, req->body_size, req->body);
     int peer = 0;
@@ -550,22 +554,23 @@
     if (ask->epoch > l->heard)
         l->heard = ask->epoch;
     if (l->leads && ask->epoch > l->mine)
-        pm_lead_doubt(l);
+        pm_leader_suspect(l);
     answer_peer(l, req, ask);
     pm__peer_ask__free_unpacked(ask, NULL);
 }
 
 /* ---- protocol versions ---- */
 
-static void on_version_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_version_written(void *arg, int status, uint64_t store_revision,
+                               const cbor_item_t *failed)
 {
     (void)status;
-    (void)edition;
+    (void)store_revision;
     (void)failed;
-    ((struct pm_lead *)arg)->version_busy = false;
+    ((struct pm_leader *)arg)->version_busy = false;
 }
 
-static void put_version(struct pm_lead *l, struct pm_txn *txn, const char *key, unsigned version,
+static void put_version(struct pm_leader *l, struct pm_txn *txn, const char *key, unsigned version,
                         double now)
 {
     l->version_busy = true;
@@ -579,7 +584,7 @@
 }
 
 /* The lowest version of all controllers. */
-static unsigned lowest_version(const struct pm_lead *l)
+static unsigned lowest_version(const struct pm_leader *l)
 {
     unsigned lowest = PM_PROTOCOL_VERSION;
 
@@ -590,7 +595,7 @@
 
 /* Writes our own version, for those whom our messages do not reach; and, as the leader, the one
  * that all controllers are known to run, for good. */
-static void announce_version(struct pm_lead *l, double now)
+static void announce_version(struct pm_leader *l, double now)
 {
     struct pm_txn txn = {0};
     unsigned version;
@@ -605,13 +610,13 @@
         return;
     }
     version = lowest_version(l);
-    if (!l->leads || l->reach || version <= pm_lead_protocol_version(l))
+    if (!l->leads || l->reach || version <= pm_leader_protocol_version(l))
         return;
-    pm_txn_if(&txn, "p/epoch", l->mine_stamp);
+    pm_txn_if(&txn, "p/epoch", l->mine_revision);
     put_version(l, &txn, "p/speaks", version, now);
 }
 
-unsigned pm_lead_protocol_version(const struct pm_lead *l)
+unsigned pm_leader_protocol_version(const struct pm_leader *l)
 {
     return MAX(l->common_version, PM_PROTOCOL_FIRST);
 }
@@ -620,7 +625,7 @@
 
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
-    struct pm_lead *l = w->data;
+    struct pm_leader *l = w->data;
     double now = pm_clock_steady();
 
     (void)loop;
@@ -639,7 +644,7 @@
         now - l->epoch_at > TOKEN_LEASES * l->settings->lease_s &&
         now - l->raise_at > RAISE_PACE_S) {
         l->raise_at = now;
-        pm_lead_raise(l, NULL, 0);
+        pm_leader_raise(l, NULL, 0);
     }
     if (acts(l) && !l->check_busy && !l->raising &&
         now - MAX(l->confirmed, l->checked) > l->op->confirm_s / 3)
@@ -657,26 +662,27 @@
         if (!l->renew_busy && now - l->renewed > l->op->leader_ttl_s / 3.5) {
             l->renew_busy = true;
             l->renewed = now;
-            pm_store_renew(l->store, l->tenure, on_renewed, l);
+            pm_store_renew(l->store, l->lease_id, on_renewed, l);
         }
         return;
     }
-    if (l->trying || !pm_store_ready(l->store) || !vacant(l)) {
+    if (l->candidate || !pm_store_ready(l->store) || !vacant(l)) {
         l->vacant_since = 0;
         return;
     }
     if (!l->vacant_since)
         l->vacant_since = now;
-    if (now < l->resigned_until && now - l->vacant_since < 4)
+    if (now < l->standing_back_until && now - l->vacant_since < 4)
         return;
     /* A little apart by name, so that two that see it free at once seldom collide. */
     if (now - l->vacant_since < 0.02 + 0.15 * (g_str_hash(l->settings->name) % 3))
         return;
-    l->trying = true;
-    pm_store_hold(l->store, l->op->leader_ttl_s, on_tenure, l);
+    l->candidate = true;
+    pm_store_hold(l->store, l->op->leader_ttl_s, on_lease_id, l);
 }
 
-void pm_lead_put(struct pm_lead *l, const char *key, const cbor_item_t *value, uint64_t stamp)
+void pm_leader_put(struct pm_leader *l, const char *key, const cbor_item_t *value,
+                   uint64_t revision)
 {
     char leader[PM_NAME_MAX] = "";
     char boot[24] = "";
@@ -702,116 +708,117 @@
     pm_cbor_text(pm_cbor_get(value, "leader"), leader, sizeof leader);
     pm_cbor_text(pm_cbor_get(value, "boot"), boot, sizeof boot);
     if (!strcmp(key, "p/epoch")) {
-        if (stamp < l->epoch_stamp || pm_cbor_count(pm_cbor_get(value, "epoch"), &epoch))
+        if (revision < l->epoch_revision || pm_cbor_count(pm_cbor_get(value, "epoch"), &epoch))
             return;
         l->epoch = epoch;
-        l->epoch_stamp = stamp;
+        l->epoch_revision = revision;
         if (l->leads && epoch > l->mine && strcmp(boot, l->boot)) {
             step_down(l, "another one leads");
         } else if (l->leads && epoch > l->mine) {
-            adopt(l, epoch, stamp);
-        } else if (!l->leads && l->block_stamp && !l->check_busy) {
+            adopt(l, epoch, revision);
+        } else if (!l->leads && l->block_revision && !l->check_busy) {
             check(l, pm_clock_steady());
         }
-    } else if (!strcmp(key, "p/lead") && stamp >= l->lead_stamp) {
-        l->lead_stamp = stamp;
+    } else if (!strcmp(key, "p/lead") && revision >= l->lead_revision) {
+        l->lead_revision = revision;
         g_strlcpy(l->holder, leader, sizeof l->holder);
         g_strlcpy(l->holder_boot, boot, sizeof l->holder_boot);
     }
 }
 
-void pm_lead_drop(struct pm_lead *l, const char *key, uint64_t stamp)
+void pm_leader_drop(struct pm_leader *l, const char *key, uint64_t revision)
 {
-    if (!strcmp(key, "p/lead") && stamp >= l->lead_stamp) {
-        l->lead_stamp = 0;
+    if (!strcmp(key, "p/lead") && revision >= l->lead_revision) {
+        l->lead_revision = 0;
         l->holder[0] = 0;
     }
 }
 
-void pm_lead_resign(struct pm_lead *l, const char *why)
+void pm_leader_step_down(struct pm_leader *l, const char *why)
 {
     if (!l->leads)
         return;
-    l->resigned_until = pm_clock_steady() + RESIGNED_S;
-    pm_store_unhold(l->store, l->tenure);
+    l->standing_back_until = pm_clock_steady() + STAND_BACK_S;
+    pm_store_unhold(l->store, l->lease_id);
     step_down(l, why);
 }
 
-void pm_lead_relist(struct pm_lead *l)
+void pm_leader_relist(struct pm_leader *l)
 {
-    l->lead_stamp = 0;
+    l->lead_revision = 0;
     l->holder[0] = 0;
 }
 
-uint64_t pm_lead_epoch(const struct pm_lead *l)
+uint64_t pm_leader_epoch(const struct pm_leader *l)
 {
     return acting(l);
 }
 
-uint64_t pm_lead_stamp(const struct pm_lead *l)
+uint64_t pm_leader_revision(const struct pm_leader *l)
 {
-    return l->leads ? l->mine_stamp : l->epoch_stamp;
+    return l->leads ? l->mine_revision : l->epoch_revision;
 }
 
-bool pm_lead_refused_alone(const struct pm_lead *l, double now)
+bool pm_leader_refused_alone(const struct pm_leader *l, double now)
 {
     return pm_store_refusing(l->store) && l->peer_served > 0 && now - l->peer_served < 2.5;
 }
 
-const char *pm_lead_boot(const struct pm_lead *l)
+const char *pm_leader_boot(const struct pm_leader *l)
 {
     return l->boot;
 }
 
-void pm_lead_hold(struct pm_lead *l, const char *key, uint64_t stamp)
+void pm_leader_hold(struct pm_leader *l, const char *key, uint64_t revision)
 {
-    if (l->leads || stamp == l->block_stamp)
+    if (l->leads || revision == l->block_revision)
         return;
     /* A block that is written anew but stays ours keeps its confirmation: whoever takes it away has
      * to wait until our last one is old anyway. A new block needs one first. */
-    if (!l->block_stamp || !stamp)
+    if (!l->block_revision || !revision)
         l->confirmed = 0;
-    l->block_stamp = stamp;
-    if (!stamp)
+    l->block_revision = revision;
+    if (!revision)
         return;
     g_strlcpy(l->block_key, key, sizeof l->block_key);
     if (!l->check_busy)
         check(l, pm_clock_steady());
 }
 
-bool pm_lead_confirmed(const struct pm_lead *l, double now)
+bool pm_leader_confirmed(const struct pm_leader *l, double now)
 {
     return acts(l) && !l->reach && now - l->confirmed < l->op->confirm_s * (1 - PM_DRIFT) &&
-           now - l->abreast < lag_most(l->settings) * (1 - PM_DRIFT);
+           now - l->caught_up_at < most_staleness(l->settings) * (1 - PM_DRIFT);
 }
 
-void pm_lead_confirm(struct pm_lead *l, double sent, uint64_t edition)
+void pm_leader_confirm(struct pm_leader *l, double sent, uint64_t store_revision)
 {
     if (!acts(l))
         return;
     confirm(l, sent);
-    follow(l, sent, edition);
+    follow(l, sent, store_revision);
 }
 
-bool pm_lead_caretaker(const struct pm_lead *l, double now)
+bool pm_leader_may_renew_in_outage(const struct pm_leader *l, double now)
 {
     return !l->leads && l->refused_since && l->epoch && l->heard <= l->epoch &&
-           now - l->cared < l->op->confirm_s * (1 - PM_DRIFT) && now - l->leader_heard > LEADER_S;
+           now - l->renewal_confirmed < l->op->confirm_s * (1 - PM_DRIFT) &&
+           now - l->leader_heard > LEADER_S;
 }
 
-double pm_lead_sure_since(const struct pm_lead *l)
+double pm_leader_sure_since(const struct pm_leader *l)
 {
     return l->sure_since + (l->op->confirm_s + REFUSED_S) * (1 + PM_DRIFT) + TICK_S;
 }
 
-const char *pm_lead_other(const struct pm_lead *l)
+const char *pm_leader_other(const struct pm_leader *l)
 {
-    if (l->leads || !l->lead_stamp || !strcmp(l->holder, l->settings->name))
+    if (l->leads || !l->lead_revision || !strcmp(l->holder, l->settings->name))
         return NULL;
     return l->holder;
 }
 
-double pm_lead_floor(const struct pm_lead *l, uint64_t epoch)
+double pm_leader_floor(const struct pm_leader *l, uint64_t epoch)
 {
     double at = epoch ? l->ack_at : l->first_ack_at;
 
@@ -820,11 +827,11 @@
     return at + l->op->confirm_s * (1 + PM_DRIFT);
 }
 
-struct pm_lead *pm_lead_new(struct ev_loop *loop, struct pm_store *store,
-                            struct pm_http_client *http, const struct pm_settings *settings,
-                            const struct pm_operator *op, const struct pm_lead_hooks *hooks)
+struct pm_leader *pm_leader_new(struct ev_loop *loop, struct pm_store *store,
+                                struct pm_http_client *http, const struct pm_settings *settings,
+                                const struct pm_operator *op, const struct pm_leader_hooks *hooks)
 {
-    struct pm_lead *l = g_new0(struct pm_lead, 1);
+    struct pm_leader *l = g_new0(struct pm_leader, 1);
 
     l->loop = loop;
     l->store = store;
@@ -839,7 +846,7 @@
     return l;
 }
 
-void pm_lead_free(struct pm_lead *l)
+void pm_leader_free(struct pm_leader *l)
 {
     ev_timer_stop(l->loop, &l->tick);
     g_free(l);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -1,8 +1,8 @@
 /* Who leads: the epoch, its confirmation, and what controllers tell one another.
  *
  * Keys:  p/epoch  {epoch, leader, boot}: raised by compare-and-set only; its number is the token
- *                 that workers obey, and every placement is written on the condition of its stamp
- *        p/lead   {leader, boot} under a hold: while it is there, the others don't try
+ *                 that workers obey, and every placement is written on the condition of its
+ * revision p/lead   {leader, boot} under a hold: while it is there, the others don't try
  *        p/speaks/NAME {version}: the protocol version of that controller, if it is not the first
  *        p/speaks {version}: every controller of the settings runs this protocol version, or a
  *                later one; what an earlier one would misread is used only from then on
@@ -19,76 +19,79 @@
 #include <stdint.h>
 
 struct ev_loop;
-struct pm_lead;
+struct pm_leader;
 struct pm_cancelled; /* jobs slice */
 
-struct pm_lead_hooks {
+struct pm_leader_hooks {
     void (*took)(void *arg, uint64_t epoch); /* leads, and the replica has caught up with that */
     void (*lost)(void *arg);
     void (*raised)(void *arg, uint64_t epoch); /* still leads, with a higher epoch */
     void (*confirmed)(void *arg);              /* a block newly held may be used */
     /* A peer says that this job's cancellation is durable. */
-    void (*cancelled)(void *arg, const char *id, uint64_t stamp);
-    /* Writes the jobs known cancelled after `stamp`, as pm_jobs_cancelled_after. */
-    const struct pm_cancelled *(*list_cancelled)(void *arg, uint64_t stamp, size_t most, size_t *n,
-                                                 bool *more);
-    void (*reached)(void *arg, int peer, uint64_t edition); /* a peer's books go to here */
+    void (*cancelled)(void *arg, const char *id, uint64_t revision);
+    /* Writes the jobs known cancelled after `revision`, as pm_jobs_cancelled_after. */
+    const struct pm_cancelled *(*list_cancelled)(void *arg, uint64_t revision, size_t most,
+                                                 size_t *n, bool *more);
+    void (*reached)(void *arg, int peer,
+                    uint64_t store_revision); /* a peer's replica goes to here */
     void *arg;
 };
 
-struct pm_lead *pm_lead_new(struct ev_loop *loop, struct pm_store *store,
-                            struct pm_http_client *http, const struct pm_settings *settings,
-                            const struct pm_operator *op, const struct pm_lead_hooks *hooks);
-void pm_lead_free(struct pm_lead *lead);
+struct pm_leader *pm_leader_new(struct ev_loop *loop, struct pm_store *store,
+                                struct pm_http_client *http, const struct pm_settings *settings,
+                                const struct pm_operator *op, const struct pm_leader_hooks *hooks);
+void pm_leader_free(struct pm_leader *lead);
 /* The replica's feed, for p/epoch and p/lead. */
-void pm_lead_put(struct pm_lead *lead, const char *key, const cbor_item_t *value, uint64_t stamp);
-void pm_lead_drop(struct pm_lead *lead, const char *key, uint64_t stamp);
+void pm_leader_put(struct pm_leader *lead, const char *key, const cbor_item_t *value,
+                   uint64_t revision);
+void pm_leader_drop(struct pm_leader *lead, const char *key, uint64_t revision);
 /* A new listing begins: p/lead is free unless it tells otherwise. */
-void pm_lead_relist(struct pm_lead *lead);
+void pm_leader_relist(struct pm_leader *lead);
 
-uint64_t pm_lead_epoch(const struct pm_lead *lead);
-uint64_t pm_lead_stamp(const struct pm_lead *lead); /* of p/epoch, as we wrote it */
-/* Whether the epoch was confirmed recently enough to answer a worker, and the books know of every
- * cancellation that a user heard of before about the same time (safety invariants 5 and 7). */
-bool pm_lead_confirmed(const struct pm_lead *lead, double now);
+uint64_t pm_leader_epoch(const struct pm_leader *lead);
+uint64_t pm_leader_revision(const struct pm_leader *lead); /* of p/epoch, as we wrote it */
+/* Whether the epoch was confirmed recently enough to answer a worker, and the replica knows of
+ * every cancellation that a user heard of before about the same time (safety invariants 5 and 7).
+ */
+bool pm_leader_confirmed(const struct pm_leader *lead, double now);
 /* A conditional transaction succeeded that was sent at `sent`: a confirmation. The state service
- * was at `edition` then. */
-void pm_lead_confirm(struct pm_lead *lead, double sent, uint64_t edition);
+ * was at `store_revision` then. */
+void pm_leader_confirm(struct pm_leader *lead, double sent, uint64_t store_revision);
 /* How long after a cancellation was confirmed to its user somebody may still renew the lease of a
  * worker without knowing it. From then on it takes a lease until its tasks are gone. */
-double pm_lead_blind_s(const struct pm_settings *settings, const struct pm_operator *op);
+double pm_leader_blind_s(const struct pm_settings *settings, const struct pm_operator *op);
 /* Raises the epoch while leading, so that commands under way with the old one die. With `key`,
- * drops that key in the same transaction, on the condition of its stamp. */
-void pm_lead_raise(struct pm_lead *lead, const char *key, uint64_t stamp);
-/* Not leading, but holding a block: the key and stamp that stand for it, stamp 0: none. The epoch
- * is then confirmed together with that stamp. */
-void pm_lead_hold(struct pm_lead *lead, const char *key, uint64_t stamp);
+ * drops that key in the same transaction, on the condition of its revision. */
+void pm_leader_raise(struct pm_leader *lead, const char *key, uint64_t revision);
+/* Not leading, but holding a block: the key and revision that stand for it, revision 0: none. The
+ * epoch is then confirmed together with that revision. */
+void pm_leader_hold(struct pm_leader *lead, const char *key, uint64_t revision);
 /* Whether the state service refuses us while it serves another controller. */
-bool pm_lead_refused_alone(const struct pm_lead *lead, double now);
+bool pm_leader_refused_alone(const struct pm_leader *lead, double now);
 /* The name of this process, unlike that of any other that has run or will run. */
-const char *pm_lead_boot(const struct pm_lead *lead);
+const char *pm_leader_boot(const struct pm_leader *lead);
 /* Leaves the lead to the others, and does not try for it itself for a while. */
-void pm_lead_resign(struct pm_lead *lead, const char *why);
-/* A transaction failed on the epoch's stamp. */
-void pm_lead_doubt(struct pm_lead *lead);
+void pm_leader_step_down(struct pm_leader *lead, const char *why);
+/* A transaction failed on the epoch's revision. */
+void pm_leader_suspect(struct pm_leader *lead);
 /* The name of the controller that leads as far as known, NULL when nobody does or it is us. */
-const char *pm_lead_other(const struct pm_lead *lead);
+const char *pm_leader_other(const struct pm_leader *lead);
 /* Steady time since when nobody who did not know `epoch` can have answered a worker with 200: A
- * after a majority acknowledged it; INFINITY until then. Epoch 0: the first one of this reign. */
-double pm_lead_floor(const struct pm_lead *lead, uint64_t epoch);
+ * after a majority acknowledged it; INFINITY until then. Epoch 0: the first one of this term. */
+double pm_leader_floor(const struct pm_leader *lead, uint64_t epoch);
 /* In an outage of the state service whose leader is not reached: whether this controller may answer
  * workers in its stead, with the epoch and no orders, so that their leases do not run out. A
  * majority that has read the state, knows no higher epoch and is refused itself confirms it, which
  * one controller that is refused alone never finds. */
-bool pm_lead_caretaker(const struct pm_lead *lead, double now);
+bool pm_leader_may_renew_in_outage(const struct pm_leader *lead, double now);
 /* Steady time since when nobody can have answered a worker in our stead: we were confirmed without
  * a gap, and not refused, ever since. */
-double pm_lead_sure_since(const struct pm_lead *lead);
+double pm_leader_sure_since(const struct pm_leader *lead);
 /* The protocol version (base/protocol.h) that every controller named in the settings is known to
  * run, for good: written by the leader once each has said so. A controller that was not heard yet
  * counts as the first version; none that ran a later one comes back with an earlier one. */
-unsigned pm_lead_protocol_version(const struct pm_lead *lead);
+unsigned pm_leader_protocol_version(const struct pm_leader *lead);
 /* POST /peer on the back address. */
-void pm_lead_peer(struct pm_lead *lead, struct pm_http_request *req);
+void pm_leader_peer(struct pm_leader *lead, struct pm_http_request *req);
 
 #endif
--- a/src/leadership/tests/controllers.h
+++ b/src/leadership/tests/controllers.h
@@ -27,33 +27,33 @@
     struct pm_http_client *http;
     struct pm_http_server *back;
     struct pm_store *store;
-    struct pm_lead *lead;
+    struct pm_leader *lead;
     struct pm_cancels *cancels;
-    struct pm_books books;
+    struct pm_name_tables tables;
     struct pm_jobs *jobs;
     const char *state_addr; /* NULL: the front one */
     uint64_t took, raised;
     int lost;
 };
 
-static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t revision)
 {
     struct controller *c = arg;
 
-    pm_lead_put(c->lead, key, value, stamp);
+    pm_leader_put(c->lead, key, value, revision);
     pm_cancels_put(c->cancels, key, value);
-    if (pm_jobs_put(c->jobs, key, value, stamp) && pm_store_ready(c->store))
-        pm_cancels_read(c->cancels, stamp);
+    if (pm_jobs_put(c->jobs, key, value, revision) && pm_store_ready(c->store))
+        pm_cancels_read(c->cancels, revision);
 }
 
-static void on_drop(void *arg, const char *key, uint64_t stamp)
+static void on_drop(void *arg, const char *key, uint64_t revision)
 {
-    pm_lead_drop(((struct controller *)arg)->lead, key, stamp);
+    pm_leader_drop(((struct controller *)arg)->lead, key, revision);
 }
 
 static void on_begin(void *arg)
 {
-    pm_lead_relist(((struct controller *)arg)->lead);
+    pm_leader_relist(((struct controller *)arg)->lead);
 }
 
 static void on_listed(void *arg)
@@ -61,10 +61,10 @@
     (void)arg;
 }
 
-static void on_caught_up(void *arg, uint64_t edition)
+static void on_caught_up(void *arg, uint64_t store_revision)
 {
     (void)arg;
-    (void)edition;
+    (void)store_revision;
 }
 
 static void on_took(void *arg, uint64_t epoch)
@@ -87,20 +87,20 @@
     (void)arg;
 }
 
-static void on_cancelled(void *arg, const char *id, uint64_t stamp)
+static void on_cancelled(void *arg, const char *id, uint64_t revision)
 {
-    pm_jobs_cancel(((struct controller *)arg)->jobs, id, stamp);
+    pm_jobs_cancel(((struct controller *)arg)->jobs, id, revision);
 }
 
-static const struct pm_cancelled *on_list_cancelled(void *arg, uint64_t stamp, size_t most,
+static const struct pm_cancelled *on_list_cancelled(void *arg, uint64_t revision, size_t most,
                                                     size_t *n, bool *more)
 {
-    return pm_jobs_cancelled_after(((struct controller *)arg)->jobs, stamp, most, n, more);
+    return pm_jobs_cancelled_after(((struct controller *)arg)->jobs, revision, most, n, more);
 }
 
-static void on_reached(void *arg, int peer, uint64_t edition)
+static void on_reached(void *arg, int peer, uint64_t store_revision)
 {
-    pm_cancels_reached(((struct controller *)arg)->cancels, peer, edition);
+    pm_cancels_reached(((struct controller *)arg)->cancels, peer, store_revision);
 }
 
 static void on_peer(void *arg, struct pm_http_request *req)
@@ -110,7 +110,7 @@
     if (!strcmp(req->path, "/cancelled"))
         pm_cancels_peer(c->cancels, req);
     else
-        pm_lead_peer(c->lead, req);
+        pm_leader_peer(c->lead, req);
 }
 
 /* Names and addresses of `n` controllers that know one another. */
@@ -119,7 +119,7 @@
     for (int i = 0; i < n; i++) {
         memset(&all[i], 0, sizeof all[i]);
         pm_operator_defaults(&all[i].op);
-        books_begin(&all[i].books, &all[i].settings);
+        books_begin(&all[i].tables, &all[i].settings);
         all[i].settings.size = n;
         snprintf(all[i].settings.name, PM_NAME_MAX, "n%d", i);
         snprintf(all[i].settings.peer_listen, 64, "127.0.0.1:%d", fake_free_port());
@@ -145,13 +145,14 @@
 static void start(struct controller *c)
 {
     c->http = pm_http_client_new(loop, 64);
-    c->jobs = pm_jobs_new(&c->books);
+    c->jobs = pm_jobs_new(&c->tables);
     c->store = pm_store_new(
         loop, c->http, c->state_addr ? c->state_addr : fake_state_addr(state), 1000,
         &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed, on_caught_up, c});
-    c->lead = pm_lead_new(loop, c->store, c->http, &c->settings, &c->op,
-                          &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_confirmed,
-                                                  on_cancelled, on_list_cancelled, on_reached, c});
+    c->lead =
+        pm_leader_new(loop, c->store, c->http, &c->settings, &c->op,
+                      &(struct pm_leader_hooks){on_took, on_lost, on_raised, on_confirmed,
+                                                on_cancelled, on_list_cancelled, on_reached, c});
     c->cancels = pm_cancels_new(loop, c->store, c->http, &c->settings,
                                 &(struct pm_cancels_hooks){on_cancelled, c});
     open_back(c);
@@ -164,7 +165,7 @@
 
 static bool is_confirmed(void *arg)
 {
-    return pm_lead_confirmed(((struct controller *)arg)->lead, pm_clock_steady());
+    return pm_leader_confirmed(((struct controller *)arg)->lead, pm_clock_steady());
 }
 
 static bool is_unconfirmed(void *arg)
@@ -184,7 +185,7 @@
 
 static bool all_are_new(void *arg)
 {
-    return pm_lead_protocol_version(((struct controller *)arg)->lead) >= PM_PROTOCOL_DEPENDENCIES;
+    return pm_leader_protocol_version(((struct controller *)arg)->lead) >= PM_PROTOCOL_DEPENDENCIES;
 }
 
 static bool is_later(void *arg)
--- a/src/leadership/tests/test_cancels.c
+++ b/src/leadership/tests/test_cancels.c
@@ -43,13 +43,13 @@
 
 struct written {
     int status;
-    uint64_t edition;
+    uint64_t store_revision;
 };
 
-static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_written(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     (void)failed;
-    *(struct written *)arg = (struct written){status, edition};
+    *(struct written *)arg = (struct written){status, store_revision};
 }
 
 static bool is_written(void *arg)
@@ -66,13 +66,13 @@
 
     snprintf(key, sizeof key, "p/j/%s", id);
     pm_txn_put(&txn, key);
-    pm_jobs_write(&c->books, NULL, 4, PM_CANCELLED, false, &txn.writes);
+    pm_jobs_write(&c->tables, NULL, 4, PM_CANCELLED, false, &txn.writes);
     pm_txn_put_end(&txn, 0);
     pm_store_commit(c->store, &txn, on_written, &w);
     assert_true(fake_run_until(loop, is_written, &w));
     assert_int_equal(w.status, 200);
-    pm_jobs_cancel(c->jobs, id, w.edition);
-    return w.edition;
+    pm_jobs_cancel(c->jobs, id, w.store_revision);
+    return w.store_revision;
 }
 
 enum verdict { OPEN, YES, NO };
@@ -88,11 +88,11 @@
 }
 
 /* What the user would hear: "cancelled", or 503. */
-static bool confirm_to_user(struct controller *c, const char *id, uint64_t stamp)
+static bool confirm_to_user(struct controller *c, const char *id, uint64_t revision)
 {
     enum verdict verdict = OPEN;
 
-    pm_cancels_tell(c->cancels, id, stamp, on_verdict, &verdict);
+    pm_cancels_tell(c->cancels, id, revision, on_verdict, &verdict);
     assert_true(fake_run_until(loop, is_judged, &verdict));
     return verdict == YES;
 }
@@ -141,7 +141,7 @@
     /* Neither blind nor helpless from then on: it knows, and is confirmed. */
     while (pm_clock_steady() < told + 4) {
         pass(0.02);
-        if (pm_clock_steady() > told + pm_lead_blind_s(&all[0].settings, &all[0].op))
+        if (pm_clock_steady() > told + pm_leader_blind_s(&all[0].settings, &all[0].op))
             assert_false(blind_and_confirmed(&all[0]));
     }
     assert_true(knows(&all[0]));
@@ -174,7 +174,7 @@
 static void without_a_majority_nobody_is_told(void **arg)
 {
     struct controller *all = g_new0(struct controller, 3);
-    uint64_t stamp;
+    uint64_t revision;
     double asked;
 
     (void)arg;
@@ -182,29 +182,29 @@
     fake_state_set_side(state, FAKE_REFUSES);
     shut_back(&all[0]);
     shut_back(&all[2]);
-    stamp = cancel(&all[1], "job-1");
+    revision = cancel(&all[1], "job-1");
     asked = pm_clock_steady();
-    assert_false(confirm_to_user(&all[1], "job-1", stamp));
+    assert_false(confirm_to_user(&all[1], "job-1", revision));
     assert_true(pm_clock_steady() - asked < 0.9);
     open_back(&all[2]);
-    assert_true(confirm_to_user(&all[1], "job-1", stamp));
+    assert_true(confirm_to_user(&all[1], "job-1", revision));
     assert_true(knows(&all[2]));
 }
 
 struct wait_known {
     struct controller *c;
-    uint64_t stamp;
+    uint64_t revision;
 };
 
 static bool is_known(void *arg)
 {
     struct wait_known *w = arg;
 
-    return pm_cancels_known(w->c->cancels, w->stamp);
+    return pm_cancels_known(w->c->cancels, w->revision);
 }
 
 /* Controllers that refuse one another, while the state service is well, say by way of it how far
- * their books go: users are not turned away for as long as that lasts. */
+ * their replicas go: users are not turned away for as long as that lasts. */
 static void known_by_way_of_the_state_service(void **arg)
 {
     struct controller *all = g_new0(struct controller, 3);
@@ -214,10 +214,10 @@
     begin(all);
     for (int i = 0; i < 3; i++)
         shut_back(&all[i]);
-    w.stamp = cancel(&all[1], "job-1");
-    assert_false(confirm_to_user(&all[1], "job-1", w.stamp));
+    w.revision = cancel(&all[1], "job-1");
+    assert_false(confirm_to_user(&all[1], "job-1", w.revision));
     assert_true(fake_run_until(loop, is_known, &w));
-    assert_true(confirm_to_user(&all[1], "job-1", w.stamp));
+    assert_true(confirm_to_user(&all[1], "job-1", w.revision));
 }
 
 static bool knows_all(void *arg)
@@ -241,7 +241,7 @@
     fake_state_set_side(state, FAKE_REFUSES);
     assert_true(fake_run_until(loop, is_refused, &all[0]));
     for (int i = 0; i < 1000;
-         i++) { /* many of one transaction, so of one stamp, and out of order */
+         i++) { /* many of one transaction, so of one revision, and out of order */
         snprintf(id, sizeof id, "job-%d", i);
         pm_jobs_cancel(all[1].jobs, id, 100000 + (uint64_t)((i * 7) % 1000) / 12);
         pm_jobs_cancel(all[2].jobs, id, 100000 + (uint64_t)((i * 7) % 1000) / 12);
@@ -252,7 +252,7 @@
     assert_true(is_confirmed(&all[0]));
 }
 
-/* Served, but following through a watch that hangs: the epoch is sure, the books are not. */
+/* Served, but following through a watch that hangs: the epoch is sure, the replica is not. */
 static void who_lags_behind_confirms_nothing(void **arg)
 {
     struct controller *all = g_new0(struct controller, 3);
@@ -277,7 +277,7 @@
     told = pm_clock_steady();
     while (pm_clock_steady() < told + 4) {
         pass(0.02);
-        if (pm_clock_steady() > told + pm_lead_blind_s(&all[0].settings, &all[0].op))
+        if (pm_clock_steady() > told + pm_leader_blind_s(&all[0].settings, &all[0].op))
             assert_false(blind_and_confirmed(&all[0]));
     }
     fake_state_set_side(state, FAKE_OPEN);
@@ -298,7 +298,7 @@
         struct pm_settings *s = g_new0(struct pm_settings, 1);
         s->lease_s = sites[i][0];
         s->cancel_s = sites[i][1];
-        assert_true((pm_lead_blind_s(s, &op) + s->lease_s) * (1 + 2 * PM_DRIFT) < s->cancel_s);
+        assert_true((pm_leader_blind_s(s, &op) + s->lease_s) * (1 + 2 * PM_DRIFT) < s->cancel_s);
         g_free(s);
     }
 }
@@ -344,7 +344,7 @@
     assert_int_equal(post(&all[1], &all[0], "/peer", "\xff\xff\xff", 3), 400);
     assert_int_equal(post(&all[1], &all[0], "/cancelled", large, 100 * 1024), 413);
     entry.id = "job-1";
-    entry.stamp = 3;
+    entry.revision = 3;
     call.cancelled = list;
     call.n_cancelled = 1;
     call.from = "nobody";
@@ -388,12 +388,12 @@
     g_free(bytes);
     bytes = earlier_bytes(EARLIER_ASK, &size);
     ask = pm__peer_ask__unpack(NULL, size, bytes);
-    assert_true(ask && ask->epoch == 41 && ask->edition == 412 && !ask->protocol_version);
+    assert_true(ask && ask->epoch == 41 && ask->store_revision == 412 && !ask->protocol_version);
     pm__peer_ask__free_unpacked(ask, NULL);
     g_free(bytes);
     bytes = earlier_bytes(EARLIER_CANCEL_CALL, &size);
     call = pm__cancel_call__unpack(NULL, size, bytes);
-    assert_true(call && call->n_cancelled == 1 && call->cancelled[0]->stamp == 413);
+    assert_true(call && call->n_cancelled == 1 && call->cancelled[0]->revision == 413);
     pm__cancel_call__free_unpacked(call, NULL);
     g_free(bytes);
     bytes = earlier_bytes(EARLIER_BLOCK_TELL, &size);
--- a/src/leadership/tests/test_leadership.c
+++ b/src/leadership/tests/test_leadership.c
@@ -37,7 +37,7 @@
 
 static bool knows_floor(void *arg)
 {
-    return isfinite(pm_lead_floor(((struct controller *)arg)->lead, 0));
+    return isfinite(pm_leader_floor(((struct controller *)arg)->lead, 0));
 }
 
 static void one_leads_and_a_successor_has_a_higher_epoch(void **arg)
@@ -50,20 +50,20 @@
     start(&all[0]);
     assert_true(fake_run_until(loop, has_taken, &all[0]));
     assert_true(is_confirmed(&all[0]));
-    first = pm_lead_epoch(all[0].lead);
+    first = pm_leader_epoch(all[0].lead);
     /* Of two controllers one is no majority: nobody else is known to have learned of the epoch. */
     assert_false(knows_floor(&all[0]));
     start(&all[1]);
     assert_true(fake_run_until(loop, knows_floor, &all[0]));
     assert_int_equal(all[1].took, 0); /* p/lead is held */
-    assert_string_equal(pm_lead_other(all[1].lead), "n0");
+    assert_string_equal(pm_leader_other(all[1].lead), "n0");
     /* The hold lapses: somebody takes over, with a higher epoch, and no two lead in the same. */
     all[0].took = 0;
     fake_state_lapse(state);
     for (int i = 0; !all[0].took && !all[1].took && i < 4000; i++)
         fake_run_until(loop, has_taken, &all[1]);
     assert_true(all[1].took > first);
-    assert_true(pm_lead_epoch(all[1].lead) > first);
+    assert_true(pm_leader_epoch(all[1].lead) > first);
 }
 
 static bool has_raised(void *arg)
@@ -75,22 +75,22 @@
 {
     struct controller *c = g_new0(struct controller, 1);
     uint64_t first;
-    uint64_t stamp;
+    uint64_t revision;
 
     (void)arg;
     acquaint(c, 1);
     start(c);
     assert_true(fake_run_until(loop, has_taken, c));
-    first = pm_lead_epoch(c->lead);
-    stamp = fake_state_stamp(state, "p/epoch");
+    first = pm_leader_epoch(c->lead);
+    revision = fake_state_revision(state, "p/epoch");
     /* Carried out, but its answer is lost: the watch tells that the epoch is ours. */
     fake_state_swallow(state);
-    pm_lead_raise(c->lead, NULL, 0);
+    pm_leader_raise(c->lead, NULL, 0);
     assert_true(fake_run_until(loop, has_raised, c));
     assert_int_equal(c->lost, 0);
-    assert_true(pm_lead_epoch(c->lead) > first);
-    assert_true(pm_lead_stamp(c->lead) > stamp);
-    assert_int_equal(pm_lead_stamp(c->lead), fake_state_stamp(state, "p/epoch"));
+    assert_true(pm_leader_epoch(c->lead) > first);
+    assert_true(pm_leader_revision(c->lead) > revision);
+    assert_int_equal(pm_leader_revision(c->lead), fake_state_revision(state, "p/epoch"));
 }
 
 /* A command that was carried out may come again, later than a lease after it: by then its token
@@ -106,20 +106,20 @@
     c->settings.lease_s = 0.5;
     start(c);
     assert_true(fake_run_until(loop, has_taken, c));
-    first = pm_lead_epoch(c->lead);
+    first = pm_leader_epoch(c->lead);
     began = pm_clock_steady();
     assert_true(fake_run_until(loop, has_raised, c));
-    assert_true(pm_lead_epoch(c->lead) > first);
+    assert_true(pm_leader_epoch(c->lead) > first);
     assert_true(pm_clock_steady() - began >= 0.7 * 0.5 - 0.1); /* and not all the time */
     assert_int_equal(c->lost, 0);
     /* While the state service refuses it, it is not asked for one again and again. */
     fake_state_outage(state, true);
     assert_true(fake_run_until(loop, is_refused, c));
-    first = pm_lead_epoch(c->lead);
+    first = pm_leader_epoch(c->lead);
     fake_state_outage(state, false);
     c->raised = 0;
     assert_true(fake_run_until(loop, has_raised, c));
-    assert_true(pm_lead_epoch(c->lead) > first);
+    assert_true(pm_leader_epoch(c->lead) > first);
 }
 
 /* A process that stood still while its clocks ran on: what it was told before counts from then, so
@@ -137,11 +137,11 @@
     assert_true(fake_run_until(loop, is_confirmed, c));
     g_usleep(400 * 1000); /* its loop does not run */
     woke = pm_clock_steady();
-    assert_false(pm_lead_confirmed(c->lead, woke));
+    assert_false(pm_leader_confirmed(c->lead, woke));
     /* An answer to what was asked before it stood still comes late, and says nothing of now. */
-    pm_lead_confirm(c->lead, woke - 0.35, 0);
-    assert_false(pm_lead_confirmed(c->lead, woke));
-    assert_true(pm_lead_sure_since(c->lead) >
+    pm_leader_confirm(c->lead, woke - 0.35, 0);
+    assert_false(pm_leader_confirmed(c->lead, woke));
+    assert_true(pm_leader_sure_since(c->lead) >
                 woke); /* others may have answered workers meanwhile */
     assert_true(fake_run_until(loop, is_confirmed, c));
 }
@@ -171,7 +171,7 @@
     (void)arg;
     begin_outage(all);
     message.from = "n2";
-    message.epoch = pm_lead_epoch(all[0].lead) + 1;
+    message.epoch = pm_leader_epoch(all[0].lead) + 1;
     pm_http_call(all[1].http, all[0].settings.peer_listen, "POST", "/peer", data,
                  pm__peer_ask__pack(&message, data), 30, 4096, on_told, &told);
     assert_true(fake_run_until(loop, is_told, &told));
@@ -228,7 +228,7 @@
 
 static bool is_caring(void *arg)
 {
-    return pm_lead_caretaker(((struct controller *)arg)->lead, pm_clock_steady());
+    return pm_leader_may_renew_in_outage(((struct controller *)arg)->lead, pm_clock_steady());
 }
 
 static bool is_caring_no_more(void *arg)
@@ -263,12 +263,12 @@
     pm_http_server_free(all[0].back);
     assert_true(fake_run_until(loop, is_caring, &all[1]));
     assert_true(fake_run_until(loop, is_caring, &all[2]));
-    assert_int_equal(pm_lead_epoch(all[1].lead), pm_lead_epoch(all[0].lead));
+    assert_int_equal(pm_leader_epoch(all[1].lead), pm_leader_epoch(all[0].lead));
     back = pm_clock_steady();
     fake_state_outage(state, false);
     assert_true(fake_run_until(loop, is_caring_no_more, &all[1]));
     assert_true(fake_run_until(loop, is_confirmed, &all[0]));
-    assert_true(pm_lead_sure_since(all[0].lead) >= back + all[0].op.confirm_s);
+    assert_true(pm_leader_sure_since(all[0].lead) >= back + all[0].op.confirm_s);
 }
 
 static void one_refused_alone_cares_for_nobody(void **arg)
@@ -285,26 +285,26 @@
     assert_false(is_caring(&all[1]));
 }
 
-static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_written(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
-    (void)edition;
+    (void)store_revision;
     (void)failed;
     *(int *)arg = status;
 }
 
-static void ignore_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+static void ignore_put(void *arg, const char *key, const cbor_item_t *value, uint64_t revision)
 {
     (void)arg;
     (void)key;
     (void)value;
-    (void)stamp;
+    (void)revision;
 }
 
-static void ignore_drop(void *arg, const char *key, uint64_t stamp)
+static void ignore_drop(void *arg, const char *key, uint64_t revision)
 {
     (void)arg;
     (void)key;
-    (void)stamp;
+    (void)revision;
 }
 
 static void put_leader(struct pm_txn *txn, const char *key, uint64_t epoch)
@@ -348,7 +348,7 @@
     assert_int_equal(all[0].took, 0);
     fake_state_outage(state, false);
     assert_true(fake_run_until(loop, has_taken, &all[0]));
-    assert_true(pm_lead_epoch(all[0].lead) > 5);
+    assert_true(pm_leader_epoch(all[0].lead) > 5);
     assert_int_equal(all[1].took, 0);
 }
 
@@ -375,7 +375,7 @@
     assert_int_equal(told, 200);
     pass(2);
     assert_false(all_are_new(&all[0]));
-    assert_int_equal(fake_state_stamp(state, "p/speaks"), 0);
+    assert_int_equal(fake_state_revision(state, "p/speaks"), 0);
     /* Its turn has come. The others do not hear it, but read what it speaks. */
     start(&all[2]);
     for (int i = 0; i < 3; i++)
@@ -385,7 +385,7 @@
     /* A new process reads what is known. */
     all[3].settings = all[1].settings;
     all[3].op = all[1].op;
-    books_begin(&all[3].books, &all[3].settings);
+    books_begin(&all[3].tables, &all[3].settings);
     start(&all[3]);
     assert_true(fake_run_until(loop, all_are_new, &all[3]));
 }
@@ -403,7 +403,7 @@
     tell.known = ask->epoch;
     tell.ready = true;
     tell.refused = true;
-    tell.edition = ask->edition;
+    tell.store_revision = ask->store_revision;
     tell.lists = true;
     pm_http_reply(req, 200, data, pm__peer_tell__pack(&tell, data), 0);
     pm__peer_ask__free_unpacked(ask, NULL);
@@ -446,7 +446,7 @@
     start(&all[1]);
     assert_true(fake_run_until(loop, has_read, &all[1]));
     pass(2);
-    assert_int_equal(fake_state_stamp(state, "p/speaks"), 0);
+    assert_int_equal(fake_state_revision(state, "p/speaks"), 0);
     return before;
 }
 
@@ -580,7 +580,7 @@
     for (int i = 1; i < 4; i++)
         start(&all[i]);
     assert_true(fake_run_until(loop, has_successor, all));
-    first = fake_state_stamp(state, "p/epoch");
+    first = fake_state_revision(state, "p/epoch");
     for (int i = 0; i < 10; i++) {
         int confirmed = 0;
         for (int j = 1; j < 4; j++)
@@ -594,10 +594,10 @@
         }
         assert_true(fake_run_until(loop, has_successor, all));
         for (int j = 1; j < 4; j++)
-            confirmed += pm_lead_epoch(all[j].lead) >= all[0].took + 1 && is_confirmed(&all[j]);
+            confirmed += pm_leader_epoch(all[j].lead) >= all[0].took + 1 && is_confirmed(&all[j]);
         assert_true(confirmed <= 1);
     }
-    assert_true(fake_state_stamp(state, "p/epoch") - first <= 4 * 10);
+    assert_true(fake_state_revision(state, "p/epoch") - first <= 4 * 10);
 }
 
 int main(void)
--- a/src/placement/empty.c
+++ b/src/placement/empty.c
@@ -1,5 +1,5 @@
 /* Emptying machines, so that they can go back, and evening out how many replicas each has. */
-#include "placement/parts.h"
+#include "placement/internal.h"
 #include "base/log.h"
 
 #include <math.h>
@@ -41,9 +41,9 @@
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m == from || m->spot || !m->places->len || !pm_plan_has_image(m, spec->image) ||
             !pm_plan_usable(p, m, now) || spec->gpus > 0 ||
-            room[i][0] - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS ||
+            room[i][0] - spec->cpus < CROWDED * p->tables->type[m->type].cpus - EPS ||
             room[i][1] + EPS < spec->ram_gb || !pm_plan_zone_ok(place->job, &at, m->zone) ||
-            !pm_plan_allows(p->books, place->job, m->type, m->zone, m->spot))
+            !pm_plan_allows(p->tables, place->job, m->type, m->zone, m->spot))
             continue;
         room[i][0] -= spec->cpus;
         room[i][1] -= spec->ram_gb;
@@ -80,10 +80,10 @@
             for (guint k = 0; k < all->len; k++) {
                 const struct pm_machine *to = g_ptr_array_index(all, k);
                 double gain;
-                gain = room[k] - here - 2 * spec->cpus - p->books->type[from->type].cpus * 0.25;
+                gain = room[k] - here - 2 * spec->cpus - p->tables->type[from->type].cpus * 0.25;
                 if (!(gain > best_gain) || !pm_plan_has_image(to, spec->image) ||
                     !pm_plan_has_room(to, spec) ||
-                    !pm_plan_allows(p->books, place->job, to->type, to->zone, to->spot) ||
+                    !pm_plan_allows(p->tables, place->job, to->type, to->zone, to->spot) ||
                     pm_plan_of_job(to, place->job) >= pm_plan_of_job(from, place->job))
                     continue;
                 best_gain = gain;
@@ -117,9 +117,10 @@
         if (!m || m->spot || !pm_plan_usable(p, m, now) || m->type < 0 || !m->places->len ||
             now - m->rented < 60 || !movable(m, now))
             continue;
-        used = p->books->type[m->type].cpus - pm_plan_yielding_room(m);
-        value = p->books->type[m->type].price * (1 - used / MAX(p->books->type[m->type].cpus, EPS));
-        if (value <= worst_value || spare - p->books->type[m->type].cpus < MAX(p->reserve, EPS))
+        used = p->tables->type[m->type].cpus - pm_plan_yielding_room(m);
+        value =
+            p->tables->type[m->type].price * (1 - used / MAX(p->tables->type[m->type].cpus, EPS));
+        if (value <= worst_value || spare - p->tables->type[m->type].cpus < MAX(p->reserve, EPS))
             continue;
         memcpy(left, room, size);
         for (guint j = 0; j < m->places->len && fits; j++)
@@ -174,7 +175,7 @@
         if (!worst)
             break;
         emptied++;
-        spare -= p->books->type[worst->type].cpus;
+        spare -= p->tables->type[worst->type].cpus;
         pm_info("plan.empty", "%s: %u tasks move or end", worst->name, worst->places->len);
         worst->draining = true;
         for (guint j = 0; j < worst->places->len; j++) {
--- a/src/placement/fit.c
+++ b/src/placement/fit.c
@@ -1,5 +1,5 @@
 /* Where a task may run, and where it runs best. */
-#include "placement/parts.h"
+#include "placement/internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -7,12 +7,12 @@
 #define LATE_S 1.0       /* where no objective says how soon a class is to start */
 #define FETCH_WEIGHT 0.3 /* of a second of fetching in a service's score */
 
-bool pm_plan_allows(const struct pm_books *books, const struct pm_job *job, int type, int zone,
-                    bool spot)
+bool pm_plan_allows(const struct pm_name_tables *tables, const struct pm_job *job, int type,
+                    int zone, bool spot)
 {
     const struct pm_spec *spec = job->spec;
 
-    return type >= 0 && type < books->ntypes && zone >= 0 && (spec->types >> type & 1) &&
+    return type >= 0 && type < tables->ntypes && zone >= 0 && (spec->types >> type & 1) &&
            (spec->zone < 0 || spec->zone == zone) && (!spot || spec->spot);
 }
 
@@ -21,8 +21,8 @@
 {
     return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining &&
            !m->recall_at && m->errors < 3 && !m->unheard && pm_workers_proven(m) &&
-           m->strays->len == 0 && !pm_workers_silent(m, p->books->settings, now) &&
-           !pm_workers_mute(m, p->books->settings, now);
+           m->strays->len == 0 && !pm_workers_silent(m, p->tables->settings, now) &&
+           !pm_workers_mute(m, p->tables->settings, now);
 }
 
 bool pm_plan_has_room(const struct pm_machine *m, const struct pm_spec *spec)
@@ -78,7 +78,7 @@
     need.cpus = spec->cpus;
     need.gpus = spec->gpus;
     need.ram_gb = spec->ram_gb;
-    for (int z = 0; z < p->books->settings->zones; z++)
+    for (int z = 0; z < p->tables->settings->zones; z++)
         if ((spec->zone < 0 || spec->zone == z) && pm_plan_zone_ok(job, at, z))
             need.zones |= 1u << z;
     return need;
@@ -126,8 +126,8 @@
 /* How soon the users want the class to start. */
 static double promise(const struct pm_plan *p, const struct pm_job *job)
 {
-    const struct pm_settings *s = p->books->settings;
-    const char *name = pm_names_text(p->books->classes, job->spec->class_index);
+    const struct pm_settings *s = p->tables->settings;
+    const char *name = pm_names_text(p->tables->classes, job->spec->class_index);
 
     for (int i = 0; i < s->aims; i++)
         if (!strcmp(s->aim[i].kind, "wait") && !strcmp(s->aim[i].class_name, name) &&
@@ -140,7 +140,7 @@
  * that its replicas are missed: the time to bring its image to one more machine. */
 static bool may_fetch(const struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
 {
-    const struct pm_type *t = &p->books->type[m->type];
+    const struct pm_type *t = &p->tables->type[m->type];
     double waited = p->day - pm_plan_since(job);
 
     return waited > promise(p, job) &&
@@ -151,21 +151,21 @@
  * still start in time, and keeps the loss small should the machine end. */
 static bool crowded(const struct pm_plan *p, const struct pm_machine *m, const struct pm_spec *spec)
 {
-    return pm_plan_yielding_room(m) - spec->cpus < CROWDED * p->books->type[m->type].cpus - EPS;
+    return pm_plan_yielding_room(m) - spec->cpus < CROWDED * p->tables->type[m->type].cpus - EPS;
 }
 
-bool pm_plan_boots_soon(const struct pm_books *books, const struct pm_machine *m, double now)
+bool pm_plan_boots_soon(const struct pm_name_tables *tables, const struct pm_machine *m, double now)
 {
-    return now - m->rented < 1.4 * books->type[m->type].ready_s + 3;
+    return now - m->rented < 1.4 * tables->type[m->type].ready_s + 3;
 }
 
 /* Whether a machine that the job may run on is to come up soon. */
 bool pm_plan_boot_expected(const struct pm_plan *p, const struct pm_job *job)
 {
-    for (int type = 0; type < p->books->ntypes; type++)
-        for (int zone = 0; zone < p->books->settings->zones; zone++)
+    for (int type = 0; type < p->tables->ntypes; type++)
+        for (int zone = 0; zone < p->tables->settings->zones; zone++)
             for (int spot = 0; spot < 2; spot++)
-                if (p->soon[type][zone][spot] && pm_plan_allows(p->books, job, type, zone, spot))
+                if (p->soon[type][zone][spot] && pm_plan_allows(p->tables, job, type, zone, spot))
                     return true;
     return false;
 }
@@ -192,13 +192,13 @@
             !pm_plan_has_image(m, other->image))
             gb += other->image_gb;
     }
-    return gb / MAX(p->books->type[m->type].pull_gb_per_s, EPS);
+    return gb / MAX(p->tables->type[m->type].pull_gb_per_s, EPS);
 }
 
 static double score(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
-    const struct pm_type *t = &p->books->type[m->type];
+    const struct pm_type *t = &p->tables->type[m->type];
     bool image = pm_plan_has_image(m, spec->image);
     double value = -2.0 * m->errors;
 
@@ -231,11 +231,11 @@
     *t = (struct totals){.at = now};
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
-        const struct pm_type *type = m && m->type >= 0 ? &p->books->type[m->type] : NULL;
+        const struct pm_type *type = m && m->type >= 0 ? &p->tables->type[m->type] : NULL;
         double room;
         if (!type || m->state == PM_RELEASING)
             continue;
-        if (m->lent || (m->state == PM_BOOTING && pm_plan_boots_soon(p->books, m, now)))
+        if (m->lent || (m->state == PM_BOOTING && pm_plan_boots_soon(p->tables, m, now)))
             t->pool += type->cpus;
         if (!pm_plan_usable(p, m, now))
             continue;
@@ -283,7 +283,7 @@
         struct pm_machine *m = g_ptr_array_index(p->room, i);
         double value;
         if (!pm_plan_has_room(m, job->spec) || (only_zone >= 0 && m->zone != only_zone) ||
-            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+            !pm_plan_allows(p->tables, job, m->type, m->zone, m->spot) ||
             !pm_plan_zone_ok(job, at, m->zone) || pm_plan_claimed_by_other(m, job, now))
             continue;
         value = score(p, m, job);
@@ -309,7 +309,7 @@
         const struct pm_machine *other = g_ptr_array_index(all, i);
         if (other && other->ncached && pm_plan_has_image(other, job->spec->image) &&
             pm_plan_usable(p, other, now) &&
-            pm_plan_allows(p->books, job, other->type, other->zone, other->spot) &&
+            pm_plan_allows(p->tables, job, other->type, other->zone, other->spot) &&
             pm_plan_zone_ok(job, at, other->zone) &&
             pm_plan_yielding_room(other) + EPS >= job->spec->cpus)
             return true;
--- a/src/placement/gangs.c
+++ b/src/placement/gangs.c
@@ -1,5 +1,5 @@
 /* Gangs: they start whole, and what stands in their way is cleared, or waited for, whole. */
-#include "placement/parts.h"
+#include "placement/internal.h"
 
 #include <string.h>
 
@@ -48,7 +48,7 @@
 
     if (!pm_plan_usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
         pm_plan_claimed_by_other(m, job, now) ||
-        !pm_plan_allows(p->books, job, m->type, m->zone, m->spot))
+        !pm_plan_allows(p->tables, job, m->type, m->zone, m->spot))
         return 0;
     for (guint j = 0; j < m->places->len; j++) {
         const struct pm_place *place = g_ptr_array_index(m->places, j);
@@ -93,7 +93,7 @@
 {
     GPtrArray *all = pm_workers_all(p->workers);
     size_t size = sizeof(spoken) * (all->len + 1);
-    int zones = job->spec->same_place ? p->books->settings->zones : 1;
+    int zones = job->spec->same_place ? p->tables->settings->zones : 1;
 
     if (job->priority < PM_URGENT || now < job->claims_until)
         return;
--- a/src/placement/parts.h
+++ b/src/placement/internal.h
@@ -15,7 +15,7 @@
 };
 
 struct pm_plan {
-    struct pm_books *books;
+    struct pm_name_tables *tables;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     const struct pm_operator *op;
@@ -108,7 +108,7 @@
 /* rank.c */
 double pm_plan_since(const struct pm_job *job);
 void pm_plan_measure_left(struct pm_plan *p);
-void pm_plan_mark_overdue(struct pm_plan *p, double now);
+void pm_plan_mark_starving(struct pm_plan *p, double now);
 
 /* plan.c */
 void pm_plan_put_task(struct pm_plan *p, struct pm_job *job, uint32_t index, struct pm_machine *m,
--- a/src/placement/lease.c
+++ b/src/placement/lease.c
@@ -1,5 +1,5 @@
 /* For the leasing of blocks. */
-#include "placement/parts.h"
+#include "placement/internal.h"
 
 #include <math.h>
 
@@ -16,7 +16,7 @@
 
 uint32_t pm_plan_lease_tasks(const struct pm_plan *p, const struct pm_spec *spec, double kept)
 {
-    const struct pm_team_setting *team = &p->books->settings->team[spec->team];
+    const struct pm_team_setting *team = &p->tables->settings->team[spec->team];
 
     return pm_spec_fit(spec, below(team->cpus_max, p->cpus[spec->team], kept),
                        below(team->gpus_max, p->gpus[spec->team], kept), INFINITY);
@@ -31,7 +31,7 @@
 uint32_t pm_plan_within_guarantee(struct pm_plan *p, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
-    double left = p->books->settings->team[spec->team].cpus - p->actual[spec->team];
+    double left = p->tables->settings->team[spec->team].cpus - p->actual[spec->team];
     uint32_t done;
     uint32_t placed;
     uint32_t n;
@@ -63,7 +63,7 @@
 bool pm_plan_whole(struct pm_plan *p, const struct pm_machine *m, const struct pm_job *job,
                    double now)
 {
-    if (m->lent || !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+    if (m->lent || !pm_plan_allows(p->tables, job, m->type, m->zone, m->spot) ||
         !pm_plan_has_room(m, job->spec))
         return false;
     if (m->spot)
@@ -106,16 +106,16 @@
         const struct pm_job *other = g_ptr_array_index(active, i);
         const struct pm_team_setting *team;
         bool there = false;
-        if (!other->away || !other->spec)
+        if (!other->delegated || !other->spec)
             continue;
         for (int k = 0; k < other->nchunks && !there; k++) {
-            const GArray *spots = other->chunk[k] ? other->chunk[k]->spots : NULL;
-            for (guint s = 0; spots && s < spots->len && !there; s++)
-                there = g_array_index(spots, struct pm_spot, s).machine == machine;
+            const GArray *stored_places = other->chunk[k] ? other->chunk[k]->stored_places : NULL;
+            for (guint s = 0; stored_places && s < stored_places->len && !there; s++)
+                there = g_array_index(stored_places, struct pm_stored_place, s).machine == machine;
         }
         if (!there)
             continue;
-        team = &p->books->settings->team[other->spec->team];
+        team = &p->tables->settings->team[other->spec->team];
         if (other->spec->team == job->spec->team || other->priority == PM_PRODUCTION ||
             p->actual[other->spec->team] - p->yielding[other->spec->team] <= team->cpus + EPS)
             return false;
--- a/src/placement/ledger.c
+++ b/src/placement/ledger.c
@@ -1,6 +1,6 @@
 /* The ratio ledger: what each team occupied within the window, what it uses now, and the value
  * that a new leader reads. */
-#include "placement/parts.h"
+#include "placement/internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -13,10 +13,10 @@
     return job->priority == PM_BEST_EFFORT;
 }
 
-static double machine_share(const struct pm_books *books, const struct pm_spec *spec,
+static double machine_share(const struct pm_name_tables *tables, const struct pm_spec *spec,
                             const struct pm_machine *m)
 {
-    const struct pm_type *t = &books->type[m->type];
+    const struct pm_type *t = &tables->type[m->type];
     double share = MAX(spec->cpus / MAX(t->cpus, EPS), spec->ram_gb / MAX(t->ram_gb, EPS));
 
     return t->gpus > 0 ? MAX(share, spec->gpus / t->gpus) : share;
@@ -32,7 +32,7 @@
         p->bucket = bucket - BUCKETS;
     while (p->bucket < bucket) {
         p->bucket++;
-        for (int t = 0; t < p->books->settings->teams; t++) {
+        for (int t = 0; t < p->tables->settings->teams; t++) {
             double *old = &p->ledger[t].bucket[p->bucket % BUCKETS];
             p->ledger[t].sum -= *old;
             *old = 0;
@@ -44,7 +44,7 @@
                    double span)
 {
     struct ledger *l = &p->ledger[job->spec->team];
-    double amount = span * machine_share(p->books, job->spec, m);
+    double amount = span * machine_share(p->tables, job->spec, m);
 
     if (pm_plan_unallocated(job))
         return;
@@ -52,8 +52,8 @@
     l->sum += amount;
 }
 
-/* Jobs that holders place: their leases' width counts for the limits, what the replica says of them
- * for the guarantees and the ledger. */
+/* Jobs that holders place: what their leases allow at once counts for the limits, what the replica
+ * says of them for the guarantees and the ledger. */
 static void account_away(struct pm_plan *p, double span)
 {
     GPtrArray *active = pm_jobs_active(p->jobs);
@@ -64,18 +64,18 @@
         uint32_t done;
         uint32_t placed;
         uint32_t width;
-        if (!job->away || !spec || job->width == UINT32_MAX)
+        if (!job->delegated || !spec || job->parallelism == UINT32_MAX)
             continue;
         /* What is done, durably, never runs again: it takes nothing of the limit any more. */
         pm_jobs_count(job, &done, &placed);
-        width = MIN(job->width, job->entries - MIN(done, job->entries));
+        width = MIN(job->parallelism, job->entries - MIN(done, job->entries));
         p->cpus[spec->team] += width * spec->cpus;
         p->gpus[spec->team] += width * spec->gpus;
         for (int k = 0; k < job->nchunks; k++) {
-            const GArray *spots = job->chunk[k] ? job->chunk[k]->spots : NULL;
-            for (guint s = 0; spots && s < spots->len; s++) {
-                const struct pm_machine *m =
-                    pm_workers_at(p->workers, g_array_index(spots, struct pm_spot, s).machine);
+            const GArray *stored_places = job->chunk[k] ? job->chunk[k]->stored_places : NULL;
+            for (guint s = 0; stored_places && s < stored_places->len; s++) {
+                const struct pm_machine *m = pm_workers_at(
+                    p->workers, g_array_index(stored_places, struct pm_stored_place, s).machine);
                 p->actual[spec->team] += spec->cpus;
                 if (m && m->type >= 0)
                     charge(p, job, m, span);
@@ -91,7 +91,7 @@
     double span = p->charged_at ? MIN(now - p->charged_at, 5) : 0;
 
     turn_buckets(p, day);
-    for (int t = 0; t < p->books->settings->teams; t++)
+    for (int t = 0; t < p->tables->settings->teams; t++)
         p->cpus[t] = p->gpus[t] = p->actual[t] = p->yielding[t] = p->promised[t] = 0;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
@@ -115,7 +115,7 @@
 
 double pm_plan_ratio(struct pm_plan *p, int team)
 {
-    const struct pm_settings *s = p->books->settings;
+    const struct pm_settings *s = p->tables->settings;
     double total = 0;
     double mine;
 
@@ -130,19 +130,19 @@
 static void write_images(const struct pm_plan *p, struct pm_buf *out)
 {
     GPtrArray *all = pm_workers_all(p->workers);
-    size_t most = (size_t)(p->books->settings->value_kb * 1024 * 0.85);
+    size_t most = (size_t)(p->tables->settings->value_kb * 1024 * 0.85);
     size_t used = 100;
-    int count = pm_names_count(p->books->images);
+    int count = pm_names_count(p->tables->images);
     int known = 0;
     int *place = g_new(int, count + 1);
     struct pm_buf machines = {0};
 
     for (int i = 0; i < count; i++)
         place[i] = -1;
-    for (int t = 0; t < p->books->settings->teams; t++)
-        used += strlen(p->books->settings->team[t].name) + 24;
-    for (int z = 0; z < p->books->settings->zones; z++)
-        used += strlen(p->books->settings->zone_name[z]) + 24;
+    for (int t = 0; t < p->tables->settings->teams; t++)
+        used += strlen(p->tables->settings->team[t].name) + 24;
+    for (int z = 0; z < p->tables->settings->zones; z++)
+        used += strlen(p->tables->settings->zone_name[z]) + 24;
     pm_put_text(out, "table");
     pm_put_list(out);
     for (int spot = 0; spot < 2; spot++)
@@ -156,7 +156,7 @@
             for (int k = 0; k < m->ncached && used < most; k++) {
                 const struct pm_cached *c = &m->cached[k];
                 if (place[c->image] < 0) {
-                    const char *image = pm_names_text(p->books->images, c->image);
+                    const char *image = pm_names_text(p->tables->images, c->image);
                     place[c->image] = known++;
                     pm_put_text(out, image);
                     pm_put_number(out, ceil(c->gb * 100) / 100);
@@ -195,7 +195,7 @@
                 pm_cbor_text(pm_cbor_at(table, 2 * place), name, sizeof name) ||
                 pm_cbor_number(pm_cbor_at(table, 2 * place + 1), &c->gb))
                 continue;
-            c->image = pm_names_add(p->books->images, name);
+            c->image = pm_names_add(p->tables->images, name);
             m->ncached++;
         }
     }
@@ -205,7 +205,7 @@
  * when the leases there ran out. */
 static void write_heard(const struct pm_plan *p, double now, double day, struct pm_buf *out)
 {
-    const struct pm_settings *s = p->books->settings;
+    const struct pm_settings *s = p->tables->settings;
     GPtrArray *all = pm_workers_all(p->workers);
     double heard[PM_ZONES_MAX] = {0};
 
@@ -228,8 +228,8 @@
     pm_put_pair_number(out, "day", day);
     pm_put_text(out, "teams");
     pm_put_map(out);
-    for (int t = 0; t < p->books->settings->teams; t++)
-        pm_put_pair_number(out, p->books->settings->team[t].name, p->ledger[t].sum);
+    for (int t = 0; t < p->tables->settings->teams; t++)
+        pm_put_pair_number(out, p->tables->settings->team[t].name, p->ledger[t].sum);
     pm_put_end(out);
     write_heard(p, now, day, out);
     write_images(p, out);
@@ -243,11 +243,11 @@
 
     if (pm_cbor_number(pm_cbor_get(value, "day"), &day))
         return;
-    memset(p->ledger, 0, sizeof p->ledger[0] * (size_t)p->books->settings->teams);
+    memset(p->ledger, 0, sizeof p->ledger[0] * (size_t)p->tables->settings->teams);
     p->bucket = (long)(day / (p->op->window_h * 3600 / BUCKETS)) + BUCKETS;
-    for (int t = 0; t < p->books->settings->teams; t++) {
+    for (int t = 0; t < p->tables->settings->teams; t++) {
         struct ledger *l = &p->ledger[t];
-        if (pm_cbor_number(pm_cbor_get(teams, p->books->settings->team[t].name), &l->sum))
+        if (pm_cbor_number(pm_cbor_get(teams, p->tables->settings->team[t].name), &l->sum))
             l->sum = 0;
         /* The total alone is kept: its age is taken to be even over half the window. */
         for (int b = 0; b < HALF_WINDOW; b++)
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -1,15 +1,15 @@
-#include "placement/parts.h"
+#include "placement/internal.h"
 #include "base/log.h"
 
 #include <math.h>
 #include <string.h>
 
-struct pm_plan *pm_plan_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_plan *pm_plan_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                             struct pm_workers *workers, const struct pm_operator *op)
 {
     struct pm_plan *p = g_new0(struct pm_plan, 1);
 
-    p->books = books;
+    p->tables = tables;
     p->jobs = jobs;
     p->workers = workers;
     p->op = op;
@@ -62,9 +62,9 @@
 bool pm_plan_within(const struct pm_plan *p, const struct pm_job *job, uint32_t tasks,
                     bool guarantee)
 {
-    const struct pm_team_setting *team = &p->books->settings->team[job->spec->team];
+    const struct pm_team_setting *team = &p->tables->settings->team[job->spec->team];
 
-    if (job->nplaced + tasks > job->width)
+    if (job->nplaced + tasks > job->parallelism)
         return false; /* the block's lease allows no more at once */
     if (guarantee && (p->actual[job->spec->team] + tasks * job->spec->cpus > team->cpus + EPS ||
                       p->gpus[job->spec->team] + tasks * job->spec->gpus > team->gpus + EPS))
@@ -88,17 +88,17 @@
     if (m->cpus < EPS)
         g_ptr_array_remove(p->room, m);
     pm_debug("plan.place", "%s/%u try %u on %s, %s uses %g", job->id, index, attempt, m->name,
-             p->books->settings->team[job->spec->team].name, p->cpus[job->spec->team]);
+             p->tables->settings->team[job->spec->team].name, p->cpus[job->spec->team]);
 }
 
 /* The next waiting task from `from` on, or `entries`. Those that rest after errors are skipped. */
-static uint32_t next_waiting(const struct pm_books *books, struct pm_job *job, uint32_t from,
+static uint32_t next_waiting(const struct pm_name_tables *tables, struct pm_job *job, uint32_t from,
                              double now)
 {
     for (uint32_t i = from; i < job->entries; i++) {
         const struct pm_task *task = pm_job_peek(job, i);
         if (!task || (!task->done && !task->place && task->not_before <= now)) {
-            if (job->spec->form == PM_GANG || pm_job_has_room(books, job, i))
+            if (job->spec->form == PM_GANG || pm_job_has_room(tables, job, i))
                 return i;
             i |= PM_HALF - 1; /* the others of this half, too, wait until a place there is free */
         }
@@ -120,7 +120,7 @@
     i = job->hint;
     pm_plan_count_zones(job, &at);
     while (p->steps < STEPS_MAX) {
-        i = next_waiting(p->books, job, i, now);
+        i = next_waiting(p->tables, job, i, now);
         if (i >= job->entries || !pm_plan_within(p, job, 1, guarantee))
             break;
         /* Array tasks fill a machine before the next one is looked for. */
@@ -149,19 +149,19 @@
     if (job->spec->form != PM_GANG)
         return place_tasks(p, job, guarantee, now);
     /* The old attempt's tasks hold their machines, and their zones, until they are gone. */
-    if (job->nplaced || job->ndone || next_waiting(p->books, job, 0, now) > 0)
+    if (job->nplaced || job->ndone || next_waiting(p->tables, job, 0, now) > 0)
         return 0;
     for (uint32_t i = 0; i < job->entries; i++) {
         const struct pm_task *task = pm_job_peek(job, i);
         if (task && task->not_before > now)
             return 0;
     }
-    zones = job->spec->same_place ? p->books->settings->zones : 1;
+    zones = job->spec->same_place ? p->tables->settings->zones : 1;
     for (int zone = 0; zone < zones; zone++)
         if (pm_plan_place_gang(p, job, job->spec->same_place ? zone : -1, guarantee, now))
             return job->entries;
     for (int zone = 0; zone < zones; zone++)
-        if (job->overdue && now > job->claims_until - CLAIM_S / 2 &&
+        if (job->starving && now > job->claims_until - CLAIM_S / 2 &&
             pm_plan_await_room(p, job, job->spec->same_place ? zone : -1, now))
             break;
     return 0;
@@ -195,7 +195,7 @@
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->type < 0 || m->zone < 0)
             continue;
-        if (m->state == PM_BOOTING && pm_plan_boots_soon(p->books, m, now))
+        if (m->state == PM_BOOTING && pm_plan_boots_soon(p->tables, m, now))
             p->soon[m->type][m->zone][m->spot] = true;
         else if (m->cpus > EPS && pm_plan_usable(p, m, now))
             g_ptr_array_add(p->room, m);
@@ -210,10 +210,10 @@
     pm_plan_account(p, now, day);
     pm_plan_stop_the_lost(p, now);
     pm_plan_measure_left(p);
-    pm_plan_mark_overdue(p, now);
+    pm_plan_mark_starving(p, now);
     note_cold_start(p, now);
     survey(p, now);
-    for (int t = 0; t < p->books->settings->teams; t++)
+    for (int t = 0; t < p->tables->settings->teams; t++)
         p->ratio[t] = pm_plan_ratio(p, t);
 }
 
@@ -225,7 +225,7 @@
     g_ptr_array_set_size(p->queue, 0);
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (!job->away && pm_job_waiting(job))
+        if (!job->delegated && pm_job_waiting(job))
             g_ptr_array_add(p->queue, job);
     }
     pm_plan_rank(p, p->queue);
@@ -239,7 +239,7 @@
     }
     for (guint i = 0; i < p->queue->len; i++) {
         struct pm_job *job = g_ptr_array_index(p->queue, i);
-        const struct pm_team_setting *team = &p->books->settings->team[job->spec->team];
+        const struct pm_team_setting *team = &p->tables->settings->team[job->spec->team];
         uint32_t left;
         double room;
         if (p->steps < STEPS_MAX)
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -7,7 +7,7 @@
 
 struct pm_plan;
 
-struct pm_plan *pm_plan_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_plan *pm_plan_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                             struct pm_workers *workers, const struct pm_operator *op);
 void pm_plan_free(struct pm_plan *plan);
 void pm_plan_reset(struct pm_plan *plan);
@@ -48,8 +48,8 @@
 };
 const GArray *pm_plan_wants(const struct pm_plan *plan);
 /* Whether a task of the job may run on such a machine, room aside. */
-bool pm_plan_allows(const struct pm_books *books, const struct pm_job *job, int type, int zone,
-                    bool spot);
+bool pm_plan_allows(const struct pm_name_tables *tables, const struct pm_job *job, int type,
+                    int zone, bool spot);
 /* How much of its run a task probably has left, from the class's measured times. */
 double pm_plan_expected(const struct pm_plan *plan, const struct pm_job *job);
 /* A task was seen to run for that long from start to end. */
@@ -64,7 +64,8 @@
 /* Empties an ordinary machine that does little, by moving its replicas; the fleet returns it. */
 void pm_plan_consolidate(struct pm_plan *plan, double now);
 /* Whether a booting machine is to be counted on: most are up by then. */
-bool pm_plan_boots_soon(const struct pm_books *books, const struct pm_machine *machine, double now);
+bool pm_plan_boots_soon(const struct pm_name_tables *tables, const struct pm_machine *machine,
+                        double now);
 /* Processors on the ordinary machines that services could have at once. */
 double pm_plan_spare(struct pm_plan *plan, double now);
 
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -1,5 +1,5 @@
 /* What is stopped to make room, because of a notice, or because its job is over. */
-#include "placement/parts.h"
+#include "placement/internal.h"
 #include "base/log.h"
 
 #include <math.h>
@@ -12,12 +12,12 @@
     int team = job->spec->team;
 
     return p->actual[team] + p->promised[team] + job->spec->cpus <=
-           p->books->settings->team[team].cpus + EPS;
+           p->tables->settings->team[team].cpus + EPS;
 }
 
 static bool beyond_guarantee(const struct pm_plan *p, int team)
 {
-    return p->actual[team] - p->yielding[team] > p->books->settings->team[team].cpus + EPS;
+    return p->actual[team] - p->yielding[team] > p->tables->settings->team[team].cpus + EPS;
 }
 
 /* Urgent work beyond its team's guarantee leaves alone what another team has within its own: that
@@ -108,7 +108,7 @@
     *cost = 0;
     if (!pm_plan_has_image(m, need->image))
         *cost = 1e4 * (1 + pm_plan_fetches_before(p, m, need) +
-                       need->image_gb / MAX(p->books->type[m->type].pull_gb_per_s, EPS));
+                       need->image_gb / MAX(p->tables->type[m->type].pull_gb_per_s, EPS));
     for (guint j = 0; j < m->places->len && found < VICTIMS_MAX; j++) {
         struct pm_place *place = g_ptr_array_index(m->places, j);
         const struct pm_spec *spec = place->job->spec;
@@ -153,7 +153,7 @@
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || !pm_plan_usable(p, m, now) || (only_zone >= 0 && m->zone != only_zone) ||
-            !pm_plan_allows(p->books, job, m->type, m->zone, m->spot) ||
+            !pm_plan_allows(p->tables, job, m->type, m->zone, m->spot) ||
             !pm_plan_zone_ok(job, at, m->zone) || pm_plan_claimed_by_other(m, job, now) ||
             !can_clear(p, job, m, spoken_for, victims, &n, &cost, now) || cost >= best_cost)
             continue;
@@ -201,7 +201,7 @@
 /* Whether a team other than this one uses more than its guarantee. */
 static bool beyond_others(const struct pm_plan *p, int team)
 {
-    const struct pm_settings *s = p->books->settings;
+    const struct pm_settings *s = p->tables->settings;
 
     for (int t = 0; t < s->teams; t++)
         if (t != team && beyond_guarantee(p, t))
@@ -228,7 +228,7 @@
          * what was stopped for it would take it again, and so on without end. */
         if (p->cold && job->spec->form == PM_SERVICE && pm_plan_boot_expected(p, job))
             continue;
-        if (job->away)
+        if (job->delegated)
             continue; /* the leader calls machines back for it */
         if (job->spec->form == PM_GANG) {
             pm_plan_clear_gang(p, job, spoken_for, now);
@@ -295,7 +295,7 @@
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (job->spec && !job->away && job->spec->form == PM_GANG && job->nplaced &&
+        if (job->spec && !job->delegated && job->spec->form == PM_GANG && job->nplaced &&
             job->state == PM_LIVE && !job->ndone && job->nplaced < job->entries)
             stop_gang(p, job, 0);
     }
--- a/src/placement/rank.c
+++ b/src/placement/rank.c
@@ -1,15 +1,17 @@
 /* The order of what waits. */
-#include "placement/parts.h"
+#include "placement/internal.h"
 
 #include <math.h>
 #include <string.h>
 
-#define BEGIN_S 215.0      /* within which every job is to have begun whole: see mark_overdue */
-#define OLD_S 150.0        /* what has waited for less is not looked at for that */
-#define OVERDUE_SHARE 0.75 /* of the machines that may go to what would be late for that */
-#define GANG_ROOM_S 45.0   /* a gang's room takes so long to come free */
-#define SURE_SHARE 0.7     /* of the machines' time, to be counted on for that */
-#define NO_DUE 1e12        /* more than any work */
+#define BEGIN_S                                                                                    \
+    215.0           /* within which every job is to have begun whole: see pm_plan_mark_starving    \
+                     */
+#define OLD_S 150.0 /* what has waited for less is not looked at for that */
+#define STARVING_SHARE 0.75 /* of the machines that may go to what would be late for that */
+#define GANG_ROOM_S 45.0    /* a gang's room takes so long to come free */
+#define SURE_SHARE 0.7      /* of the machines' time, to be counted on for that */
+#define NO_DUE 1e12         /* more than any work */
 
 static struct pm_plan *ranking; /* qsort has no argument for its comparison */
 
@@ -54,9 +56,9 @@
         return x->priority >= PM_URGENT ? -1 : 1;
     if (pm_plan_unallocated(x) != pm_plan_unallocated(y))
         return pm_plan_unallocated(x) ? 1 : -1;
-    if (x->overdue != y->overdue)
-        return x->overdue ? -1 : 1;
-    if (x->overdue && pm_plan_since(x) != pm_plan_since(y))
+    if (x->starving != y->starving)
+        return x->starving ? -1 : 1;
+    if (x->starving && pm_plan_since(x) != pm_plan_since(y))
         return pm_plan_since(x) < pm_plan_since(y) ? -1 : 1;
     rx = ranking->ratio[x->spec->team];
     ry = ranking->ratio[y->spec->team];
@@ -92,7 +94,7 @@
         job->left = 0;
         if (!job->spec || job->spec->form != PM_ARRAY)
             continue;
-        if (job->away) /* the leader knows of these what their holders wrote down */
+        if (job->delegated) /* the leader knows of these what their holders wrote down */
             pm_jobs_count(job, &done, &placed);
         job->left = (job->entries - MIN(done, job->entries) - 0.5 * placed) * job->spec->cpus *
                     (pm_plan_expected(p, job) + 1);
@@ -107,7 +109,7 @@
  * the others: as late as the machines, with what else is as old, can still do it in time. Never on
  * all of the machines: when there is more than they can do, all would end up waiting for that
  * bound, and hardly anything would be in time. */
-void pm_plan_mark_overdue(struct pm_plan *p, double now)
+void pm_plan_mark_starving(struct pm_plan *p, double now)
 {
     GPtrArray *active = pm_jobs_active(p->jobs);
     GPtrArray *old = g_ptr_array_new();
@@ -118,10 +120,10 @@
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        job->overdue = false;
-        if (job->spec && job->hurried)
+        job->starving = false;
+        if (job->spec && job->aged)
             cpus += job->nplaced * job->spec->cpus;
-        if (job->spec && !pm_plan_unallocated(job) && !job->away && pm_job_waiting(job) &&
+        if (job->spec && !pm_plan_unallocated(job) && !job->delegated && pm_job_waiting(job) &&
             p->day - pm_plan_since(job) > OLD_S)
             g_ptr_array_add(old, job);
     }
@@ -136,9 +138,9 @@
         if (work >= left * pool * SURE_SHARE)
             overdue = i + 1;
     }
-    for (guint i = 0; i < overdue && cpus < OVERDUE_SHARE * pool; i++) {
+    for (guint i = 0; i < overdue && cpus < STARVING_SHARE * pool; i++) {
         struct pm_job *job = g_ptr_array_index(old, i);
-        job->overdue = job->hurried = true;
+        job->starving = job->aged = true;
         cpus += pm_job_waiting(job) * job->spec->cpus;
     }
     g_ptr_array_free(old, TRUE);
--- a/src/placement/tests/test_scale.c
+++ b/src/placement/tests/test_scale.c
@@ -15,7 +15,7 @@
 
 static struct pm_settings settings;
 static struct pm_operator op;
-static struct pm_books books;
+static struct pm_name_tables tables;
 static struct pm_jobs *jobs;
 static struct pm_workers *workers;
 static struct pm_plan *plan;
@@ -37,12 +37,12 @@
     (void)state;
     memset(&settings, 0, sizeof settings);
     pm_operator_defaults(&op);
-    books_begin(&books, &settings);
+    books_begin(&tables, &settings);
     settings.value_kb = 4;
-    books.type[0].local_gb = 40;
-    jobs = pm_jobs_new(&books);
-    workers = pm_workers_new(&books, jobs, BOOKS_HOOKS);
-    plan = pm_plan_new(&books, jobs, workers, &op);
+    tables.type[0].local_gb = 40;
+    jobs = pm_jobs_new(&tables);
+    workers = pm_workers_new(&tables, jobs, BOOKS_HOOKS);
+    plan = pm_plan_new(&tables, jobs, workers, &op);
     for (int i = 0; i < MACHINES; i++) {
         char name[32];
         struct pm_machine *m;
@@ -58,7 +58,7 @@
         for (int k = 0; k < 12; k++) {
             char image[32];
             snprintf(image, sizeof image, "img-%02d", (i + k) % 26);
-            m->cached[m->ncached].image = pm_names_add(books.images, image);
+            m->cached[m->ncached].image = pm_names_add(tables.images, image);
             m->cached[m->ncached++].gb = 1.8372645182736455 + k / 3.0;
         }
     }
@@ -71,7 +71,7 @@
     pm_plan_free(plan);
     pm_workers_free(workers);
     pm_jobs_free(jobs);
-    books_end(&books);
+    books_end(&tables);
     return 0;
 }
 
@@ -88,7 +88,7 @@
                            .due_s = 60,
                            .submitted = NOW};
 
-    return books_feed(&books, jobs, id, &spec, 1);
+    return books_feed(&tables, jobs, id, &spec, 1);
 }
 
 static void the_ledger_fits_its_value(void **state)
@@ -106,7 +106,7 @@
     first->ncached = 0;
     pm_plan_read_images(plan, item);
     assert_true(first->ncached > 0);
-    assert_int_equal(first->cached[0].image, pm_names_find(books.images, "img-00"));
+    assert_int_equal(first->cached[0].image, pm_names_find(tables.images, "img-00"));
     pm_cbor_free(item);
 }
 
@@ -134,11 +134,11 @@
         struct pm_buf buf = {0};
         if (!large->chunk[k] || !large->chunk[k]->task)
             continue;
-        pm_jobs_write_chunk(&books, large, k, -1, &buf);
+        pm_jobs_write_chunk(&tables, large, k, -1, &buf);
         assert_true(json_of(&buf) <= VALUE);
         for (int half = 0; half < 2; half++) {
             pm_buf_free(&buf);
-            pm_jobs_write_chunk(&books, large, k, half, &buf);
+            pm_jobs_write_chunk(&tables, large, k, half, &buf);
             assert_true(json_of(&buf) <= VALUE / 2);
         }
     }
@@ -167,11 +167,11 @@
                            .ram_gb = 4,
                            .due_s = -1,
                            .submitted = NOW - 200};
-    struct pm_job *job = books_feed(&books, jobs, "job-1", &spec, 1);
+    struct pm_job *job = books_feed(&tables, jobs, "job-1", &spec, 1);
     int draining = 0;
 
     (void)state;
-    books.type[0].price = 1;
+    tables.type[0].price = 1;
     for (int i = 0; i < MACHINES; i++) {
         struct pm_machine *m = pm_workers_at(workers, i);
         struct pm_place *place;
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -1,5 +1,5 @@
 /* Replays the kept traces of the workers and placement slices (*.trace). A trace is a list of what
- * arrives, line by line; lines that begin with "> " are what the books must say in return. The
+ * arrives, line by line; lines that begin with "> " are what the replica must say in return. The
  * first word of a line is a function below; blank lines and those that begin with # are for the
  * reader. Time comes from the trace, so the verdict is always the same. */
 #include "base/protocol.h"
@@ -17,12 +17,12 @@
 struct world {
     struct pm_settings settings;
     struct pm_operator op;
-    struct pm_books books;
+    struct pm_name_tables tables;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_plan *plan;
     double now;
-    uint64_t epoch, stamp;
+    uint64_t epoch, revision;
     GString *said;
 };
 
@@ -55,18 +55,18 @@
     w->settings.zones = 2;
     strcpy(w->settings.zone_name[0], "east");
     strcpy(w->settings.zone_name[1], "west");
-    w->books.settings = &w->settings;
-    w->books.classes = pm_names_new();
-    w->books.images = pm_names_new();
-    w->books.types = pm_names_new();
-    w->books.machines = pm_names_new();
-    w->books.dependency_ids = pm_names_new();
-    w->jobs = pm_jobs_new(&w->books);
+    w->tables.settings = &w->settings;
+    w->tables.classes = pm_names_new();
+    w->tables.images = pm_names_new();
+    w->tables.types = pm_names_new();
+    w->tables.machines = pm_names_new();
+    w->tables.dependency_ids = pm_names_new();
+    w->jobs = pm_jobs_new(&w->tables);
     w->workers =
-        pm_workers_new(&w->books, w->jobs, &(struct pm_workers_hooks){on_ended, on_ran, w});
-    w->plan = pm_plan_new(&w->books, w->jobs, w->workers, &w->op);
+        pm_workers_new(&w->tables, w->jobs, &(struct pm_workers_hooks){on_ended, on_ran, w});
+    w->plan = pm_plan_new(&w->tables, w->jobs, w->workers, &w->op);
     w->epoch = 1;
-    w->stamp = 1;
+    w->revision = 1;
     w->now = 100;
     w->said = g_string_new("");
 }
@@ -76,11 +76,11 @@
     pm_plan_free(w->plan);
     pm_workers_free(w->workers);
     pm_jobs_free(w->jobs);
-    pm_names_free(w->books.classes);
-    pm_names_free(w->books.images);
-    pm_names_free(w->books.types);
-    pm_names_free(w->books.machines);
-    pm_names_free(w->books.dependency_ids);
+    pm_names_free(w->tables.classes);
+    pm_names_free(w->tables.images);
+    pm_names_free(w->tables.types);
+    pm_names_free(w->tables.machines);
+    pm_names_free(w->tables.dependency_ids);
     g_string_free(w->said, TRUE);
 }
 
@@ -104,17 +104,17 @@
 
 static void do_type(struct world *w, char **words)
 {
-    int index = pm_names_add(w->books.types, words[1]);
+    int index = pm_names_add(w->tables.types, words[1]);
 
-    w->books.type[index] = (struct pm_type){.cpus = number(words, "cpus", 16),
-                                            .ram_gb = number(words, "ram", 64),
-                                            .gpus = number(words, "gpus", 0),
-                                            .local_gb = 40,
-                                            .price = number(words, "price", 1),
-                                            .spot_price = number(words, "price", 1) / 3,
-                                            .ready_s = 20,
-                                            .zones = 3};
-    w->books.ntypes = pm_names_count(w->books.types);
+    w->tables.type[index] = (struct pm_type){.cpus = number(words, "cpus", 16),
+                                             .ram_gb = number(words, "ram", 64),
+                                             .gpus = number(words, "gpus", 0),
+                                             .local_gb = 40,
+                                             .price = number(words, "price", 1),
+                                             .spot_price = number(words, "price", 1) / 3,
+                                             .ready_s = 20,
+                                             .zones = 3};
+    w->tables.ntypes = pm_names_count(w->tables.types);
 }
 
 static void do_team(struct world *w, char **words)
@@ -135,7 +135,7 @@
 
     assert_non_null(value);
     snprintf(key, sizeof key, "p/j/%s", id);
-    pm_jobs_put(w->jobs, key, value, ++w->stamp);
+    pm_jobs_put(w->jobs, key, value, ++w->revision);
     pm_cbor_free(value);
     pm_buf_free(buf);
 }
@@ -145,7 +145,7 @@
 {
     struct pm_buf buf = {0};
 
-    pm_jobs_write(&w->books, spec, spec->entries, state, true, &buf);
+    pm_jobs_write(&w->tables, spec, spec->entries, state, true, &buf);
     feed_value(w, id, &buf);
 }
 
@@ -155,8 +155,8 @@
     const struct pm_job done = {.entries = 1, .ended = 1000 + w->now};
     struct pm_buf buf = {0};
 
-    w->books.protocol_version = PM_PROTOCOL_END_TIMES;
-    pm_jobs_write_done(&w->books, &done, false, &buf);
+    w->tables.protocol_version = PM_PROTOCOL_END_TIMES;
+    pm_jobs_write_done(&w->tables, &done, false, &buf);
     feed_value(w, words[1], &buf);
 }
 
@@ -169,7 +169,7 @@
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         job->since = 0;
-        job->hurried = job->overdue = false;
+        job->aged = job->starving = false;
     }
     pm_workers_reset(w->workers);
     pm_jobs_reset_work(w->jobs);
@@ -200,8 +200,8 @@
     spec.ram_gb = number(words, "ram", 4);
     spec.gpus = number(words, "gpus", 0);
     spec.image_gb = 1;
-    spec.image = pm_names_add(w->books.images, word(words, "image", "img"));
-    spec.class_index = pm_names_add(w->books.classes, "class");
+    spec.image = pm_names_add(w->tables.images, word(words, "image", "img"));
+    spec.class_index = pm_names_add(w->tables.classes, "class");
     spec.bookmark_s = number(words, "saves", 0);
     spec.filing_s = 2;
     spec.expected_s = number(words, "expected", 60);
@@ -214,7 +214,7 @@
     if (word(words, "needs", NULL)) {
         GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
         g_ptr_array_add(ids, g_strdup(word(words, "needs", NULL)));
-        pm_spec_set_dependencies(&w->books, &spec, ids);
+        pm_spec_set_dependencies(&w->tables, &spec, ids);
         g_ptr_array_free(ids, TRUE);
     }
     feed_job(w, words[1], &spec, PM_LIVE);
@@ -226,7 +226,8 @@
 {
     struct pm_machine *m = pm_workers_add(w->workers, words[1]);
 
-    pm_workers_set_type(w->workers, m, pm_names_find(w->books.types, word(words, "type", "small")));
+    pm_workers_set_type(w->workers, m,
+                        pm_names_find(w->tables.types, word(words, "type", "small")));
     m->zone = !strcmp(word(words, "zone", "east"), "west");
     m->rented = w->now;
 }
@@ -248,7 +249,8 @@
 /* The fields of a worker's report: see do_message. */
 static cbor_item_t *read_message(struct world *w, char **words);
 
-/* kills HOST shift.tally [ENTRY:TRY:STATUS]...: what is answered to this report without orders */
+/* kills HOST shift.sequence number [ENTRY:TRY:STATUS]...: what is answered to this report without
+ * orders */
 static void say_orders(struct world *w, struct pm_buf *buf);
 
 static void do_kills(struct world *w, char **words)
@@ -278,19 +280,19 @@
     feed_job(w, words[1], &spec, PM_CANCELLED);
 }
 
-/* report|direct HOST shift.tally mandate=N type=T zone=Z spot=0|1 [recall=S] [unlisted=1]
+/* report|direct HOST shift.sequence number token=N type=T zone=Z spot=0|1 [recall=S] [unlisted=1]
  * [ENTRY:TRY:STATUS]... */
 static cbor_item_t *read_message(struct world *w, char **words)
 {
     struct pm_buf buf = {0};
     unsigned long shift = 1;
-    unsigned long tally = 1;
+    unsigned long sequence = 1;
     char *rest;
     cbor_item_t *report;
 
     shift = strtoul(words[2], &rest, 10);
     if (*rest == '.')
-        tally = strtoul(rest + 1, NULL, 10);
+        sequence = strtoul(rest + 1, NULL, 10);
     pm_put_map(&buf);
     pm_put_pair_text(&buf, "host", words[1]);
     pm_put_pair_text(&buf, "endpoint", "127.0.0.1:9");
@@ -298,7 +300,7 @@
     pm_put_pair_text(&buf, "room", word(words, "zone", "east"));
     pm_put_pair_flag(&buf, "borrowed", number(words, "spot", 0) > 0);
     pm_put_pair_count(&buf, "shift", shift);
-    pm_put_pair_count(&buf, "tally", tally);
+    pm_put_pair_count(&buf, "tally", sequence);
     pm_put_pair_count(&buf, "mandate", (uint64_t)number(words, "mandate", (double)w->epoch));
     if (word(words, "recall", NULL))
         pm_put_pair_number(&buf, "recall_s", number(words, "recall", 0));
@@ -425,7 +427,7 @@
 /* told JOB: cancelled, by a peer's word */
 static void do_told(struct world *w, char **words)
 {
-    if (!pm_jobs_cancel(w->jobs, words[1], ++w->stamp))
+    if (!pm_jobs_cancel(w->jobs, words[1], ++w->revision))
         g_string_append(w->said, "> known\n");
 }
 
@@ -494,8 +496,8 @@
 {
     struct pm_job *job = pm_jobs_find(w->jobs, words[1]);
 
-    job->away = true;
-    job->width = (uint32_t)strtoul(words[2], NULL, 10);
+    job->delegated = true;
+    job->parallelism = (uint32_t)strtoul(words[2], NULL, 10);
 }
 
 /* lease HOST: with no other controller since time 0 */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -17,7 +17,7 @@
 #define ANSWER_MAX (4u << 20)
 
 struct waiter {
-    uint64_t edition;
+    uint64_t store_revision;
     double until;
     pm_fresh_done *done;
     void *arg;
@@ -32,11 +32,11 @@
     bool listing;     /* a listing is under way, or due */
     double caught_at; /* steady: the replica last caught up with something */
     double served, refused;
-    uint64_t edition;
+    uint64_t store_revision;
     /* The round of listing and watching in force: an answer of an earlier one is ignored. */
     uint64_t round;
     char since[256];
-    uint64_t list_edition;
+    uint64_t list_store_revision;
     double watch_opened;
     ev_timer retry, tick;
     /* Freshness: those waiting for the next read, those whose read is under way, those who wait
@@ -109,7 +109,7 @@
 {
     for (guint i = 0; i < s->waiting->len;) {
         struct waiter w = g_array_index(s->waiting, struct waiter, i);
-        if (w.edition > s->edition) {
+        if (w.store_revision > s->store_revision) {
             i++;
             continue;
         }
@@ -118,24 +118,24 @@
     }
 }
 
-static void caught_up(struct pm_store *s, uint64_t edition)
+static void caught_up(struct pm_store *s, uint64_t store_revision)
 {
-    if (edition > s->edition)
-        s->edition = edition;
+    if (store_revision > s->store_revision)
+        s->store_revision = store_revision;
     s->caught_at = pm_clock_steady();
-    s->feed.caught_up(s->feed.arg, s->edition);
+    s->feed.caught_up(s->feed.arg, s->store_revision);
     wake(s);
 }
 
 static int tell_put(struct pm_store *s, const cbor_item_t *item, const char *name_of_key)
 {
     char key[256];
-    uint64_t stamp;
+    uint64_t revision;
 
     if (pm_cbor_text(pm_cbor_get(item, name_of_key), key, sizeof key) ||
-        pm_cbor_count(pm_cbor_get(item, "stamp"), &stamp))
+        pm_cbor_count(pm_cbor_get(item, "stamp"), &revision))
         return -1;
-    s->feed.put(s->feed.arg, key, pm_cbor_get(item, "data"), stamp);
+    s->feed.put(s->feed.arg, key, pm_cbor_get(item, "data"), revision);
     snprintf(s->since, sizeof s->since, "%s", key);
     return 0;
 }
@@ -146,7 +146,7 @@
     struct pm_store *s = step->store;
     cbor_item_t *answer;
     cbor_item_t *items;
-    uint64_t edition;
+    uint64_t store_revision;
     bool more = false, current = step->round == s->round;
 
     g_free(step);
@@ -154,14 +154,14 @@
         return;
     answer = note(s, status) ? pm_cbor_parse(body, size) : NULL;
     items = pm_cbor_get(answer, "items");
-    if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &edition)) {
+    if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &store_revision)) {
         pm_cbor_free(answer);
         again_in(s, 0.2);
         return;
     }
     if (!s->since[0]) {
         s->ready = false; /* what was known is thrown away only now that there is something new */
-        s->list_edition = edition;
+        s->list_store_revision = store_revision;
         s->feed.begin(s->feed.arg);
     }
     for (size_t i = 0; i < pm_cbor_length(items); i++)
@@ -175,8 +175,8 @@
     s->ready = true;
     s->listing = false;
     s->feed.listed(s->feed.arg);
-    /* Later pages may be newer than the first: the watch from its edition tells the rest. */
-    caught_up(s, s->list_edition);
+    /* Later pages may be newer than the first: the watch from its store revision tells the rest. */
+    caught_up(s, s->list_store_revision);
     watch_next(s);
 }
 
@@ -212,8 +212,8 @@
     struct pm_store *s = step->store;
     cbor_item_t *answer;
     cbor_item_t *events;
-    uint64_t edition;
-    uint64_t stamp;
+    uint64_t store_revision;
+    uint64_t revision;
     uint64_t round = step->round;
     char key[256];
     size_t n;
@@ -222,17 +222,19 @@
     if (round != s->round)
         return;
     if (status == 410) {
-        pm_info("store.relist", "the watch is too old at %llu", (unsigned long long)s->edition);
+        pm_info("store.relist", "the watch is too old at %llu",
+                (unsigned long long)s->store_revision);
         pm_store_relist(s);
         return;
     }
     answer = note(s, status) ? pm_cbor_parse(body, size) : NULL;
-    if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &edition)) {
+    if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &store_revision)) {
         pm_cbor_free(answer);
         /* After a while out of reach, all that has changed since would come in one answer of any
          * size; a listing comes by pages. In an outage nothing changes. */
         if (!s->refusing && pm_clock_steady() - s->caught_at > GAP_S) {
-            pm_info("store.relist", "out of reach since %llu", (unsigned long long)s->edition);
+            pm_info("store.relist", "out of reach since %llu",
+                    (unsigned long long)s->store_revision);
             pm_store_relist(s);
         } else {
             again_in(s, 0.15);
@@ -247,11 +249,11 @@
         if (pm_cbor_has(event, "put"))
             tell_put(s, event, "put");
         else if (!pm_cbor_text(pm_cbor_get(event, "drop"), key, sizeof key) &&
-                 !pm_cbor_count(pm_cbor_get(event, "stamp"), &stamp))
-            s->feed.drop(s->feed.arg, key, stamp);
+                 !pm_cbor_count(pm_cbor_get(event, "stamp"), &revision))
+            s->feed.drop(s->feed.arg, key, revision);
     }
     pm_cbor_free(answer);
-    caught_up(s, edition);
+    caught_up(s, store_revision);
     if (round == s->round) { /* no new listing was asked for meanwhile */
         double left = s->watch_opened + s->pace - pm_clock_steady();
         if (left > 0.001)
@@ -267,7 +269,7 @@
 
     s->watch_opened = pm_clock_steady();
     snprintf(target, sizeof target, "/watch?under=" PM_STORE_ROOT "&since=%llu&wait_ms=%d",
-             (unsigned long long)s->edition, WATCH_WAIT_MS);
+             (unsigned long long)s->store_revision, WATCH_WAIT_MS);
     pm_http_call(s->http, s->addr, "GET", target, NULL, 0, WATCH_WAIT_MS / 1000. + CALL_S,
                  ANSWER_MAX, on_watch, step_new(s));
 }
@@ -289,18 +291,18 @@
 {
     struct pm_store *s = arg;
     cbor_item_t *answer;
-    uint64_t edition = 0;
+    uint64_t store_revision = 0;
     bool ok;
 
     s->fresh_busy = false;
     note(s, status);
     note_time(s, s->fresh_sent);
     answer = status == 404 ? pm_cbor_parse(body, size) : NULL;
-    ok = answer && !pm_cbor_count(pm_cbor_get(answer, "edition"), &edition);
+    ok = answer && !pm_cbor_count(pm_cbor_get(answer, "edition"), &store_revision);
     pm_cbor_free(answer);
     if (ok) {
         for (guint i = 0; i < s->reading->len; i++)
-            g_array_index(s->reading, struct waiter, i).edition = edition;
+            g_array_index(s->reading, struct waiter, i).store_revision = store_revision;
         g_array_append_vals(s->waiting, s->reading->data, s->reading->len);
         g_array_set_size(s->reading, 0);
         if (s->ready)
@@ -310,7 +312,7 @@
     }
 }
 
-/* One read of `edition` serves all who asked before it was sent. */
+/* One read of `store_revision` serves all who asked before it was sent. */
 static void fresh_start(struct pm_store *s)
 {
     GArray *spare = s->reading;
@@ -321,7 +323,7 @@
     s->fresh_sent = pm_clock_steady();
     s->reading = s->next;
     s->next = spare;
-    /* A key that never exists: its 404 tells the edition. */
+    /* A key that never exists: its 404 tells the store revision. */
     pm_http_call(s->http, s->addr, "GET", "/kv/" PM_STORE_ROOT "none", NULL, 0, FRESH_S, 4096,
                  on_fresh, s);
 }
@@ -336,9 +338,9 @@
         fresh_start(s);
 }
 
-void pm_store_reach(struct pm_store *s, uint64_t edition, pm_fresh_done *done, void *arg)
+void pm_store_reach(struct pm_store *s, uint64_t store_revision, pm_fresh_done *done, void *arg)
 {
-    struct waiter w = {edition, pm_clock_steady() + FRESH_S, done, arg};
+    struct waiter w = {store_revision, pm_clock_steady() + FRESH_S, done, arg};
 
     g_array_append_val(s->waiting, w);
     ev_timer_again(s->loop, &s->tick);
@@ -388,11 +390,11 @@
 
 /* ---- transactions ---- */
 
-void pm_txn_if(struct pm_txn *t, const char *key, uint64_t stamp)
+void pm_txn_if(struct pm_txn *t, const char *key, uint64_t revision)
 {
     pm_put_map(&t->conditions);
     pm_put_pair_text(&t->conditions, "key", key);
-    pm_put_pair_count(&t->conditions, "stamp", stamp);
+    pm_put_pair_count(&t->conditions, "stamp", revision);
     pm_put_end(&t->conditions);
     t->nconditions++;
 }
@@ -405,10 +407,10 @@
     t->nwrites++;
 }
 
-void pm_txn_put_end(struct pm_txn *t, uint64_t tenure)
+void pm_txn_put_end(struct pm_txn *t, uint64_t lease_id)
 {
-    if (tenure)
-        pm_put_pair_count(&t->writes, "tenure", tenure);
+    if (lease_id)
+        pm_put_pair_count(&t->writes, "tenure", lease_id);
     pm_put_end(&t->writes);
 }
 
@@ -439,20 +441,20 @@
 {
     struct commit *commit = arg;
     cbor_item_t *answer = NULL;
-    uint64_t edition = 0;
+    uint64_t store_revision = 0;
 
     note(commit->store, status);
     note_time(commit->store, commit->sent);
     if (status == 200 || status == 409) {
         answer = pm_cbor_parse(body, size);
-        if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &edition))
+        if (!answer || pm_cbor_count(pm_cbor_get(answer, "edition"), &store_revision))
             status = PM_HTTP_LOST; /* a malformed answer counts as none */
     }
     if (status == 200)
         note_others(commit->store, -commit->nwrites); /* the watch tells these too */
     if (status == 429)
         commit->store->tokens = MIN(commit->store->tokens, 0);
-    commit->done(commit->arg, status, edition, pm_cbor_get(answer, "failed"));
+    commit->done(commit->arg, status, store_revision, pm_cbor_get(answer, "failed"));
     pm_cbor_free(answer);
     g_free(commit);
 }
@@ -509,7 +511,7 @@
     struct pm_store *store;
     pm_hold_done *done;
     void *arg;
-    uint64_t tenure;
+    uint64_t lease_id;
 };
 
 static void on_hold(void *arg, int status, const unsigned char *body, size_t size)
@@ -518,20 +520,20 @@
     cbor_item_t *answer = status == 200 && size ? pm_cbor_parse(body, size) : NULL;
 
     note(hold->store, status);
-    if (status == 200 && !hold->tenure &&
-        pm_cbor_count(pm_cbor_get(answer, "tenure"), &hold->tenure))
+    if (status == 200 && !hold->lease_id &&
+        pm_cbor_count(pm_cbor_get(answer, "tenure"), &hold->lease_id))
         status = PM_HTTP_LOST;
     pm_cbor_free(answer);
-    hold->done(hold->arg, status, hold->tenure);
+    hold->done(hold->arg, status, hold->lease_id);
     g_free(hold);
 }
 
 static void hold_call(struct pm_store *s, const char *target, const struct pm_buf *body,
-                      uint64_t tenure, pm_hold_done *done, void *arg)
+                      uint64_t lease_id, pm_hold_done *done, void *arg)
 {
     struct hold *hold = g_new(struct hold, 1);
 
-    *hold = (struct hold){s, done, arg, tenure};
+    *hold = (struct hold){s, done, arg, lease_id};
     pm_http_call(s->http, s->addr, "POST", target, body->data, body->size, CALL_S, 4096, on_hold,
                  hold);
 }
@@ -547,15 +549,15 @@
     pm_buf_free(&body);
 }
 
-void pm_store_renew(struct pm_store *s, uint64_t tenure, pm_hold_done *done, void *arg)
+void pm_store_renew(struct pm_store *s, uint64_t lease_id, pm_hold_done *done, void *arg)
 {
     struct pm_buf body = {0};
     char target[64];
 
     pm_put_map(&body);
     pm_put_end(&body);
-    snprintf(target, sizeof target, "/holds/%llu/renew", (unsigned long long)tenure);
-    hold_call(s, target, &body, tenure, done, arg);
+    snprintf(target, sizeof target, "/holds/%llu/renew", (unsigned long long)lease_id);
+    hold_call(s, target, &body, lease_id, done, arg);
     pm_buf_free(&body);
 }
 
@@ -566,11 +568,11 @@
     note(arg, status);
 }
 
-void pm_store_unhold(struct pm_store *s, uint64_t tenure)
+void pm_store_unhold(struct pm_store *s, uint64_t lease_id)
 {
     char target[64];
 
-    snprintf(target, sizeof target, "/holds/%llu", (unsigned long long)tenure);
+    snprintf(target, sizeof target, "/holds/%llu", (unsigned long long)lease_id);
     pm_http_call(s->http, s->addr, "DELETE", target, NULL, 0, CALL_S, 4096, on_unheld, s);
 }
 
@@ -579,9 +581,9 @@
     return s->ready;
 }
 
-uint64_t pm_store_edition(const struct pm_store *s)
+uint64_t pm_store_revision(const struct pm_store *s)
 {
-    return s->edition;
+    return s->store_revision;
 }
 
 double pm_store_answer_s(const struct pm_store *s)
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,5 +1,5 @@
 /* Client of the state service: the replica's feed (list, then watch), transactions within the
- * write budget, holds, and the batched read of `edition` that makes an answer fresh. */
+ * write budget, holds, and the batched read of `store_revision` that makes an answer fresh. */
 #ifndef PM_STORE_STORE_H
 #define PM_STORE_STORE_H
 
@@ -16,14 +16,14 @@
 #define PM_STORE_ROOT "p/"
 
 struct pm_store_feed {
-    /* A key's value; also told again, with the same or an older stamp, after a new listing. */
-    void (*put)(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp);
-    void (*drop)(void *arg, const char *key, uint64_t stamp);
+    /* A key's value; also told again, with the same or an older revision, after a new listing. */
+    void (*put)(void *arg, const char *key, const cbor_item_t *value, uint64_t revision);
+    void (*drop)(void *arg, const char *key, uint64_t revision);
     /* A listing begins: whatever it does not tell, until `listed`, is gone. */
     void (*begin)(void *arg);
     void (*listed)(void *arg);
-    /* Every change up to `edition` has been told. */
-    void (*caught_up)(void *arg, uint64_t edition);
+    /* Every change up to `store_revision` has been told. */
+    void (*caught_up)(void *arg, uint64_t store_revision);
     void *arg;
 };
 
@@ -32,8 +32,8 @@
 void pm_store_free(struct pm_store *store);
 /* Throws the replica away and lists again. */
 void pm_store_relist(struct pm_store *store);
-bool pm_store_ready(const struct pm_store *store);       /* listed once, and following */
-uint64_t pm_store_edition(const struct pm_store *store); /* caught up to here */
+bool pm_store_ready(const struct pm_store *store);        /* listed once, and following */
+uint64_t pm_store_revision(const struct pm_store *store); /* caught up to here */
 
 /* Whether the last answer was a 503, and the steady time of the last other one. */
 bool pm_store_refusing(const struct pm_store *store);
@@ -48,16 +48,16 @@
     int nconditions, nwrites;
 };
 
-void pm_txn_if(struct pm_txn *txn, const char *key, uint64_t stamp);
+void pm_txn_if(struct pm_txn *txn, const char *key, uint64_t revision);
 /* Begins a put: the caller writes exactly one item to txn->writes, then calls pm_txn_put_end. */
 void pm_txn_put(struct pm_txn *txn, const char *key);
-void pm_txn_put_end(struct pm_txn *txn, uint64_t tenure); /* 0: no lease */
+void pm_txn_put_end(struct pm_txn *txn, uint64_t lease_id); /* 0: no lease */
 void pm_txn_drop(struct pm_txn *txn, const char *key);
 void pm_txn_free(struct pm_txn *txn);
 
-/* `status` as of HTTP or PM_HTTP_LOST / PM_HTTP_NOT_SENT; `edition` of a 200 or 409; `failed` the
- * keys of a 409 (borrowed). */
-typedef void pm_txn_done(void *arg, int status, uint64_t edition, const cbor_item_t *failed);
+/* `status` as of HTTP or PM_HTTP_LOST / PM_HTTP_NOT_SENT; `store_revision` of a 200 or 409;
+ * `failed` the keys of a 409 (borrowed). */
+typedef void pm_txn_done(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed);
 
 /* Sends at once; consumes `txn`. */
 void pm_store_commit(struct pm_store *store, struct pm_txn *txn, pm_txn_done *done, void *arg);
@@ -66,19 +66,20 @@
 /* The share that is this controller's in any case, and what it may rise to while the watch shows
  * that the others leave so much. */
 void pm_store_set_share(struct pm_store *store, double share, double most);
-/* How many watches, and how many reads of `edition`, it may open a second. */
+/* How many watches, and how many reads of `store_revision`, it may open a second. */
 void pm_store_set_pace(struct pm_store *store, double requests_per_s);
 
 /* `ok` once the replica is at least as new as the state service was at the time of this call. */
 typedef void pm_fresh_done(void *arg, bool ok);
 void pm_store_fresh(struct pm_store *store, pm_fresh_done *done, void *arg);
-/* Calls back once the replica has reached `edition`, or `ok` false after a while. */
-void pm_store_reach(struct pm_store *store, uint64_t edition, pm_fresh_done *done, void *arg);
+/* Calls back once the replica has reached `store_revision`, or `ok` false after a while. */
+void pm_store_reach(struct pm_store *store, uint64_t store_revision, pm_fresh_done *done,
+                    void *arg);
 
-typedef void pm_hold_done(void *arg, int status, uint64_t tenure);
+typedef void pm_hold_done(void *arg, int status, uint64_t lease_id);
 void pm_store_hold(struct pm_store *store, double ttl_s, pm_hold_done *done, void *arg);
 /* Ends it at once, with the keys attached to it; nobody waits for the answer. */
-void pm_store_unhold(struct pm_store *store, uint64_t tenure);
-void pm_store_renew(struct pm_store *store, uint64_t tenure, pm_hold_done *done, void *arg);
+void pm_store_unhold(struct pm_store *store, uint64_t lease_id);
+void pm_store_renew(struct pm_store *store, uint64_t lease_id, pm_hold_done *done, void *arg);
 
 #endif
--- a/src/store/tests/fake_state.c
+++ b/src/store/tests/fake_state.c
@@ -15,12 +15,12 @@
 
 struct value {
     struct pm_buf data; /* as CBOR */
-    uint64_t stamp, tenure;
+    uint64_t revision, lease_id;
 };
 
 struct change {
     char key[256];
-    uint64_t stamp;
+    uint64_t revision;
     bool put;
 };
 
@@ -37,7 +37,7 @@
     enum fake_door side;
     GTree *keys; /* text to struct value, in order */
     GArray *changes, *watches;
-    uint64_t edition, tenures;
+    uint64_t store_revision, tenures;
     bool out, swallow;
     int txns;
     bool hang, forget;
@@ -79,26 +79,26 @@
     struct pm_buf out = {0};
     int n = 0;
 
-    if (s->out || w->since >= s->edition || (w->side && s->side != FAKE_OPEN))
+    if (s->out || w->since >= s->store_revision || (w->side && s->side != FAKE_OPEN))
         return false;
     pm_put_map(&out);
-    pm_put_pair_count(&out, "edition", s->edition);
+    pm_put_pair_count(&out, "edition", s->store_revision);
     pm_put_text(&out, "events");
     pm_put_list(&out);
     for (guint i = 0; i < s->changes->len; i++) {
         struct change *c = &g_array_index(s->changes, struct change, i);
         const struct value *value;
-        if (c->stamp <= w->since)
+        if (c->revision <= w->since)
             continue;
         n++;
         value = c->put ? g_tree_lookup(s->keys, c->key) : NULL;
-        if (c->put && (!value || value->stamp != c->stamp))
+        if (c->put && (!value || value->revision != c->revision))
             continue; /* changed again since: the later change tells */
         pm_put_map(&out);
         pm_put_pair_text(&out, c->put ? "put" : "drop", c->key);
         if (c->put)
             put_data(&out, "data", value);
-        pm_put_pair_count(&out, "stamp", c->stamp);
+        pm_put_pair_count(&out, "stamp", c->revision);
         pm_put_end(&out);
     }
     pm_put_end(&out);
@@ -119,7 +119,7 @@
 
 static void note(struct fake_state *s, const char *key, bool put)
 {
-    struct change c = {.stamp = s->edition, .put = put};
+    struct change c = {.revision = s->store_revision, .put = put};
 
     g_strlcpy(c.key, key, sizeof c.key);
     g_array_append_val(s->changes, c);
@@ -127,11 +127,11 @@
 
 /* ---- requests ---- */
 
-static uint64_t stamp_of(struct fake_state *s, const char *key)
+static uint64_t revision_of(struct fake_state *s, const char *key)
 {
     const struct value *value = g_tree_lookup(s->keys, key);
 
-    return value ? value->stamp : 0;
+    return value ? value->revision : 0;
 }
 
 /* `req` NULL: nobody waits for the answer any more. */
@@ -143,14 +143,14 @@
     struct pm_buf failed = {0};
     struct pm_buf out = {0};
     char key[256];
-    uint64_t stamp;
+    uint64_t revision;
     int nfailed = 0;
 
     s->txns++;
     for (size_t i = 0; i < pm_cbor_length(conditions); i++) {
         const cbor_item_t *c = pm_cbor_at(conditions, i);
         if (pm_cbor_text(pm_cbor_get(c, "key"), key, sizeof key) ||
-            pm_cbor_count(pm_cbor_get(c, "stamp"), &stamp) || stamp_of(s, key) != stamp) {
+            pm_cbor_count(pm_cbor_get(c, "stamp"), &revision) || revision_of(s, key) != revision) {
             pm_put_text(&failed, key);
             nfailed++;
         }
@@ -162,15 +162,15 @@
         pm_buf_add(&out, failed.data, failed.size);
         pm_put_end(&out);
     } else if (pm_cbor_length(writes)) {
-        s->edition++;
+        s->store_revision++;
     }
     for (size_t i = 0; !nfailed && i < pm_cbor_length(writes); i++) {
         const cbor_item_t *w = pm_cbor_at(writes, i);
         if (!pm_cbor_text(pm_cbor_get(w, "put"), key, sizeof key)) {
             struct value *value = g_new0(struct value, 1);
             pm_put_item(&value->data, pm_cbor_get(w, "data"));
-            value->stamp = s->edition;
-            pm_cbor_count(pm_cbor_get(w, "tenure"), &value->tenure);
+            value->revision = s->store_revision;
+            pm_cbor_count(pm_cbor_get(w, "tenure"), &value->lease_id);
             g_tree_replace(s->keys, g_strdup(key), value);
             note(s, key, true);
         } else if (!pm_cbor_text(pm_cbor_get(w, "drop"), key, sizeof key) &&
@@ -178,7 +178,7 @@
             note(s, key, false);
         }
     }
-    pm_put_pair_count(&out, "edition", s->edition);
+    pm_put_pair_count(&out, "edition", s->store_revision);
     pm_put_end(&out);
     pm_buf_free(&failed);
     pm_cbor_free(body);
@@ -215,7 +215,7 @@
     pm_put_map(l->out);
     pm_put_pair_text(l->out, "key", key);
     put_data(l->out, "data", value);
-    pm_put_pair_count(l->out, "stamp", value->stamp);
+    pm_put_pair_count(l->out, "stamp", value->revision);
     pm_put_end(l->out);
     return FALSE;
 }
@@ -237,7 +237,7 @@
     g_tree_foreach(s->keys, list_one, &l);
     pm_put_end(&out);
     pm_put_pair_flag(&out, "has_next", l.more);
-    pm_put_pair_count(&out, "edition", s->edition);
+    pm_put_pair_count(&out, "edition", s->store_revision);
     pm_put_end(&out);
     reply_buf(req, 200, &out);
 }
@@ -271,7 +271,7 @@
         do_list(s, req);
     } else if (!strncmp(req->path, "/kv/", 4)) { /* only ever asked for what does not exist */
         pm_put_map(&out);
-        pm_put_pair_count(&out, "edition", s->edition);
+        pm_put_pair_count(&out, "edition", s->store_revision);
         pm_put_end(&out);
         reply_buf(req, 404, &out);
     } else if (!strcmp(req->path, "/holds")) {
@@ -345,11 +345,11 @@
     return s->addr;
 }
 
-uint64_t fake_state_stamp(const struct fake_state *s, const char *key)
+uint64_t fake_state_revision(const struct fake_state *s, const char *key)
 {
     const struct value *value = g_tree_lookup(s->keys, key);
 
-    return value ? value->stamp : 0;
+    return value ? value->revision : 0;
 }
 
 void fake_state_outage(struct fake_state *s, bool out)
@@ -407,7 +407,7 @@
 
 static gboolean held(gpointer key, gpointer data, gpointer arg)
 {
-    if (((struct value *)data)->tenure)
+    if (((struct value *)data)->lease_id)
         g_ptr_array_add(arg, key);
     return FALSE;
 }
@@ -419,7 +419,7 @@
     g_tree_foreach(s->keys, held, keys);
     for (guint i = 0; i < keys->len; i++) {
         char *key = g_strdup(g_ptr_array_index(keys, i));
-        s->edition++;
+        s->store_revision++;
         g_tree_remove(s->keys, key);
         note(s, key, false);
         g_free(key);
--- a/src/store/tests/fake_state.h
+++ b/src/store/tests/fake_state.h
@@ -1,5 +1,6 @@
-/* A state service for tests, on a loopback port of its own choice: keys with stamps, transactions,
- * listing, watches, holds (which end only when told to), outages. No time, no chance. */
+/* A state service for tests, on a loopback port of its own choice: keys with revisions,
+ * transactions, listing, watches, holds (which end only when told to), outages. No time, no chance.
+ */
 #ifndef PM_STORE_FAKE_STATE_H
 #define PM_STORE_FAKE_STATE_H
 
@@ -12,7 +13,7 @@
 struct fake_state *fake_state_new(struct ev_loop *loop);
 void fake_state_free(struct fake_state *state);
 const char *fake_state_addr(const struct fake_state *state);
-uint64_t fake_state_stamp(const struct fake_state *state, const char *key); /* 0: no such key */
+uint64_t fake_state_revision(const struct fake_state *state, const char *key); /* 0: no such key */
 /* Every answer is a 503 from now on, or no more; open watches wait. */
 void fake_state_outage(struct fake_state *state, bool out);
 /* No request is answered from now on, or again: the service is out of reach. */
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -13,19 +13,19 @@
 #define DEAF_S 1.5 /* messages lost within less than this may have one cause */
 
 struct pm_workers {
-    struct pm_books *books;
+    struct pm_name_tables *tables;
     struct pm_jobs *jobs;
     struct pm_workers_hooks hooks;
-    GPtrArray *all;   /* by machine index of the books */
-    uint64_t ignored; /* entries of jobs that the books don't know */
+    GPtrArray *all;   /* by machine index of the replica */
+    uint64_t ignored; /* entries of jobs that the replica does not know */
 };
 
-struct pm_workers *pm_workers_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_workers *pm_workers_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                                   const struct pm_workers_hooks *hooks)
 {
     struct pm_workers *w = g_new0(struct pm_workers, 1);
 
-    w->books = books;
+    w->tables = tables;
     w->jobs = jobs;
     w->hooks = *hooks;
     w->all = g_ptr_array_new();
@@ -44,12 +44,12 @@
 
 struct pm_machine *pm_workers_find(struct pm_workers *w, const char *name)
 {
-    return pm_workers_at(w, pm_names_find(w->books->machines, name));
+    return pm_workers_at(w, pm_names_find(w->tables->machines, name));
 }
 
 struct pm_machine *pm_workers_add(struct pm_workers *w, const char *name)
 {
-    int index = pm_names_add(w->books->machines, name);
+    int index = pm_names_add(w->tables->machines, name);
     struct pm_machine *m;
 
     if (index >= (int)w->all->len)
@@ -196,9 +196,9 @@
 
 void pm_workers_set_type(struct pm_workers *w, struct pm_machine *m, int type)
 {
-    const struct pm_type *t = &w->books->type[type < 0 ? 0 : type];
+    const struct pm_type *t = &w->tables->type[type < 0 ? 0 : type];
 
-    if (m->type >= 0 || type < 0 || type >= w->books->ntypes)
+    if (m->type >= 0 || type < 0 || type >= w->tables->ntypes)
         return;
     m->type = type;
     m->cpus += t->cpus; /* places found before are taken off already */
@@ -240,13 +240,13 @@
 {
     m->answered = now;
     m->told = epoch;
-    m->told_tally = m->tally;
+    m->told_sequence = m->sequence;
 }
 
 bool pm_workers_clean(const struct pm_machine *m, uint64_t epoch)
 {
     return !m->places->len && !m->direct_busy && !m->doubtful && !m->ended->len &&
-           !m->strays->len && m->reported && m->mandate >= epoch;
+           !m->strays->len && m->reported && m->token >= epoch;
 }
 
 /* A worker's lease runs from its last answered report, or, in a session that none was answered in,
@@ -299,7 +299,7 @@
 static void note_image(struct pm_workers *w, struct pm_machine *m, const struct pm_spec *spec)
 {
     struct pm_cached entry = {spec->image, spec->image_gb};
-    double room = m->type >= 0 ? w->books->type[m->type].local_gb : 0;
+    double room = m->type >= 0 ? w->tables->type[m->type].local_gb : 0;
     int i;
 
     for (i = 0; i < m->ncached && m->cached[i].image != spec->image; i++)
@@ -384,10 +384,10 @@
 {
     for (guint i = 0; i < m->places->len;) {
         struct pm_place *place = g_ptr_array_index(m->places, i);
-        bool in_answer = place->replied && (kind != PM_REPORT || m->tally <= place->replied);
+        bool in_answer = place->replied && (kind != PM_REPORT || m->sequence <= place->replied);
         bool in_direct = place->direct && (m->direct_busy || m->doubtful);
 
-        if (place->seen || place->state == PM_INTENT || m->mandate < epoch || in_answer ||
+        if (place->seen || place->state == PM_INTENT || m->token < epoch || in_answer ||
             in_direct) {
             i++;
             continue;
@@ -411,13 +411,13 @@
         pm_workers_unheard(m, "its lease ran out though we answered", now);
         return;
     }
-    if (m->told && m->tally > m->told_tally && m->mandate < m->told) {
+    if (m->told && m->sequence > m->told_sequence && m->token < m->told) {
         pm_workers_unheard(m, "it has not taken our token", now);
         return;
     }
     for (guint i = 0; i < m->places->len; i++) {
         const struct pm_place *place = g_ptr_array_index(m->places, i);
-        if (place->state == PM_DURABLE && place->replied && m->tally > place->replied) {
+        if (place->state == PM_DURABLE && place->replied && m->sequence > place->replied) {
             pm_workers_unheard(m, "it shows no trace of an order", now);
             return;
         }
@@ -433,10 +433,10 @@
         pm_cbor_text(pm_cbor_get(report, "model"), type, sizeof type) ||
         pm_cbor_text(pm_cbor_get(report, "room"), zone, sizeof zone))
         return -1;
-    m->zone = pm_settings_zone(w->books->settings, zone);
+    m->zone = pm_settings_zone(w->tables->settings, zone);
     m->spot = false;
     pm_cbor_flag(pm_cbor_get(report, "borrowed"), &m->spot);
-    pm_workers_set_type(w, m, pm_names_find(w->books->types, type));
+    pm_workers_set_type(w, m, pm_names_find(w->tables->types, type));
     return 0;
 }
 
@@ -445,8 +445,8 @@
 {
     char name[PM_NAME_MAX];
     uint64_t session;
-    uint64_t tally;
-    uint64_t mandate;
+    uint64_t sequence;
+    uint64_t token;
     struct pm_machine *m;
     cbor_item_t *entries = pm_cbor_get(report, "entries");
     double recall;
@@ -455,15 +455,15 @@
     *fresh = false;
     if (pm_cbor_text(pm_cbor_get(report, "host"), name, sizeof name) || !name[0] ||
         pm_cbor_count(pm_cbor_get(report, "shift"), &session) ||
-        pm_cbor_count(pm_cbor_get(report, "tally"), &tally) ||
-        pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate) ||
+        pm_cbor_count(pm_cbor_get(report, "tally"), &sequence) ||
+        pm_cbor_count(pm_cbor_get(report, "mandate"), &token) ||
         (entries && !cbor_isa_array(entries)))
         return NULL;
     m = pm_workers_add(w, name);
     if (read_identity(w, m, report))
         return NULL;
     if (session < m->session || session < m->least_session ||
-        (session == m->session && tally <= m->tally)) {
+        (session == m->session && sequence <= m->sequence)) {
         m->stale = now;
         return m; /* late: its list is as old as itself */
     }
@@ -487,8 +487,8 @@
     if (session > m->session || !m->reported)
         m->session_heard = now;
     m->session = session;
-    m->tally = tally;
-    m->mandate = mandate;
+    m->sequence = sequence;
+    m->token = token;
     m->heard = now;
     if (kind == PM_REPORT || !m->reported)
         m->report_at = now;
@@ -498,7 +498,7 @@
         m->state = PM_UP;
         pm_debug("workers.up", "%s", m->name);
     }
-    if (m->doubtful && (mandate > m->doubtful || session > m->doubtful_session))
+    if (m->doubtful && (token > m->doubtful || session > m->doubtful_session))
         m->doubtful = 0;
     m->recall_at = pm_cbor_number(pm_cbor_get(report, "recall_s"), &recall) ? 0 : now + recall;
     for (guint i = 0; i < m->places->len; i++)
@@ -508,7 +508,7 @@
     for (size_t i = 0; i < pm_cbor_length(entries); i++)
         read_task(w, m, pm_cbor_at(entries, i), now);
     if (kind == PM_REPORT)
-        read_unheard(m, risen, w->books->settings->lease_s, now);
+        read_unheard(m, risen, w->tables->settings->lease_s, now);
     else
         m->reached = true, m->unheard = 0;
     read_absence(w, m, kind, epoch, now);
@@ -561,7 +561,7 @@
 {
     const struct pm_chunk *chunk;
 
-    if (m->direct_busy || m->doubtful || m->mandate < epoch)
+    if (m->direct_busy || m->doubtful || m->token < epoch)
         return false;
     if (!entry->job->chunk)
         return true; /* over, durably */
@@ -581,7 +581,7 @@
             if (direct)
                 place->direct = epoch, m->direct_launches = true;
             else
-                place->replied = m->tally;
+                place->replied = m->sequence;
             n++;
         } else if (kill_due(place, m, direct)) {
             put_order(out, "kill", place->job->id, place->index, place->attempt, place->leave_s);
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -34,7 +34,7 @@
     GPtrArray *places;         /* of struct pm_place, owned */
     double cpus, gpus, ram_gb; /* free */
     /* From the worker. */
-    uint64_t session, tally, mandate;
+    uint64_t session, sequence, token;
     uint64_t least_session; /* earlier ones are proven over */
     bool reported;          /* at least once to this leader */
     double heard;           /* steady: its latest message */
@@ -45,10 +45,11 @@
      * token that a later report shows no trace of, a /do without an answer. */
     uint32_t unheard;
     double unheard_since, unheard_at; /* steady: the first and the last of them */
-    uint64_t told, told_tally;  /* the epoch, and the tally of the report, last answered with 200 */
-    double recall_at;           /* steady: when the cloud takes it, 0: no notice */
-    GArray *ended;              /* of struct pm_entry: ended there, to be forgotten */
-    GArray *strays;             /* of struct pm_entry: there, but not by our books: to be killed */
+    uint64_t told, told_sequence; /* the epoch, and the sequence number of the report, last answered
+                                     with 200 */
+    double recall_at;             /* steady: when the cloud takes it, 0: no notice */
+    GArray *ended;                /* of struct pm_entry: ended there, to be forgotten */
+    GArray *strays; /* of struct pm_entry: there, but not by our replica: to be killed */
     const struct pm_job *claim; /* a gang whose room is being cleared here (placement) */
     /* Blocks. */
     int lent;                         /* leader: 1 + the peer that holds it, 0: nobody */
@@ -96,7 +97,7 @@
     void *arg;
 };
 
-struct pm_workers *pm_workers_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_workers *pm_workers_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                                   const struct pm_workers_hooks *hooks);
 void pm_workers_free(struct pm_workers *workers);
 /* All machines, by index; entries may be NULL. */
@@ -128,7 +129,7 @@
 /* Whether nothing is there, and nothing to it is under way or in doubt. */
 bool pm_workers_clean(const struct pm_machine *machine, uint64_t epoch);
 
-/* The books' record of a place: an intent of ours, or one found in the state service. */
+/* The replica' record of a place: an intent of ours, or one found in the state service. */
 struct pm_place *pm_workers_place(struct pm_workers *workers, struct pm_job *job, uint32_t index,
                                   struct pm_machine *machine, uint32_t attempt, uint64_t session,
                                   enum pm_place_state state, double now);
