Best-effort work that would begin too late goes first as well, and then yields no more

Change: unallocated work counts for the bound too; once it is near, such a job is charged, goes first and does not yield at once. As before it may stop nothing of its own priority.

--- a/src/placement/ledger.c
+++ b/src/placement/ledger.c
@@ -7,10 +7,11 @@
 
 enum { HALF_WINDOW = BUCKETS / 2 }; /* buckets */
 
-/* Best-effort work declares a minimum runtime of zero: it is unallocated and free of charge. */
+/* Best-effort work declares a minimum runtime of zero: it is unallocated and free of charge, until
+ * it has waited too long to begin: from then on it is charged, and does not yield at once. */
 bool pm_plan_unallocated(const struct pm_job *job)
 {
-    return job->priority == PM_BEST_EFFORT;
+    return job->priority == PM_BEST_EFFORT && !job->aged;
 }
 
 static double machine_share(const struct pm_name_tables *tables, const struct pm_spec *spec,
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -47,7 +47,7 @@
 
     if (place->stop || place->state == PM_ENDED || place->job == job)
         return false;
-    if (pm_plan_unallocated(place->job) && !pm_plan_unallocated(job))
+    if (pm_plan_unallocated(place->job) && job->priority > place->job->priority)
         return true;
     if (pm_plan_unallocated(job))
         return false;
