--- a/src/cmd/plan-bench/main.c
+++ b/src/cmd/plan-bench/main.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <time.h>
 
+enum { FIRST_ARRAY = 500000 }; /* numbers of the jobs with dependencies begin here */
 enum {
     ROUNDS = 200,
     ENTRIES = 110,
@@ -47,8 +48,8 @@
     return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
 }
 
-/* `before`: the job that it needs, -1: none. */
-static void add_job(int n, int before, double now)
+/* `needs`: the numbers of the jobs that it needs. */
+static void add_job(int n, const int *needs, int nneeds, double now)
 {
     bool service = n % 4 == 0;
     struct pm_spec spec = {.zone = -1,
@@ -71,10 +72,10 @@
     snprintf(text, sizeof text, "img-%02d", n % 26);
     spec.class_index = pm_names_add(tables.classes, service ? "search" : "render");
     spec.image = pm_names_add(tables.images, text);
-    if (before >= 0) {
-        GPtrArray *ids = g_ptr_array_new();
-        snprintf(text, sizeof text, "job-%06d", before);
-        g_ptr_array_add(ids, text);
+    if (nneeds) {
+        GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+        for (int i = 0; i < nneeds; i++)
+            g_ptr_array_add(ids, g_strdup_printf("job-%06d", needs[i]));
         pm_spec_set_dependencies(&tables, &spec, ids);
         g_ptr_array_free(ids, TRUE);
     }
@@ -164,27 +165,91 @@
     }
 }
 
-/* Chains of so many jobs each: told, raised by an urgent end, and cancelled by their first. */
-static void time_chains(int chains, int length, double now)
+/* An odd number: an array, never a service. */
+static int array_number(int index)
+{
+    return FIRST_ARRAY + 2 * index + 1;
+}
+
+/* Jobs that were told between `from` and `to`, and that depend on the first: cancels them with it.
+ */
+static void time_cancel(const char *what, int from, int to, double told)
 {
-    const int first = 500000;
     double at = seconds();
-    double told;
+    char id[32];
 
-    for (int i = 0; i < chains; i++)
-        for (int k = 0; k < length; k++) { /* an odd number: an array, never a service */
-            int n = first + 2 * (i * length + k) + 1;
-            add_job(n, k ? n - 2 : -1, now);
-        }
-    told = seconds() - at;
-    at = seconds();
-    for (int i = 0; i < chains; i++) {
-        char id[32];
-        snprintf(id, sizeof id, "job-%06d", first + 2 * i * length + 1);
-        pm_jobs_cancel(jobs, id, ++revision);
+    snprintf(id, sizeof id, "job-%06d", array_number(from));
+    pm_jobs_cancel(jobs, id, ++revision);
+    printf("%s, %d jobs: %.1f us a job told, %.1f us a job cancelled\n", what, to - from,
+           told / (to - from) * 1e6, (seconds() - at) / (to - from) * 1e6);
+}
+
+/* Each needs the one before it. */
+static int time_chain(int from, int length, double now)
+{
+    double at = seconds();
+
+    for (int i = 0; i < length; i++) {
+        int before = array_number(from + i - 1);
+        add_job(array_number(from + i), &before, i > 0, now);
+    }
+    time_cancel("a chain", from, from + length, seconds() - at);
+    return from + length;
+}
+
+/* Each level's join needs two sides, which need the join below. */
+static int time_ladder(int from, int levels, double now)
+{
+    double at = seconds();
+    int next = from + 1;
+
+    add_job(array_number(from), NULL, 0, now);
+    for (int level = 0; level < levels; level++) {
+        int below = array_number(next - 1);
+        int sides[] = {array_number(next), array_number(next + 1)};
+        add_job(sides[0], &below, 1, now);
+        add_job(sides[1], &below, 1, now);
+        add_job(array_number(next + 2), sides, 2, now);
+        next += 3;
     }
-    printf("%d chains of %d: %.1f us a job told, %.1f us a job cancelled\n", chains, length,
-           told / (chains * length) * 1e6, (seconds() - at) / (chains * length) * 1e6);
+    time_cancel("a ladder of diamonds", from, next, seconds() - at);
+    return next;
+}
+
+/* One is needed by many, which are all needed by another one. */
+static int time_fan(int from, int width, double now)
+{
+    double at = seconds();
+    int first = array_number(from);
+    int *all = g_new(int, width);
+
+    add_job(first, NULL, 0, now);
+    for (int i = 0; i < width; i++) {
+        all[i] = array_number(from + 1 + i);
+        add_job(all[i], &first, 1, now);
+    }
+    add_job(array_number(from + 1 + width), all, width, now);
+    time_cancel("out to many and in again", from, from + width + 2, seconds() - at);
+    g_free(all);
+    return from + width + 2;
+}
+
+static void time_dependencies(double now)
+{
+    int next = 0;
+
+    for (int i = 0; i < 5; i++)
+        next = time_chain(next, 1000, now);
+    next = time_ladder(next, 300, now);
+    time_fan(next, 500, now);
+}
+
+/* Every fourth needs the one before it. */
+static void add_next(int n, double now)
+{
+    int before = n - 1;
+
+    add_job(n, &before, n % 4 == 3, now);
 }
 
 int main(int argc, char **argv)
@@ -210,7 +275,7 @@
         double at = seconds();
         double took;
         for (; next < njobs + round; next++)
-            add_job(next, next % 4 == 3 ? next - 1 : -1, now);
+            add_next(next, now);
         for (int i = 0; i < machines; i++) {
             struct pm_machine *m = g_ptr_array_index(all, i);
             if (round && (i + round) % SHARE)
@@ -237,7 +302,6 @@
     printf("%d machines, %d jobs: plan %.0f us (longest %.0f us), %ld placed; report %.1f us\n",
            machines, next, plans / ROUNDS * 1e6, longest * 1e6, placed,
            reports / (double)nreports * 1e6);
-    time_chains(2000, 10, now);
-    time_chains(5, 1000, now);
+    time_dependencies(now);
     return 0;
 }
