--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -1,6 +1,7 @@
 /* A block is leased with a job, its holder may place, and a holder that is not heard of loses it in
  * the transaction that raises the epoch. Two controllers and a state service in this process. */
 #include "../../jobs/tests/books.h"
+#include "../../jobs/tests/earlier.h"
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
 #include "blocks/blocks.h"
@@ -293,6 +294,20 @@
     return 0;
 }
 
+/* What stands at the key is what the version before writes, but for the name of the process. */
+static void assert_written_as_before(const char *key, const char *digits)
+{
+    static const char boot[] = "64626f6f7470"; /* a text of 16 bytes, named "boot" */
+    const int boot_digits = 32;
+    char *written = fake_state_hex(state, key);
+    char *name = strstr(written, boot);
+
+    assert_non_null(name);
+    memset(name + strlen(boot), '0', (size_t)boot_digits);
+    assert_string_equal(written, digits);
+    g_free(written);
+}
+
 static void leases_and_takes_back(void **arg)
 {
     struct pm_machine *m;
@@ -301,6 +316,9 @@
     (void)arg;
     write_job(&leader, "job-1", false);
     assert_true(fake_run_until(loop, is_granted, NULL));
+    assert_written_as_before("p/epoch", EARLIER_EPOCH);
+    assert_written_as_before("p/lead", EARLIER_LEAD);
+    assert_written_as_before("p/b/n1", EARLIER_BLOCK);
     /* The job and its parallelism came with the machine; the leader counts it as delegated. */
     assert_int_equal(pm_jobs_find(holder.jobs, "job-1")->parallelism, 2);
     assert_true(pm_jobs_find(leader.jobs, "job-1")->delegated);
--- a/src/jobs/tests/earlier.h
+++ b/src/jobs/tests/earlier.h
@@ -38,6 +38,27 @@
 
 #define EARLIER_CANCEL_CALL "0a026e32109d031a0a0a056a6f622d31109d03"
 
+/* Keys that any version writes; the name of the process ("boot"), which is never the same twice, is
+ * all zeros here. */
+
+#define EARLIER_EPOCH                                                                              \
+    "bf6565706f636801666c6561646572626e3064626f6f747000000000000000000000000000000000"             \
+    "ff"
+
+#define EARLIER_LEAD "bf666c6561646572626e3064626f6f747000000000000000000000000000000000ff"
+
+#define EARLIER_BLOCK                                                                              \
+    "bf64626f6f7470000000000000000000000000000000006673657269616c0165686f7374739fbf64"             \
+    "686f737468692d30303030303168656e64706f696e746b3132372e302e302e313a39656d6f64656c"             \
+    "62673864726f6f6d616168626f72726f776564f565736869667401ffff646a6f62739fbf62696465"             \
+    "6a6f622d3165776964746802ffffff"
+
+#define EARLIER_LEDGER                                                                             \
+    "bf63646179fb41d954fc42a00000657465616d73bf66766973696f6efb4058000000000000667370"             \
+    "65656368fb4029000000000000ff656865617264bf6162fb41d954fc40200000ff657461626c659f"             \
+    "66696d672d3037fb4018cccccccccccd66696d672d3038fb3ff0000000000000ff66696d61676573"             \
+    "bf68692d3030303233319f0001ffffff"
+
 /* Of protocol version 2, the first with dependencies: what version 1 does not write. */
 
 #define VERSION_2_JOB                                                                              \
--- /dev/null
+++ b/src/placement/tests/test_ledger.c
@@ -0,0 +1,75 @@
+/* The ledger's value in the state service, as earlier versions write it. */
+#include "../../jobs/tests/books.h"
+#include "../../jobs/tests/earlier.h"
+#include "placement/plan.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+/* The version before wrote it; this one takes over the teams' totals and the images from it, and,
+ * asked at the same time, writes the same, byte for byte. */
+static void reads_and_writes_as_the_version_before(void **state)
+{
+    const double now = 100;
+    const double day = 1700000010.5;
+    struct pm_settings settings = {0};
+    struct pm_name_tables tables;
+    struct pm_operator op;
+    struct pm_jobs *jobs;
+    struct pm_workers *workers;
+    struct pm_plan *plan;
+    struct pm_machine *machine;
+    struct pm_buf out = {0};
+    size_t size;
+    unsigned char *bytes = earlier_bytes(EARLIER_LEDGER, &size);
+    cbor_item_t *value = pm_cbor_parse(bytes, size);
+
+    (void)state;
+    assert_non_null(value);
+    pm_operator_defaults(&op);
+    books_begin(&tables, &settings);
+    settings.value_kb = 4;
+    settings.teams = 2;
+    g_strlcpy(settings.team[0].name, "vision", sizeof settings.team[0].name);
+    g_strlcpy(settings.team[1].name, "speech", sizeof settings.team[1].name);
+    settings.zones = 2;
+    g_strlcpy(settings.zone_name[0], "a", sizeof settings.zone_name[0]);
+    g_strlcpy(settings.zone_name[1], "b", sizeof settings.zone_name[1]);
+    jobs = pm_jobs_new(&tables);
+    workers = pm_workers_new(&tables, jobs, BOOKS_HOOKS);
+    plan = pm_plan_new(&tables, jobs, workers, &op);
+    machine = pm_workers_add(workers, "i-000231");
+    pm_workers_set_type(workers, machine, 0);
+    machine->zone = 1;
+    machine->reported = true;
+    machine->heard = now - 10;
+    machine->state = PM_UP;
+    pm_plan_read_ledger(plan, value);
+    pm_plan_read_images(plan, value);
+    assert_int_equal(machine->ncached, 2);
+    assert_string_equal(pm_names_text(tables.images, machine->cached[0].image), "img-07");
+    assert_true(machine->cached[0].gb == 6.2);
+    assert_true(pm_plan_ratio(plan, 0) > pm_plan_ratio(plan, 1));
+    pm_plan_write_ledger(plan, now, day, &out);
+    assert_int_equal(out.size, size);
+    assert_memory_equal(out.data, bytes, size);
+    pm_cbor_free(value);
+    g_free(bytes);
+    pm_buf_free(&out);
+    pm_plan_free(plan);
+    pm_workers_free(workers);
+    pm_jobs_free(jobs);
+    books_end(&tables);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(reads_and_writes_as_the_version_before),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/store/tests/fake_state.c
+++ b/src/store/tests/fake_state.c
@@ -400,6 +400,16 @@
     pm_buf_free(&s->late);
 }
 
+char *fake_state_hex(const struct fake_state *s, const char *key)
+{
+    const struct value *value = g_tree_lookup(s->keys, key);
+    GString *out = g_string_new("");
+
+    for (size_t i = 0; value && i < value->data.size; i++)
+        g_string_append_printf(out, "%02x", value->data.data[i]);
+    return g_string_free(out, FALSE);
+}
+
 int fake_state_txns(const struct fake_state *s)
 {
     return s->txns;
--- a/src/store/tests/fake_state.h
+++ b/src/store/tests/fake_state.h
@@ -34,6 +34,8 @@
 void fake_state_deliver(struct fake_state *state);
 /* Ends all holds, and drops their keys. */
 void fake_state_lapse(struct fake_state *state);
+/* The value of a key in hexadecimal digits, "" if there is no such key; owned by the caller. */
+char *fake_state_hex(const struct fake_state *state, const char *key);
 int fake_state_txns(const struct fake_state *state);
 
 /* A free loopback port, and running the loop until `done` says so (false: never within a minute).
