Tests: one way to tell a value, one set of name tables

test_dependencies.c parsed, told and freed a value in four places, and the traces set up and freed the name tables that books.h does. One function serves each now; parsing is asserted in all four.

--- a/src/jobs/tests/books.h
+++ b/src/jobs/tests/books.h
@@ -7,6 +7,16 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Empty tables of names. */
+static inline void books_make_names(struct pm_name_tables *tables)
+{
+    tables->classes = pm_names_new();
+    tables->images = pm_names_new();
+    tables->types = pm_names_new();
+    tables->machines = pm_names_new();
+    tables->dependency_ids = pm_names_new();
+}
+
 static inline void books_begin(struct pm_name_tables *tables, struct pm_settings *settings)
 {
     memset(tables, 0, sizeof *tables);
@@ -19,11 +29,7 @@
     settings->zones = 1;
     strcpy(settings->zone_name[0], "a");
     tables->settings = settings;
-    tables->classes = pm_names_new();
-    tables->images = pm_names_new();
-    tables->types = pm_names_new();
-    tables->machines = pm_names_new();
-    tables->dependency_ids = pm_names_new();
+    books_make_names(tables);
     pm_names_add(tables->types, "g8");
     tables->type[0] = (struct pm_type){.cpus = 16, .ram_gb = 64, .zones = 1};
     tables->ntypes = 1;
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -29,7 +29,7 @@
 static struct pm_jobs *jobs;
 static struct pm_workers *workers;
 static struct pm_commit *commit;
-static struct pm_api *intake;
+static struct pm_api *api;
 static struct pm_cancels *cancels;
 static int durable, doubts;
 static char front_addr[64];
@@ -86,7 +86,7 @@
 static void on_front(void *arg, struct pm_http_request *req)
 {
     (void)arg;
-    pm_api_request(intake, req);
+    pm_api_request(api, req);
 }
 
 static bool is_ready(void *arg)
@@ -116,7 +116,7 @@
     settings.size = 1;
     cancels = pm_cancels_new(loop, store, http, &settings,
                              &(struct pm_cancels_hooks){on_cancelled, NULL});
-    intake = pm_api_new(loop, store, jobs, &tables, cancels, &op);
+    api = pm_api_new(loop, store, jobs, &tables, cancels, &op);
     do {
         snprintf(front_addr, sizeof front_addr, "127.0.0.1:%d", fake_free_port());
         front = pm_http_server_new(loop, front_addr, 64, on_front, NULL);
@@ -314,7 +314,7 @@
     /* Not every controller is known to read dependencies: another time. */
     assert_int_equal(submit_after("job-2", "job-1").status, 503);
     assert_int_equal(submit_after("job-3", "").status, 201); /* names none */
-    pm_api_enable_dependencies(intake, true);
+    pm_api_enable_dependencies(api, true);
     assert_int_equal(submit_after("job-2", "job-1 job-1 job-3").status, 201);
     assert_int_equal(submit_after("job-4", "job-9").status, 422); /* never accepted */
     assert_int_equal(submit_after("job-9", "job-9").status, 422);
@@ -351,7 +351,7 @@
     assert_int_equal(submit("job-1").status, 201);
     assert_int_equal(submit_with("job-2", "\xf6", 1).status, 201); /* null, the feature is off */
     for (int enabled = 0; enabled < 2; enabled++) {
-        pm_api_enable_dependencies(intake, enabled);
+        pm_api_enable_dependencies(api, enabled);
         for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
             assert_int_equal(submit_with("job-3", malformed[i].cbor, malformed[i].size).status,
                              400);
@@ -376,7 +376,7 @@
     GString *names = g_string_new("job-1");
 
     (void)arg;
-    pm_api_enable_dependencies(intake, true);
+    pm_api_enable_dependencies(api, true);
     assert_int_equal(submit("job-1").status, 201);
     for (int i = 0; i < 2000; i++)
         g_string_append(names, " job-1");
@@ -398,7 +398,7 @@
 static void one_write_cancels_a_chain(void **arg)
 {
     (void)arg;
-    pm_api_enable_dependencies(intake, true);
+    pm_api_enable_dependencies(api, true);
     assert_int_equal(submit("job-1").status, 201);
     assert_int_equal(submit_after("job-2", "job-1").status, 201);
     assert_int_equal(submit_after("job-3", "job-2").status, 201);
@@ -442,7 +442,7 @@
     char id[32];
 
     (void)arg;
-    pm_api_enable_dependencies(intake, true);
+    pm_api_enable_dependencies(api, true);
     settings.value_kb = 1;
     settings.txn_ops = 3;
     for (int i = 0; i < 60; i++) {
--- a/src/jobs/tests/test_dependencies.c
+++ b/src/jobs/tests/test_dependencies.c
@@ -37,6 +37,28 @@
     return 0;
 }
 
+/* The state service tells this value of the key. Returns the job that it changed. */
+static struct pm_job *put_value(const char *key, uint64_t at, const unsigned char *bytes,
+                                size_t size)
+{
+    cbor_item_t *value = pm_cbor_parse(bytes, size);
+    struct pm_job *job;
+
+    assert_non_null(value);
+    job = pm_jobs_put(jobs, key, value, at);
+    pm_cbor_free(value);
+    return job;
+}
+
+static void put_job_value(const char *id, uint64_t at, struct pm_buf *buf)
+{
+    char key[64];
+
+    snprintf(key, sizeof key, "p/j/%s", id);
+    put_value(key, at, buf->data, buf->size);
+    pm_buf_free(buf);
+}
+
 /* The value of a job, told at `at`: live, with what it awaits, or its final state. */
 static struct pm_job *tell_at(uint64_t at, const char *id, const char *awaits,
                               enum pm_priority priority, double due_s, enum pm_job_state state)
@@ -51,9 +73,7 @@
                            .priority = priority};
     GPtrArray *ids = g_ptr_array_new();
     char **each = g_strsplit(awaits, " ", -1);
-    char key[64];
     struct pm_buf buf = {0};
-    cbor_item_t *value;
 
     for (char **one = each; *one && **one; one++)
         g_ptr_array_add(ids, *one);
@@ -62,11 +82,7 @@
     spec.class_index = pm_names_add(tables.classes, "train");
     spec.image = pm_names_add(tables.images, "img");
     pm_jobs_write(&tables, &spec, 2, state, state == PM_LIVE, &buf);
-    value = pm_cbor_parse(buf.data, buf.size);
-    snprintf(key, sizeof key, "p/j/%s", id);
-    pm_jobs_put(jobs, key, value, at);
-    pm_cbor_free(value);
-    pm_buf_free(&buf);
+    put_job_value(id, at, &buf);
     g_free(spec.dependencies);
     g_strfreev(each);
     g_ptr_array_free(ids, TRUE);
@@ -97,27 +113,17 @@
 {
     const struct pm_job done = {.entries = 2, .ended = day};
     struct pm_buf buf = {0};
-    char key[64];
-    cbor_item_t *value;
 
     pm_jobs_write_done(&tables, &done, false, &buf);
-    value = pm_cbor_parse(buf.data, buf.size);
-    snprintf(key, sizeof key, "p/j/%s", id);
-    pm_jobs_put(jobs, key, value, ++revision);
-    pm_cbor_free(value);
-    pm_buf_free(&buf);
+    put_job_value(id, ++revision, &buf);
 }
 
 static struct pm_job *put_earlier(const char *key, const char *digits)
 {
     size_t size;
     unsigned char *bytes = earlier_bytes(digits, &size);
-    cbor_item_t *value = pm_cbor_parse(bytes, size);
-    struct pm_job *job;
+    struct pm_job *job = put_value(key, ++revision, bytes, size);
 
-    assert_non_null(value);
-    job = pm_jobs_put(jobs, key, value, ++revision);
-    pm_cbor_free(value);
     g_free(bytes);
     return job;
 }
@@ -443,7 +449,6 @@
  * but not started, and lists beside it don't change that. */
 static void with_unreadable_needs_it_waits(void **state)
 {
-    cbor_item_t *value;
     struct pm_job *job;
     size_t size;
     unsigned char *bytes = earlier_bytes(VERSION_2_JOB, &size);
@@ -452,9 +457,7 @@
     (void)state;
     assert_non_null(name);
     name[0] = 'J'; /* no id of the known form */
-    value = pm_cbor_parse(bytes, size);
-    job = pm_jobs_put(jobs, "p/j/job-1", value, ++revision);
-    pm_cbor_free(value);
+    job = put_value("p/j/job-1", ++revision, bytes, size);
     g_free(bytes);
     assert_non_null(job);
     assert_int_equal(pm_job_waiting(job), 0);
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -2,6 +2,7 @@
  * arrives, line by line; lines that begin with "> " are what the replica must say in return. The
  * first word of a line is a function below; blank lines and those that begin with # are for the
  * reader. Time comes from the trace, so the verdict is always the same. */
+#include "../../jobs/tests/books.h"
 #include "base/protocol.h"
 #include "placement/plan.h"
 
@@ -56,11 +57,7 @@
     strcpy(w->settings.zone_name[0], "east");
     strcpy(w->settings.zone_name[1], "west");
     w->tables.settings = &w->settings;
-    w->tables.classes = pm_names_new();
-    w->tables.images = pm_names_new();
-    w->tables.types = pm_names_new();
-    w->tables.machines = pm_names_new();
-    w->tables.dependency_ids = pm_names_new();
+    books_make_names(&w->tables);
     w->jobs = pm_jobs_new(&w->tables);
     w->workers =
         pm_workers_new(&w->tables, w->jobs, &(struct pm_workers_hooks){on_ended, on_ran, w});
@@ -76,11 +73,7 @@
     pm_plan_free(w->plan);
     pm_workers_free(w->workers);
     pm_jobs_free(w->jobs);
-    pm_names_free(w->tables.classes);
-    pm_names_free(w->tables.images);
-    pm_names_free(w->tables.types);
-    pm_names_free(w->tables.machines);
-    pm_names_free(w->tables.dependency_ids);
+    books_end(&w->tables);
     g_string_free(w->said, TRUE);
 }
 
