--- a/src/blocks/lend.c
+++ b/src/blocks/lend.c
@@ -15,7 +15,7 @@
 {
     const struct pm_spec *spec = job->spec;
 
-    return job->state == PM_LIVE && spec && spec->form == PM_ARRAY && spec->spot && !job->open &&
+    return job->state == PM_LIVE && spec && spec->form == PM_ARRAY && spec->spot && !job->unmet &&
            job->priority != PM_PRODUCTION && job->priority != PM_BEST_EFFORT && !spec->same_place &&
            !spec->spread && !job->away && !job->nplaced && !job->ndone && !job->tried;
 }
--- a/src/cmd/plan-bench/main.c
+++ b/src/cmd/plan-bench/main.c
@@ -74,11 +74,11 @@
         GPtrArray *ids = g_ptr_array_new();
         snprintf(text, sizeof text, "job-%06d", before);
         g_ptr_array_add(ids, text);
-        pm_spec_await(&books, &spec, ids);
+        pm_spec_set_dependencies(&books, &spec, ids);
         g_ptr_array_free(ids, TRUE);
     }
     pm_jobs_write(&books, &spec, spec.entries, PM_LIVE, true, &buf);
-    g_free(spec.awaits);
+    g_free(spec.dependencies);
     value = pm_cbor_parse(buf.data, buf.size);
     snprintf(text, sizeof text, "p/j/job-%06d", n);
     pm_jobs_put(jobs, text, value, ++stamp);
@@ -141,7 +141,7 @@
     books.images = pm_names_new();
     books.types = pm_names_new();
     books.machines = pm_names_new();
-    books.awaited = pm_names_new();
+    books.dependency_ids = pm_names_new();
     pm_names_add(books.types, "small");
     pm_names_add(books.types, "large");
     books.type[0] = (struct pm_type){.cpus = 4, .ram_gb = 32, .local_gb = 35, .pull_gb_per_s = 0.2};
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -4,6 +4,7 @@
  * lock. */
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/protocol.h"
 #include "parts.h"
 
 #include <errno.h>
@@ -278,9 +279,11 @@
 
     if (!strcmp(key, "p/epoch") || !strcmp(key, "p/lead") || !strncmp(key, "p/speaks", 8)) {
         pm_lead_put(n->lead, key, value, stamp);
-        pm_intake_set_chains(n->intake, pm_lead_all_speak(n->lead) >= 2);
-        n->books.reads_halves = pm_lead_all_speak(n->lead) >= 2;
-        n->books.halves |= n->books.reads_halves && n->settings->value_kb < WHOLE_KB;
+        n->books.protocol_version = pm_lead_protocol_version(n->lead);
+        pm_intake_enable_dependencies(n->intake,
+                                      n->books.protocol_version >= PM_PROTOCOL_DEPENDENCIES);
+        n->books.halves |= n->books.protocol_version >= PM_PROTOCOL_DEPENDENCIES &&
+                           n->settings->value_kb < WHOLE_KB;
     } else if (!strncmp(key, "p/b/", 4)) {
         n->blocks_changed |= n->ruling;
         pm_blocks_put(n->blocks, key, value, stamp);
@@ -421,7 +424,7 @@
     n->books.images = pm_names_new();
     n->books.types = pm_names_new();
     n->books.machines = pm_names_new();
-    n->books.awaited = pm_names_new();
+    n->books.dependency_ids = pm_names_new();
     g_mutex_init(&n->lock);
     ev_set_userdata(loop, n);
     ev_set_loop_release_cb(loop, before_wait, after_wait);
--- a/src/cmd/pumicemount/planning.c
+++ b/src/cmd/pumicemount/planning.c
@@ -91,7 +91,7 @@
         grounds.block_key = n->block_key;
         grounds.block_stamp = pm_blocks_mine(n->blocks);
     }
-    next = pm_commit_run(n->commit, &grounds, now);
+    next = pm_commit_run(n->commit, &grounds, now, pm_clock_day());
     ev_timer_stop(n->loop, &n->commit_timer);
     if (next > 0) {
         ev_timer_set(&n->commit_timer, MAX(next - now, 0.002), 0.);
--- a/src/intake/intake.c
+++ b/src/intake/intake.c
@@ -19,7 +19,7 @@
     enum kind kind;
     char id[PM_ID_MAX];
     struct pm_spec *spec;     /* of a submission */
-    GPtrArray *awaits;        /* ids that it names as to be done before, NULL: none */
+    GPtrArray *dependencies;  /* ids of the jobs that it names as needed, NULL: none */
     uint32_t listed, writing; /* p/n values that are written, and will be then */
     double arrived;
     int tries;
@@ -38,7 +38,7 @@
     struct pm_jobs *jobs;
     struct pm_books *books;
     struct pm_cancels *cancels;
-    bool chains;
+    bool dependencies_enabled;
     struct pm_limit *limit;
     GQueue queue; /* of items to be written */
     int in_flight;
@@ -51,8 +51,8 @@
 static void item_free(struct item *item)
 {
     pm_spec_free(item->spec);
-    if (item->awaits)
-        g_ptr_array_free(item->awaits, TRUE);
+    if (item->dependencies)
+        g_ptr_array_free(item->dependencies, TRUE);
     g_free(item);
 }
 
@@ -157,49 +157,63 @@
     return n;
 }
 
-/* What a new job names as to be done before it: jobs that were accepted, as far as the state
- * service knows by now, and that come to an end. Names that hold become indices. False: the item
- * was answered, or waits for the replica. */
-static bool settle_awaits(struct item *item)
+/* Why the new job can't be kept or can never run, as far as the replica knows: what it needs has to
+ * be accepted, and to come to an end. NULL: nothing is against it. */
+static const char *find_fault(struct item *item)
 {
-    struct pm_intake *in = item->intake;
+    const struct pm_intake *in = item->intake;
 
+    if (!item->size)
+        item->size = value_size(item);
     /* A value that can't be kept would have all that is written with it refused. */
-    if (!item->size && (item->size = value_size(item)) > in->books->settings->value_kb * 1024) {
-        refuse(item, "too large to be kept");
-        return false;
-    }
-
-    for (guint i = 0; item->awaits && i < item->awaits->len; i++) {
-        const char *id = g_ptr_array_index(item->awaits, i);
+    if ((double)item->size > in->books->settings->value_kb * 1024)
+        return "too large to be kept";
+    for (guint i = 0; item->dependencies && i < item->dependencies->len; i++) {
+        const char *id = g_ptr_array_index(item->dependencies, i);
         const struct pm_job *job = pm_jobs_find(in->jobs, id);
-        if (!strcmp(id, item->id)) {
-            refuse(item, "it awaits itself");
-            return false;
-        }
-        if (job && job->spec && job->spec->form == PM_SERVICE) {
-            refuse(item, "it awaits a service");
-            return false;
-        }
-        if (!job && !item->fresh) {
-            pm_store_fresh(in->store, on_fresh, item);
-            return false;
-        }
-        if (!job) {
-            refuse(item, "it awaits a job that was never accepted");
-            return false;
-        }
+        if (!strcmp(id, item->id))
+            return "it needs itself";
+        if (job && job->spec && job->spec->form == PM_SERVICE)
+            return "it needs a service";
+        if (!job)
+            return "it needs a job that was never accepted";
     }
-    if (item->awaits && !item->spec->awaits) {
-        pm_spec_await(in->books, item->spec, item->awaits);
-        item->spec->lists = pm_spec_lists(in->books, item->spec, item->size);
+    return NULL;
+}
+
+/* Ids of jobs that are known to exist become indices. */
+static void index_dependencies(struct item *item)
+{
+    struct pm_intake *in = item->intake;
+
+    if (!item->dependencies || item->spec->dependencies)
+        return;
+    pm_spec_set_dependencies(in->books, item->spec, item->dependencies);
+    item->spec->overflow_lists = pm_spec_overflow_lists(in->books, item->spec, item->size);
+}
+
+/* Judges a job that is not known. A fault is final only once the replica is as new as the question:
+ * what it needs may have been accepted just now, and so may the job itself, by a controller whose
+ * limits were others. False: the item was answered, or waits for the replica. */
+static bool check_new_job(struct item *item)
+{
+    const char *fault = find_fault(item);
+
+    if (!fault) {
+        index_dependencies(item);
+        return true;
     }
-    return true;
+    if (item->fresh)
+        refuse(item, fault);
+    else
+        pm_store_fresh(item->intake->store, on_fresh, item);
+    return false;
 }
 
 static void decide(struct item *item);
 
-static void on_lists_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_overflow_lists_written(void *arg, int status, uint64_t edition,
+                                      const cbor_item_t *failed)
 {
     struct item *item = arg;
 
@@ -216,23 +230,23 @@
 
 /* More names than the job's value holds: they go first, and count for nothing until that is there.
  * A repeat writes the same again. */
-static void write_lists(struct item *item)
+static void write_overflow_lists(struct item *item)
 {
     struct pm_intake *in = item->intake;
     struct pm_txn txn = {0};
     uint32_t k = item->listed;
     char key[64];
 
-    for (; k < item->spec->lists && txn.nwrites < in->books->settings->txn_ops &&
+    for (; k < item->spec->overflow_lists && txn.nwrites < in->books->settings->txn_ops &&
            txn.writes.size < 40 * 1024;
          k++) {
         snprintf(key, sizeof key, "p/n/%s/%u", item->id, k);
         pm_txn_put(&txn, key);
-        pm_jobs_write_list(in->books, item->spec, k, &txn.writes);
+        pm_jobs_write_overflow_list(in->books, item->spec, k, &txn.writes);
         pm_txn_put_end(&txn, 0);
     }
     item->writing = k;
-    pm_store_commit(in->store, &txn, on_lists_written, item);
+    pm_store_commit(in->store, &txn, on_overflow_lists_written, item);
 }
 
 /* Answers what can be answered, and sends the rest on its way. */
@@ -246,14 +260,14 @@
         return;
     }
     if (!job && item->kind == SUBMIT) {
-        if (item->awaits && !in->chains) {
+        if (item->dependencies && !in->dependencies_enabled) {
             reply_unsure(item, 2);
             return;
         }
-        if (!settle_awaits(item))
+        if (!check_new_job(item))
             return;
-        if (item->listed < item->spec->lists) {
-            write_lists(item);
+        if (item->listed < item->spec->overflow_lists) {
+            write_overflow_lists(item);
             return;
         }
         /* Written on the condition that the key does not exist: that is the freshest check. */
@@ -448,7 +462,7 @@
 {
     cbor_item_t *body = pm_cbor_parse(req->body, req->body_size);
     struct pm_spec spec;
-    GPtrArray *awaits = NULL;
+    GPtrArray *dependencies = NULL;
     char id[PM_ID_MAX] = "";
     const char *why = "not CBOR";
     struct item *item;
@@ -459,7 +473,7 @@
         bool known = !pm_cbor_text(pm_cbor_get(body, "name_id"), id, sizeof id) &&
                      pm_jobs_find(in->jobs, id);
         status = known ? 200 : pm_jobs_read(in->books, body, id, &spec, &why);
-        if (!known && status == 200 && pm_jobs_read_awaits(body, &awaits)) {
+        if (!known && status == 200 && pm_jobs_read_dependencies(body, &dependencies)) {
             status = 400;
             why = "awaits";
         }
@@ -475,11 +489,11 @@
         return;
     }
     if (!(item = item_new(in, req, SUBMIT, id))) {
-        if (awaits)
-            g_ptr_array_free(awaits, TRUE);
+        if (dependencies)
+            g_ptr_array_free(dependencies, TRUE);
         return;
     }
-    item->awaits = awaits;
+    item->dependencies = dependencies;
     item->spec = g_new(struct pm_spec, 1);
     *item->spec = spec;
     item->spec->submitted = pm_clock_day();
@@ -572,9 +586,9 @@
     return in;
 }
 
-void pm_intake_set_chains(struct pm_intake *in, bool known)
+void pm_intake_enable_dependencies(struct pm_intake *in, bool enabled)
 {
-    in->chains = known;
+    in->dependencies_enabled = enabled;
 }
 
 void pm_intake_free(struct pm_intake *in)
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -34,7 +34,7 @@
                                 const struct pm_operator *op);
 /* Whether every controller knows job chains: until then a submission that names others is turned
  * away for now. */
-void pm_intake_set_chains(struct pm_intake *intake, bool known);
+void pm_intake_enable_dependencies(struct pm_intake *intake, bool enabled);
 void pm_intake_free(struct pm_intake *intake);
 /* Takes a request whose path is /work or below, and answers it now or later. */
 void pm_intake_request(struct pm_intake *intake, struct pm_http_request *req);
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -1,6 +1,7 @@
 #include "jobs/commit.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/protocol.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -17,6 +18,7 @@
     uint64_t round;
     int in_flight;
     double lazy_since; /* the oldest change that no launch waits for, 0: none */
+    double day;        /* time of day of the run under way */
 };
 
 struct mark { /* an intent that the transaction makes durable */
@@ -110,7 +112,8 @@
     }
     if (status == 400) { /* too large, most likely: not to be sent again unchanged */
         pm_error("commit.refused", "the state service refuses p/t/%s/%d", part->job->id, part->k);
-        c->books->halves |= part->half < 0 && c->books->reads_halves;
+        c->books->halves |=
+            part->half < 0 && c->books->protocol_version >= PM_PROTOCOL_DEPENDENCIES;
         /* Of several in one transaction it is not known which: each goes alone next time. */
         if (chunk->alone)
             chunk->refused = content_of(c, part->job, part->k);
@@ -136,7 +139,7 @@
         struct pm_job *job = part->job;
         if (part->k == LISTS) {
             if (status == 200 && job->spec)
-                job->spec->lists = MIN(job->spec->lists, (uint32_t)part->half);
+                job->spec->overflow_lists = MIN(job->spec->overflow_lists, (uint32_t)part->half);
             continue;
         }
         if (part->k < 0) {
@@ -305,7 +308,7 @@
     enum pm_job_state end = job->state == PM_LIVE ? PM_DONE : job->state;
     char key[64];
     bool busy, fits;
-    int values = values_written(job, &busy) + (int)job->spec->lists;
+    int values = values_written(job, &busy) + (int)job->spec->overflow_lists;
 
     if (busy || room < 1)
         return false;
@@ -316,7 +319,12 @@
     if (fits || job->state == PM_LIVE || job->inferred) {
         job_key(job, key, sizeof key);
         pm_txn_put(&f->txn, key);
-        pm_jobs_write(c->books, job->spec, job->entries, end, !fits, &f->txn.writes);
+        if (end == PM_DONE) {
+            job->ended = job->ended > 0 ? job->ended : c->day;
+            pm_jobs_write_done(c->books, job, !fits, &f->txn.writes);
+        } else {
+            pm_jobs_write(c->books, job->spec, job->entries, end, !fits, &f->txn.writes);
+        }
         pm_txn_put_end(&f->txn, 0);
         room--;
     }
@@ -324,7 +332,7 @@
     job->final_in_flight = true;
     if (!fits && (job->state == PM_LIVE || job->inferred))
         return true; /* what it needs, and what ran, goes once the end itself is there */
-    for (uint32_t n = job->spec->lists; n > 0 && room > 0; n--, room--) {
+    for (uint32_t n = job->spec->overflow_lists; n > 0 && room > 0; n--, room--) {
         snprintf(key, sizeof key, "p/n/%s/%u", job->id, n - 1);
         pm_txn_drop(&f->txn, key);
         g_array_append_vals(f->parts, &(struct part){job, LISTS, (int)n - 1, true}, 1);
@@ -427,10 +435,11 @@
     return pm_store_room(c->store, now) >= 0.3 * c->books->settings->state_write_rps;
 }
 
-double pm_commit_run(struct pm_commit *c, const struct pm_grounds *grounds, double now)
+double pm_commit_run(struct pm_commit *c, const struct pm_grounds *grounds, double now, double day)
 {
     int txn_ops = c->books->settings->txn_ops;
 
+    c->day = day;
     for (;;) {
         int room = MIN(pm_store_room(c->store, now), txn_ops), lazy = 0;
         double next = 0;
--- a/src/jobs/commit.h
+++ b/src/jobs/commit.h
@@ -24,9 +24,10 @@
     const char *block_key; /* NULL for the leader, whose block is what it has not leased out */
     uint64_t block_stamp;
 };
-/* Sends what is due and what the write budget has room for. Returns the steady time at which to
- * call again, 0 when nothing waits. */
-double pm_commit_run(struct pm_commit *commit, const struct pm_grounds *grounds, double now);
+/* Sends what is due and what the write budget has room for; `day` is the time of day. Returns the
+ * steady time at which to call again, 0 when nothing waits. */
+double pm_commit_run(struct pm_commit *commit, const struct pm_grounds *grounds, double now,
+                     double day);
 /* Answers to transactions under way are no longer ours to read: on losing the lead. */
 void pm_commit_reset(struct pm_commit *commit);
 
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -1,5 +1,6 @@
-#include "jobs/chains.h"
+#include "jobs/dependencies.h"
 #include "base/log.h"
+#include "base/protocol.h"
 
 #include <ctype.h>
 #include <math.h>
@@ -16,7 +17,7 @@
     struct pm_books *books;
     GHashTable *by_id; /* owns the jobs */
     GPtrArray *active;
-    struct pm_chains *chains;
+    struct pm_dependency_graph *dependencies;
     bool away;
     GArray *cancelled;   /* of struct pm_cancelled */
     GHashTable *lists;   /* id to GPtrArray of GPtrArray of ids: the p/n values, by K */
@@ -61,7 +62,7 @@
 void pm_spec_free(struct pm_spec *spec)
 {
     if (spec)
-        g_free(spec->awaits);
+        g_free(spec->dependencies);
     g_free(spec);
 }
 
@@ -81,7 +82,7 @@
     jobs->books = books;
     jobs->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
     jobs->active = g_ptr_array_new();
-    jobs->chains = pm_chains_new(books);
+    jobs->dependencies = pm_dependencies_new(books);
     jobs->cancelled = g_array_new(FALSE, FALSE, sizeof(struct pm_cancelled));
     jobs->lists =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
@@ -93,7 +94,7 @@
 {
     g_hash_table_destroy(jobs->by_id);
     g_ptr_array_free(jobs->active, TRUE);
-    pm_chains_free(jobs->chains);
+    pm_dependencies_free(jobs->dependencies);
     g_array_free(jobs->cancelled, TRUE);
     g_hash_table_destroy(jobs->unknown);
     g_hash_table_destroy(jobs->lists);
@@ -138,7 +139,7 @@
         g_hash_table_insert(jobs->unknown, g_strdup(id), g_memdup2(&stamp, sizeof stamp));
     }
     note_cancelled(jobs, id, stamp);
-    pm_chains_cancelled(jobs->chains, id, infer_cancelled, &stamp);
+    pm_dependencies_cancelled(jobs->dependencies, id, infer_cancelled, &stamp);
     return true;
 }
 
@@ -334,7 +335,7 @@
     return false;
 }
 
-int pm_jobs_read_awaits(const cbor_item_t *body, GPtrArray **out)
+int pm_jobs_read_dependencies(const cbor_item_t *body, GPtrArray **out)
 {
     const cbor_item_t *list = pm_cbor_get(body, "awaits");
     GHashTable *seen;
@@ -363,12 +364,12 @@
     return 0;
 }
 
-void pm_spec_await(struct pm_books *books, struct pm_spec *spec, const GPtrArray *ids)
+void pm_spec_set_dependencies(struct pm_books *books, struct pm_spec *spec, const GPtrArray *ids)
 {
-    spec->awaits = g_new(int, ids->len);
-    spec->nawaits = ids->len;
+    spec->dependencies = g_new(int, ids->len);
+    spec->ndependencies = ids->len;
     for (guint i = 0; i < ids->len; i++)
-        spec->awaits[i] = pm_names_add(books->awaited, g_ptr_array_index(ids, i));
+        spec->dependencies[i] = pm_names_add(books->dependency_ids, g_ptr_array_index(ids, i));
 }
 
 int pm_jobs_read(struct pm_books *books, const cbor_item_t *body, char *id, struct pm_spec *spec,
@@ -416,12 +417,15 @@
 
 /* ---- values of p/j ---- */
 
-void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
-                   enum pm_job_state state, bool full, struct pm_buf *out)
+/* `ended`: the time of day at which it was done, 0: not to be written. */
+static void write_value(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
+                        enum pm_job_state state, bool full, double ended, struct pm_buf *out)
 {
     pm_put_map(out);
     pm_put_pair_text(out, "now", state_names[state]);
     pm_put_pair_count(out, "entries", entries);
+    if (ended > 0)
+        pm_put_pair_number(out, "ended", ended);
     if (full) {
         pm_put_pair_text(out, "ledger", pm_names_text(books->classes, spec->class_index));
         pm_put_pair_text(out, "desk", books->settings->team[spec->team].name);
@@ -450,13 +454,13 @@
         }
         if (spec->zone >= 0)
             pm_put_pair_text(out, "room", books->settings->zone_name[spec->zone]);
-        if (spec->lists)
-            pm_put_pair_count(out, "lists", spec->lists);
-        else if (spec->nawaits) {
+        if (spec->overflow_lists)
+            pm_put_pair_count(out, "lists", spec->overflow_lists);
+        else if (spec->ndependencies) {
             pm_put_text(out, "awaits");
             pm_put_list(out);
-            for (uint32_t i = 0; i < spec->nawaits; i++)
-                pm_put_text(out, pm_names_text(books->awaited, spec->awaits[i]));
+            for (uint32_t i = 0; i < spec->ndependencies; i++)
+                pm_put_text(out, pm_names_text(books->dependency_ids, spec->dependencies[i]));
             pm_put_end(out);
         }
         pm_put_pair_number(out, "at", spec->submitted);
@@ -464,6 +468,20 @@
     pm_put_end(out);
 }
 
+void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
+                   enum pm_job_state state, bool full, struct pm_buf *out)
+{
+    write_value(books, spec, entries, state, full, 0, out);
+}
+
+void pm_jobs_write_done(const struct pm_books *books, const struct pm_job *job, bool full,
+                        struct pm_buf *out)
+{
+    bool says_when = books->protocol_version >= PM_PROTOCOL_END_TIMES;
+
+    write_value(books, job->spec, job->entries, PM_DONE, full, says_when ? job->ended : 0, out);
+}
+
 static void activate(struct pm_jobs *jobs, struct pm_job *job)
 {
     if (!job->listed) {
@@ -500,34 +518,34 @@
     return stamp;
 }
 
-static struct pm_chains_fate find_fate(void *arg, const char *id)
+static struct pm_dependency_outcome find_outcome(void *arg, const char *id)
 {
     struct pm_jobs *jobs = arg;
 
-    return (struct pm_chains_fate){pm_jobs_find(jobs, id), pm_jobs_cancelled(jobs, id)};
+    return (struct pm_dependency_outcome){pm_jobs_find(jobs, id), pm_jobs_cancelled(jobs, id)};
 }
 
-/* The job as the replica tells it, among the chains: what it needs and is needed by. */
-static void chain(struct pm_jobs *jobs, struct pm_job *job)
+/* The job as the replica tells it, in the dependency graph. */
+static void update_graph(struct pm_jobs *jobs, struct pm_job *job)
 {
     uint64_t stamp;
 
     if (job->state == PM_DONE) {
-        pm_chains_done(jobs->chains, job->id);
+        pm_dependencies_done(jobs->dependencies, job->id, job->ended);
         return;
     }
-    if (job->state == PM_LIVE && job->spec && !job->partial) {
+    if (job->state == PM_LIVE && job->spec && !job->incomplete) {
         const struct pm_spec *spec = job->spec;
         job->priority = MAX(job->priority, spec->priority);
         if (spec->due_s >= 0)
             job->due = MIN(job->due, spec->submitted + spec->due_s);
-        stamp = pm_chains_join(jobs->chains, job, find_fate, jobs);
+        stamp = pm_dependencies_add(jobs->dependencies, job, find_outcome, jobs);
         if (stamp)
             infer_cancelled(&stamp, job);
     }
     if (job->state == PM_CANCELLED) {
         stamp = job->cancelled;
-        pm_chains_cancelled(jobs->chains, job->id, infer_cancelled, &stamp);
+        pm_dependencies_cancelled(jobs->dependencies, job->id, infer_cancelled, &stamp);
     }
 }
 
@@ -540,52 +558,54 @@
     return (uint32_t)MAX(1, (books->settings->value_kb * 1024 - 64) / (PM_ID_MAX + 3));
 }
 
-uint32_t pm_spec_lists(const struct pm_books *books, const struct pm_spec *spec, size_t size)
+uint32_t pm_spec_overflow_lists(const struct pm_books *books, const struct pm_spec *spec,
+                                size_t size)
 {
     uint32_t per = ids_in_list(books);
 
-    for (uint32_t i = 0; i < spec->nawaits; i++)
-        size += strlen(pm_names_text(books->awaited, spec->awaits[i])) + 3;
-    return size + 32 <= books->settings->value_kb * 1024 ? 0 : (spec->nawaits + per - 1) / per;
+    for (uint32_t i = 0; i < spec->ndependencies; i++)
+        size += strlen(pm_names_text(books->dependency_ids, spec->dependencies[i])) + 3;
+    return size + 32 <= books->settings->value_kb * 1024 ? 0
+                                                         : (spec->ndependencies + per - 1) / per;
 }
 
-void pm_jobs_write_list(const struct pm_books *books, const struct pm_spec *spec, uint32_t k,
-                        struct pm_buf *out)
+void pm_jobs_write_overflow_list(const struct pm_books *books, const struct pm_spec *spec,
+                                 uint32_t k, struct pm_buf *out)
 {
     uint32_t per = ids_in_list(books);
 
     pm_put_map(out);
     pm_put_text(out, "awaits");
     pm_put_list(out);
-    for (uint32_t i = k * per; i < MIN((k + 1) * per, spec->nawaits); i++)
-        pm_put_text(out, pm_names_text(books->awaited, spec->awaits[i]));
+    for (uint32_t i = k * per; i < MIN((k + 1) * per, spec->ndependencies); i++)
+        pm_put_text(out, pm_names_text(books->dependency_ids, spec->dependencies[i]));
     pm_put_end(out);
     pm_put_end(out);
 }
 
-/* Once the job and all of its lists are known, in whatever order, it joins the chains; until then
+/* Once the job and all of its lists are known, in whatever order, it joins the graph; until then
  * it may not start. */
 static void complete(struct pm_jobs *jobs, struct pm_job *job)
 {
     GPtrArray *lists = g_hash_table_lookup(jobs->lists, job->id), *ids;
 
-    if (!job->partial || !job->spec || !lists || lists->len < job->spec->lists)
+    if (!job->incomplete || !job->spec || !lists || lists->len < job->spec->overflow_lists)
         return;
-    for (uint32_t k = 0; k < job->spec->lists; k++)
+    for (uint32_t k = 0; k < job->spec->overflow_lists; k++)
         if (!g_ptr_array_index(lists, k))
             return;
     ids = g_ptr_array_new();
-    for (uint32_t k = 0; k < job->spec->lists; k++) {
+    for (uint32_t k = 0; k < job->spec->overflow_lists; k++) {
         const GPtrArray *list = g_ptr_array_index(lists, k);
         for (guint i = 0; i < list->len; i++)
             g_ptr_array_add(ids, g_ptr_array_index(list, i));
     }
-    pm_spec_await(jobs->books, job->spec, ids);
+    pm_spec_set_dependencies(jobs->books, job->spec, ids);
     g_ptr_array_free(ids, TRUE);
     g_hash_table_remove(jobs->lists, job->id);
-    job->partial = false;
-    job->open--;
-    chain(jobs, job);
+    job->incomplete = false;
+    job->unmet--;
+    update_graph(jobs, job);
 }
 
 static void list_free(gpointer list)
@@ -604,9 +624,9 @@
     if (!split_chunk_key(rest, id, &k, &half) || half >= 0 || !pm_jobs_id_valid(id))
         return NULL;
     job = pm_jobs_find(jobs, id);
-    if (job && !job->partial)
+    if (job && !job->incomplete)
         return NULL; /* known, or over */
-    if (pm_jobs_read_awaits(value, &ids) || !ids) {
+    if (pm_jobs_read_dependencies(value, &ids) || !ids) {
         pm_error("jobs.value", "unreadable list %s", rest);
         return NULL;
     }
@@ -663,6 +683,8 @@
     job->stamp = stamp;
     if (state == PM_CANCELLED)
         job->inferred = false; /* its own value says so */
+    if (state == PM_DONE)
+        pm_cbor_number(pm_cbor_get(value, "ended"), &job->ended);
     /* What is known cancelled stays so: this value is an older one then. */
     job->state = job->cancelled ? PM_CANCELLED : (enum pm_job_state)state;
     if (job->state == PM_CANCELLED && !job->cancelled) {
@@ -687,18 +709,18 @@
         spec->image = pm_names_add(jobs->books->images, names.image);
         pm_cbor_number(pm_cbor_get(value, "at"), &spec->submitted);
         if (!job->spec && !pm_cbor_count(pm_cbor_get(value, "lists"), &lists) && lists) {
-            spec->lists = (uint32_t)MIN(lists, PM_ENTRIES_MAX);
-            job->partial = true;
-            job->open++;
+            spec->overflow_lists = (uint32_t)MIN(lists, PM_ENTRIES_MAX);
+            job->incomplete = true;
+            job->unmet++;
         }
-        if (!job->spec && !pm_jobs_read_awaits(value, &awaits) && awaits) {
-            pm_spec_await(jobs->books, spec, awaits);
+        if (!job->spec && !pm_jobs_read_dependencies(value, &awaits) && awaits) {
+            pm_spec_set_dependencies(jobs->books, spec, awaits);
             g_ptr_array_free(awaits, TRUE);
         }
         job->spec = spec;
         job_size(job);
         activate(jobs, job);
-        chain(jobs, job);
+        update_graph(jobs, job);
         complete(jobs, job);
     } else if (!job->nplaced) {
         /* Over, and nothing of it is left anywhere: the final state alone is kept. */
@@ -706,9 +728,9 @@
         job->spec = NULL;
         chunks_free(job);
         deactivate(jobs, job);
-        chain(jobs, job);
+        update_graph(jobs, job);
     } else {
-        chain(jobs, job);
+        update_graph(jobs, job);
     }
     return job;
 }
@@ -968,6 +990,11 @@
     }
 }
 
+uint64_t pm_jobs_dependency_steps(const struct pm_jobs *jobs)
+{
+    return pm_dependencies_steps(jobs->dependencies);
+}
+
 /* ---- working state ---- */
 
 struct pm_task *pm_job_task(struct pm_job *job, uint32_t index)
@@ -1022,7 +1049,7 @@
 
 uint32_t pm_job_waiting(const struct pm_job *job)
 {
-    if (job->state != PM_LIVE || !job->spec || job->open)
+    if (job->state != PM_LIVE || !job->spec || job->unmet)
         return 0;
     return job->entries - job->ndone - job->nplaced;
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -31,10 +31,10 @@
 struct pm_books {
     const struct pm_settings *settings;
     struct pm_names *classes, *images, *types, *machines;
-    struct pm_names *awaited; /* ids of jobs that others need */
-    bool reads_halves;        /* every controller reads chunks in halves */
-    bool halves;              /* they are written so: in one value they would be too large */
-    int ntypes;               /* machine types that the cloud has told of; 0: not known yet */
+    struct pm_names *dependency_ids; /* of jobs that others need */
+    unsigned protocol_version;       /* what every controller reads (base/protocol.h) */
+    bool halves;                     /* they are written so: in one value they would be too large */
+    int ntypes; /* machine types that the cloud has told of; 0: not known yet */
     struct pm_type {
         double cpus, gpus, ram_gb, local_gb, pull_gb_per_s, price, spot_price, ready_s;
         uint32_t zones; /* bit i: offered in zone i of the settings */
@@ -51,9 +51,9 @@
     bool same_place, spread, spot;
     double expected_s, bookmark_s, filing_s, due_s; /* due_s below 0: no deadline */
     double submitted;                               /* time of day */
-    uint32_t nawaits;                               /* jobs that have to be done before */
-    int *awaits;                                    /* indices of `awaited`; owned */
-    uint32_t lists; /* p/n values that name them, 0: the job's own value does */
+    uint32_t ndependencies;                         /* jobs that have to be done before */
+    int *dependencies;                              /* indices of `dependency_ids`; owned */
+    uint32_t overflow_lists; /* p/n values that name them, 0: the job's own value does */
 };
 
 /* A task's place as the state service knows it. */
@@ -138,10 +138,13 @@
     enum pm_job_state state;
     uint64_t cancelled; /* stamp of its durable cancellation, as far as known; 0: none is known */
     uint32_t entries;
-    /* Chains (chains.h). */
-    bool partial;  /* what it needs is not all known yet */
-    uint32_t open; /* jobs that it needs and that are not durably done: it may not start */
-    bool inferred; /* cancelled because a job that it needs is */
+    /* Dependencies (dependencies.h). */
+    bool incomplete; /* what it needs is not all known yet */
+    uint32_t unmet;  /* jobs that it needs and that are not durably done: it may not start */
+    double ended;    /* time of day at which it was found done, 0: not known */
+    double ready_at; /* time of day at which the last job that it needs ended, 0: none has,
+                      * INFINITY: one ended that the version before recorded without its time */
+    bool inferred;   /* cancelled because a job that it needs is */
     enum pm_priority priority; /* its own, or that of a job that needs it, whichever is higher */
     double
         due; /* time of day: its own deadline, or what one that needs it leaves; INFINITY: none */
@@ -209,23 +212,30 @@
 /* The jobs that a submission, or a job's value, names as to be done before: each once, NULL for
  * none; owned by the caller. -1: not a list of ids in the known form. They become indices once they
  * are known to be jobs: a name alone costs no lasting memory. */
-int pm_jobs_read_awaits(const cbor_item_t *body, GPtrArray **out);
-void pm_spec_await(struct pm_books *books, struct pm_spec *spec, const GPtrArray *ids);
+int pm_jobs_read_dependencies(const cbor_item_t *body, GPtrArray **out);
+void pm_spec_set_dependencies(struct pm_books *books, struct pm_spec *spec, const GPtrArray *ids);
 /* How many p/n values the spec's needs take; 0 where the job's own value, which takes `size` bytes
  * without them, has room for all. */
-uint32_t pm_spec_lists(const struct pm_books *books, const struct pm_spec *spec, size_t size);
+uint32_t pm_spec_overflow_lists(const struct pm_books *books, const struct pm_spec *spec,
+                                size_t size);
 /* Writes the value of p/n/ID/K. */
-void pm_jobs_write_list(const struct pm_books *books, const struct pm_spec *spec, uint32_t k,
-                        struct pm_buf *out);
+void pm_jobs_write_overflow_list(const struct pm_books *books, const struct pm_spec *spec,
+                                 uint32_t k, struct pm_buf *out);
 /* Writes the value of p/j for a job in that state; `full` keeps the description. */
 void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
                    enum pm_job_state state, bool full, struct pm_buf *out);
+/* The same for a job that is done, with the time of its end where all controllers read that. */
+void pm_jobs_write_done(const struct pm_books *books, const struct pm_job *job, bool full,
+                        struct pm_buf *out);
 void pm_spec_free(struct pm_spec *spec);
 /* How many such tasks that room holds. */
 uint32_t pm_spec_fit(const struct pm_spec *spec, double cpus, double gpus, double ram_gb);
 /* Display counts, from the replica. */
 void pm_jobs_count(const struct pm_job *job, uint32_t *done, uint32_t *running);
 
+/* The cost so far of keeping the dependency graph, in edges looked at. */
+uint64_t pm_jobs_dependency_steps(const struct pm_jobs *jobs);
+
 /* ---- the leader's working state ---- */
 
 struct pm_task *pm_job_task(struct pm_job *job, uint32_t index);             /* made when missing */
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -1,6 +1,7 @@
 #include "leadership/leadership.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/protocol.h"
 #include "jobs/jobs.h"
 #include "peer.pb-c.h"
 
@@ -25,7 +26,7 @@
 #define LAG_S 6.0        /* how old the books may be of who answers workers, at most */
 #define PAGE 300         /* cancellations in one message */
 #define TELL_MAX (64 * 1024)
-#define HELLO_S 0.7 /* until all are known to speak this version, they are asked so often */
+#define ANNOUNCE_S 0.7 /* until all are known to run this version, they are asked so often */
 
 struct pm_lead {
     struct ev_loop *loop;
@@ -63,9 +64,11 @@
     double refused_since, cared, leader_heard;
     double sure_since; /* see pm_lead_sure_since */
     /* Our books hold every cancellation that was confirmed to a user before `abreast`. */
-    unsigned speaks[PM_PEERS_MAX], all_speak; /* as each said; as p/speaks says */
-    bool speaks_busy, said;                   /* our own is in the state service */
-    double speaks_at;
+    /* Protocol versions: of each peer as far as it said so, and of all controllers (p/speaks). */
+    unsigned peer_version[PM_PEERS_MAX], common_version;
+    bool version_busy;
+    bool version_announced; /* our own is in the state service */
+    double announced_at;
     double abreast, reaching_sent;
     uint64_t reaching;         /* the edition that they have to reach for a later one, 0: none */
     double epoch_at, raise_at; /* steady: our epoch is that old; a raise was last tried */
@@ -439,7 +442,7 @@
         g_free(ask);
         return;
     }
-    l->speaks[ask->peer] = MAX(l->speaks[ask->peer], tell->speaks);
+    l->peer_version[ask->peer] = MAX(l->peer_version[ask->peer], tell->protocol_version);
     if (tell->served)
         l->peer_served = pm_clock_steady();
     if (tell->known > l->heard)
@@ -468,7 +471,7 @@
     message.epoch = l->ask_epoch;
     message.edition = ask->from;
     message.after = after;
-    message.speaks = PM_SPEAKS;
+    message.protocol_version = PM_PROTOCOL_VERSION;
     if (pm__peer_ask__get_packed_size(&message) > sizeof data) {
         g_free(ask);
         return;
@@ -520,7 +523,7 @@
     tell.cancelled = list;
     tell.n_cancelled = n;
     tell.more = more;
-    tell.speaks = PM_SPEAKS;
+    tell.protocol_version = PM_PROTOCOL_VERSION;
     data = g_malloc(pm__peer_tell__get_packed_size(&tell));
     pm_http_reply(req, 200, data, pm__peer_tell__pack(&tell, data), 0);
     g_free(data);
@@ -542,7 +545,7 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
-    l->speaks[peer] = MAX(l->speaks[peer], ask->speaks);
+    l->peer_version[peer] = MAX(l->peer_version[peer], ask->protocol_version);
     if (ask->epoch > l->heard)
         l->heard = ask->epoch;
     if (l->leads && ask->epoch > l->mine)
@@ -551,55 +554,65 @@
     pm__peer_ask__free_unpacked(ask, NULL);
 }
 
-/* ---- what all speak ---- */
+/* ---- protocol versions ---- */
 
-static void on_spoken(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_version_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
 {
     (void)status;
     (void)edition;
     (void)failed;
-    ((struct pm_lead *)arg)->speaks_busy = false;
+    ((struct pm_lead *)arg)->version_busy = false;
 }
 
-static void put_speaks(struct pm_lead *l, struct pm_txn *txn, const char *key, double now)
+static void put_version(struct pm_lead *l, struct pm_txn *txn, const char *key, unsigned version,
+                        double now)
 {
-    l->speaks_busy = true;
-    l->speaks_at = now;
+    l->version_busy = true;
+    l->announced_at = now;
     pm_txn_put(txn, key);
     pm_put_map(&txn->writes);
-    pm_put_pair_count(&txn->writes, "version", PM_SPEAKS);
+    pm_put_pair_count(&txn->writes, "version", version);
     pm_put_end(&txn->writes);
     pm_txn_put_end(txn, 0);
-    pm_store_commit(l->store, txn, on_spoken, l);
+    pm_store_commit(l->store, txn, on_version_written, l);
 }
 
-/* What we speak, for those whom our messages do not reach; and, as the leader, that all speak it.
- */
-static void say_speaks(struct pm_lead *l, double now)
+/* The lowest version of all controllers. */
+static unsigned lowest_version(const struct pm_lead *l)
+{
+    unsigned lowest = PM_PROTOCOL_VERSION;
+
+    for (int i = 0; i < l->settings->peers; i++)
+        lowest = MIN(lowest, l->peer_version[i]);
+    return lowest;
+}
+
+/* Writes our own version, for those whom our messages do not reach; and, as the leader, the one
+ * that all controllers are known to run, for good. */
+static void announce_version(struct pm_lead *l, double now)
 {
     struct pm_txn txn = {0};
+    unsigned version;
     char key[PM_NAME_MAX + 16];
 
-    if (l->speaks_busy || now - l->speaks_at < HELLO_S || !pm_store_ready(l->store) ||
+    if (l->version_busy || now - l->announced_at < ANNOUNCE_S || !pm_store_ready(l->store) ||
         pm_store_refusing(l->store))
         return;
-    if (!l->said) {
+    if (!l->version_announced) {
         snprintf(key, sizeof key, "p/speaks/%s", l->settings->name);
-        put_speaks(l, &txn, key, now);
+        put_version(l, &txn, key, PM_PROTOCOL_VERSION, now);
         return;
     }
-    for (int i = 0; i < l->settings->peers; i++)
-        if (l->speaks[i] < PM_SPEAKS)
-            return;
-    if (!l->leads || l->reach)
+    version = lowest_version(l);
+    if (!l->leads || l->reach || version <= pm_lead_protocol_version(l))
         return;
     pm_txn_if(&txn, "p/epoch", l->mine_stamp);
-    put_speaks(l, &txn, "p/speaks", now);
+    put_version(l, &txn, "p/speaks", version, now);
 }
 
-unsigned pm_lead_all_speak(const struct pm_lead *l)
+unsigned pm_lead_protocol_version(const struct pm_lead *l)
 {
-    return MAX(l->all_speak, 1);
+    return MAX(l->common_version, PM_PROTOCOL_FIRST);
 }
 
 /* ---- time ---- */
@@ -634,9 +647,9 @@
     if (((l->leads && !l->ack_at) || pm_store_refusing(l->store)) &&
         now - l->asked > l->op->confirm_s / 4)
         ask_peers(l, now);
-    if (l->all_speak < PM_SPEAKS) {
-        say_speaks(l, now);
-        if (now - l->asked > HELLO_S)
+    if (l->common_version < PM_PROTOCOL_VERSION) {
+        announce_version(l, now);
+        if (now - l->asked > ANNOUNCE_S)
             ask_peers(l, now);
     }
     if (l->leads) {
@@ -670,16 +683,17 @@
     if (!strncmp(key, "p/speaks/", 9)) {
         if (pm_cbor_count(pm_cbor_get(value, "version"), &epoch))
             return;
-        l->said |= !strcmp(key + 9, l->settings->name) && epoch >= PM_SPEAKS;
+        l->version_announced |= !strcmp(key + 9, l->settings->name) && epoch >= PM_PROTOCOL_VERSION;
         for (int i = 0; i < l->settings->peers; i++)
             if (!strcmp(key + 9, l->settings->peer[i].name))
-                l->speaks[i] = (unsigned)MAX(l->speaks[i], MIN(epoch, PM_SPEAKS));
+                l->peer_version[i] =
+                    (unsigned)MAX(l->peer_version[i], MIN(epoch, PM_PROTOCOL_VERSION));
         return;
     }
     if (!strcmp(key, "p/speaks")) {
-        if (!pm_cbor_count(pm_cbor_get(value, "version"), &epoch) && epoch > l->all_speak) {
-            l->all_speak = (unsigned)MIN(epoch, PM_SPEAKS);
-            pm_info("lead.speak", "every controller speaks %u", l->all_speak);
+        if (!pm_cbor_count(pm_cbor_get(value, "version"), &epoch) && epoch > l->common_version) {
+            l->common_version = (unsigned)MIN(epoch, PM_PROTOCOL_VERSION);
+            pm_info("lead.version", "every controller runs protocol version %u", l->common_version);
         }
         return;
     }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -3,17 +3,14 @@
  * Keys:  p/epoch  {epoch, leader, boot}: raised by compare-and-set only; its number is the token
  *                 that workers obey, and every placement is written on the condition of its stamp
  *        p/lead   {leader, boot} under a hold: while it is there, the others don't try
- *        p/speaks/NAME {version}: what that controller speaks, if it is not an early version
- *        p/speaks {version}: every controller of the settings has said that it speaks this, or
- * more; what an earlier version would misread is used only from then on
+ *        p/speaks/NAME {version}: the protocol version of that controller, if it is not the first
+ *        p/speaks {version}: every controller of the settings runs this protocol version, or a
+ *                later one; what an earlier one would misread is used only from then on
  *
  * p/lead only saves contests; all safety rests on p/epoch. */
 #ifndef PM_LEADERSHIP_LEADERSHIP_H
 #define PM_LEADERSHIP_LEADERSHIP_H
 
-/* What this version speaks: 2 knows job chains, and chunks of tasks in parts. */
-enum { PM_SPEAKS = 2 };
-
 #include "base/http.h"
 #include "base/settings.h"
 #include "store/store.h"
@@ -87,10 +84,10 @@
 /* Steady time since when nobody can have answered a worker in our stead: we were confirmed without
  * a gap, and not refused, ever since. */
 double pm_lead_sure_since(const struct pm_lead *lead);
-/* What every controller named in the settings is known to speak, for good: written by the leader
- * once each has said so. A controller that was not heard yet counts as speaking 1; none that spoke
- * a later version comes back with an earlier one. */
-unsigned pm_lead_all_speak(const struct pm_lead *lead);
+/* The protocol version (base/protocol.h) that every controller named in the settings is known to
+ * run, for good: written by the leader once each has said so. A controller that was not heard yet
+ * counts as the first version; none that ran a later one comes back with an earlier one. */
+unsigned pm_lead_protocol_version(const struct pm_lead *lead);
 /* POST /peer on the back address. */
 void pm_lead_peer(struct pm_lead *lead, struct pm_http_request *req);
 
--- a/src/placement/rank.c
+++ b/src/placement/rank.c
@@ -13,10 +13,19 @@
 
 static struct pm_plan *ranking; /* qsort has no argument for its comparison */
 
-/* What waits for others does not wait for room: its times count from when it may start. */
+/* What waits for others does not wait for room: its times count from when it may start. The ends of
+ * what it needs are in the state service, so that a new leader counts from the same moment. */
 double pm_plan_since(const struct pm_job *job)
 {
-    return job->spec->nawaits ? job->since : job->spec->submitted;
+    return job->spec->ndependencies ? job->since : job->spec->submitted;
+}
+
+/* Where the end of what it needs was recorded without its time, its wait counts from now. */
+static double ready_since(const struct pm_job *job, double day)
+{
+    if (job->ready_at <= 0 || isinf(job->ready_at))
+        return day;
+    return MIN(MAX(job->ready_at, job->spec->submitted), day);
 }
 
 static int by_age(const void *a, const void *b)
@@ -74,8 +83,8 @@
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         uint32_t done = job->ndone, placed = job->nplaced;
-        if (!job->open && !job->since)
-            job->since = p->day;
+        if (job->spec && !job->unmet && !job->since)
+            job->since = ready_since(job, p->day);
         job->left = 0;
         if (!job->spec || job->spec->form != PM_ARRAY)
             continue;
