--- a/src/intake/intake.c
+++ b/src/api/api.c
@@ -1,4 +1,4 @@
-#include "intake/intake.h"
+#include "api/api.h"
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -14,7 +14,7 @@
 enum kind { SUBMIT, POLL, ABORT };
 
 struct item { /* a request in progress */
-    struct pm_intake *intake;
+    struct pm_api *intake;
     struct pm_http_request *req;
     enum kind kind;
     char id[PM_ID_MAX];
@@ -28,15 +28,15 @@
 };
 
 struct flight {
-    struct pm_intake *intake;
+    struct pm_api *intake;
     GPtrArray *items;
 };
 
-struct pm_intake {
+struct pm_api {
     struct ev_loop *loop;
     struct pm_store *store;
     struct pm_jobs *jobs;
-    struct pm_books *books;
+    struct pm_name_tables *tables;
     struct pm_cancels *cancels;
     bool dependencies_enabled;
     struct pm_limit *limit;
@@ -46,7 +46,7 @@
     double probed;
 };
 
-static void flush(struct pm_intake *in);
+static void flush(struct pm_api *in);
 
 static void item_free(struct item *item)
 {
@@ -150,7 +150,7 @@
     cbor_item_t *value;
     size_t n;
 
-    pm_jobs_write(item->intake->books, item->spec, item->spec->entries, PM_LIVE, true, &buf);
+    pm_jobs_write(item->intake->tables, item->spec, item->spec->entries, PM_LIVE, true, &buf);
     value = pm_cbor_parse(buf.data, buf.size);
     n = pm_cbor_json_size(value);
     pm_cbor_free(value);
@@ -162,12 +162,12 @@
  * be accepted, and to come to an end. NULL: nothing is against it. */
 static const char *find_fault(struct item *item)
 {
-    const struct pm_intake *in = item->intake;
+    const struct pm_api *in = item->intake;
 
     if (!item->size)
         item->size = value_size(item);
     /* A value that can't be kept would have all that is written with it refused. */
-    if ((double)item->size > in->books->settings->value_kb * 1024)
+    if ((double)item->size > in->tables->settings->value_kb * 1024)
         return "too large to be kept";
     for (guint i = 0; item->dependencies && i < item->dependencies->len; i++) {
         const char *id = g_ptr_array_index(item->dependencies, i);
@@ -185,12 +185,12 @@
 /* Ids of jobs that are known to exist become indices. */
 static void index_dependencies(struct item *item)
 {
-    struct pm_intake *in = item->intake;
+    struct pm_api *in = item->intake;
 
     if (!item->dependencies || item->spec->dependencies)
         return;
-    pm_spec_set_dependencies(in->books, item->spec, item->dependencies);
-    item->spec->overflow_lists = pm_spec_overflow_lists(in->books, item->spec, item->size);
+    pm_spec_set_dependencies(in->tables, item->spec, item->dependencies);
+    item->spec->overflow_lists = pm_spec_overflow_lists(in->tables, item->spec, item->size);
 }
 
 /* Judges a job that is not known. A fault is final only once the replica is as new as the question:
@@ -213,12 +213,12 @@
 
 static void decide(struct item *item);
 
-static void on_overflow_lists_written(void *arg, int status, uint64_t edition,
+static void on_overflow_lists_written(void *arg, int status, uint64_t store_revision,
                                       const cbor_item_t *failed)
 {
     struct item *item = arg;
 
-    (void)edition;
+    (void)store_revision;
     (void)failed;
     if (status == 200)
         item->listed = item->writing;
@@ -233,17 +233,17 @@
  * A repeat writes the same again. */
 static void write_overflow_lists(struct item *item)
 {
-    struct pm_intake *in = item->intake;
+    struct pm_api *in = item->intake;
     struct pm_txn txn = {0};
     uint32_t k = item->listed;
     char key[64];
 
-    for (; k < item->spec->overflow_lists && txn.nwrites < in->books->settings->txn_ops &&
+    for (; k < item->spec->overflow_lists && txn.nwrites < in->tables->settings->txn_ops &&
            txn.writes.size < 40 * 1024;
          k++) {
         snprintf(key, sizeof key, "p/n/%s/%u", item->id, k);
         pm_txn_put(&txn, key);
-        pm_jobs_write_overflow_list(in->books, item->spec, k, &txn.writes);
+        pm_jobs_write_overflow_list(in->tables, item->spec, k, &txn.writes);
         pm_txn_put_end(&txn, 0);
     }
     item->writing = k;
@@ -253,7 +253,7 @@
 /* Answers what can be answered, and sends the rest on its way. */
 static void decide(struct item *item)
 {
-    struct pm_intake *in = item->intake;
+    struct pm_api *in = item->intake;
     const struct pm_job *job = pm_jobs_find(in->jobs, item->id);
 
     if (job && job->state != PM_LIVE) {
@@ -328,10 +328,10 @@
     return false;
 }
 
-static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_written(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     struct flight *f = arg;
-    struct pm_intake *in = f->intake;
+    struct pm_api *in = f->intake;
 
     in->in_flight--;
     for (guint i = 0; i < f->items->len; i++) {
@@ -340,11 +340,11 @@
             if (item->kind == SUBMIT) {
                 reply_accepted(item);
             } else {
-                pm_jobs_cancel(in->jobs, item->id, edition);
+                pm_jobs_cancel(in->jobs, item->id, store_revision);
                 reply_final(item, pm_jobs_find(in->jobs, item->id));
             }
         } else if (status == 409 && is_failed(failed, item)) {
-            pm_store_reach(in->store, edition, on_conflict, item);
+            pm_store_reach(in->store, store_revision, on_conflict, item);
         } else if ((status == 409 || status == 429 || status == PM_HTTP_NOT_SENT) &&
                    ++item->tries <= TRIES_MAX) {
             g_queue_push_tail(&in->queue, item); /* not written: it goes with the next ones */
@@ -360,7 +360,7 @@
     }
 }
 
-static bool add_write(struct pm_intake *in, struct flight *f, struct pm_txn *txn, struct item *item)
+static bool add_write(struct pm_api *in, struct flight *f, struct pm_txn *txn, struct item *item)
 {
     const struct pm_job *job = pm_jobs_find(in->jobs, item->id);
     char key[64];
@@ -369,24 +369,24 @@
         if (!strcmp(((struct item *)g_ptr_array_index(f->items, i))->id, item->id))
             return false; /* the same job twice: the second goes after the first */
     snprintf(key, sizeof key, "p/j/%s", item->id);
-    pm_txn_if(txn, key, job ? job->stamp : 0);
+    pm_txn_if(txn, key, job ? job->revision : 0);
     pm_txn_put(txn, key);
     if (item->kind == SUBMIT)
-        pm_jobs_write(in->books, item->spec, item->spec->entries, PM_LIVE, true, &txn->writes);
+        pm_jobs_write(in->tables, item->spec, item->spec->entries, PM_LIVE, true, &txn->writes);
     else if (job) /* whoever is cancelled is known */
-        pm_jobs_write(in->books, job->spec, job->entries, PM_CANCELLED, job->spec != NULL,
+        pm_jobs_write(in->tables, job->spec, job->entries, PM_CANCELLED, job->spec != NULL,
                       &txn->writes);
     pm_txn_put_end(txn, 0);
     g_ptr_array_add(f->items, item);
     return true;
 }
 
-static void flush(struct pm_intake *in)
+static void flush(struct pm_api *in)
 {
     double now = pm_clock_steady();
 
     while (in->queue.length && in->in_flight < IN_FLIGHT_MAX) {
-        int room = MIN(pm_store_room(in->store, now), in->books->settings->txn_ops);
+        int room = MIN(pm_store_room(in->store, now), in->tables->settings->txn_ops);
         struct pm_txn txn = {0};
         struct flight *f;
         guint waiting = in->queue.length;
@@ -428,9 +428,9 @@
     flush(w->data);
 }
 
-/* ---- the door ---- */
+/* ---- the API ---- */
 
-static struct item *item_new(struct pm_intake *in, struct pm_http_request *req, enum kind kind,
+static struct item *item_new(struct pm_api *in, struct pm_http_request *req, enum kind kind,
                              const char *id)
 {
     struct item *item;
@@ -459,7 +459,7 @@
     pm_buf_free(&body);
 }
 
-static void submit(struct pm_intake *in, struct pm_http_request *req)
+static void submit(struct pm_api *in, struct pm_http_request *req)
 {
     cbor_item_t *body = pm_cbor_parse(req->body, req->body_size);
     struct pm_spec spec;
@@ -473,7 +473,7 @@
         /* A repeat of what was accepted is never judged again (rule `forgotten`). */
         bool known = !pm_cbor_text(pm_cbor_get(body, "name_id"), id, sizeof id) &&
                      pm_jobs_find(in->jobs, id);
-        status = known ? 200 : pm_jobs_read(in->books, body, id, &spec, &why);
+        status = known ? 200 : pm_jobs_read(in->tables, body, id, &spec, &why);
         if (!known && status == 200 && pm_jobs_read_dependencies(body, &dependencies)) {
             status = 400;
             why = "awaits";
@@ -501,7 +501,7 @@
     decide(item);
 }
 
-void pm_intake_request(struct pm_intake *in, struct pm_http_request *req)
+void pm_api_request(struct pm_api *in, struct pm_http_request *req)
 {
     const char *rest = req->path + strlen("/work");
     char id[PM_ID_MAX];
@@ -548,7 +548,7 @@
     (void)ok;
 }
 
-void pm_intake_ready(struct pm_intake *in, struct pm_http_request *req, bool refused_alone)
+void pm_api_ready(struct pm_api *in, struct pm_http_request *req, bool refused_alone)
 {
     double now = pm_clock_steady();
     double silent = now - pm_store_served(in->store);
@@ -570,16 +570,16 @@
     pm_http_reply(req, ready ? 200 : 503, NULL, 0, ready ? 0 : 1);
 }
 
-struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store, struct pm_jobs *jobs,
-                                struct pm_books *books, struct pm_cancels *cancels,
-                                const struct pm_operator *op)
+struct pm_api *pm_api_new(struct ev_loop *loop, struct pm_store *store, struct pm_jobs *jobs,
+                          struct pm_name_tables *tables, struct pm_cancels *cancels,
+                          const struct pm_operator *op)
 {
-    struct pm_intake *in = g_new0(struct pm_intake, 1);
+    struct pm_api *in = g_new0(struct pm_api, 1);
 
     in->loop = loop;
     in->store = store;
     in->jobs = jobs;
-    in->books = books;
+    in->tables = tables;
     in->cancels = cancels;
     in->limit = pm_limit_new(op->admit_min, op->admit_max);
     g_queue_init(&in->queue);
@@ -588,12 +588,12 @@
     return in;
 }
 
-void pm_intake_enable_dependencies(struct pm_intake *in, bool enabled)
+void pm_api_enable_dependencies(struct pm_api *in, bool enabled)
 {
     in->dependencies_enabled = enabled;
 }
 
-void pm_intake_free(struct pm_intake *in)
+void pm_api_free(struct pm_api *in)
 {
     ev_timer_stop(in->loop, &in->timer);
     pm_limit_free(in->limit);
--- a/src/intake/intake.h
+++ b/src/api/api.h
@@ -12,7 +12,7 @@
 #include "leadership/cancels.h"
 #include "store/store.h"
 
-struct pm_intake;
+struct pm_api;
 struct pm_limit;
 
 /* ---- the limit on requests in progress ---- */
@@ -29,16 +29,16 @@
 
 /* ---- the requests ---- */
 
-struct pm_intake *pm_intake_new(struct ev_loop *loop, struct pm_store *store, struct pm_jobs *jobs,
-                                struct pm_books *books, struct pm_cancels *cancels,
-                                const struct pm_operator *op);
+struct pm_api *pm_api_new(struct ev_loop *loop, struct pm_store *store, struct pm_jobs *jobs,
+                          struct pm_name_tables *tables, struct pm_cancels *cancels,
+                          const struct pm_operator *op);
 /* Whether every controller knows job chains: until then a submission that names others is turned
  * away for now. */
-void pm_intake_enable_dependencies(struct pm_intake *intake, bool enabled);
-void pm_intake_free(struct pm_intake *intake);
+void pm_api_enable_dependencies(struct pm_api *intake, bool enabled);
+void pm_api_free(struct pm_api *intake);
 /* Takes a request whose path is /work or below, and answers it now or later. */
-void pm_intake_request(struct pm_intake *intake, struct pm_http_request *req);
+void pm_api_request(struct pm_api *intake, struct pm_http_request *req);
 /* GET /ready. `refused_alone`: the state service refuses us, but not the others. */
-void pm_intake_ready(struct pm_intake *intake, struct pm_http_request *req, bool refused_alone);
+void pm_api_ready(struct pm_api *intake, struct pm_http_request *req, bool refused_alone);
 
 #endif
--- a/src/intake/limit.c
+++ b/src/api/limit.c
@@ -1,6 +1,6 @@
 /* The limit grows while requests take about as long as they do on a quiet day, and shrinks when
  * they take markedly longer: then more in progress only means longer waits for each. */
-#include "intake/intake.h"
+#include "api/api.h"
 
 #include <glib.h>
 
--- a/src/intake/tests/test_limit.c
+++ b/src/api/tests/test_limit.c
@@ -1,5 +1,5 @@
 /* The limit on requests in progress follows the times that are measured, within its bounds. */
-#include "intake/intake.h"
+#include "api/api.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/src/base/names.h
+++ b/src/base/names.h
@@ -1,4 +1,4 @@
-/* Names become dense indices at the door; inside, only indices travel. */
+/* Names become dense indices at the API; inside, only indices travel. */
 #ifndef PM_BASE_NAMES_H
 #define PM_BASE_NAMES_H
 
--- a/src/base/protocol.h
+++ b/src/base/protocol.h
@@ -2,7 +2,7 @@
  *
  * Controllers of different versions run side by side during an upgrade. What an earlier version
  * would misread, or lose, is written only once every controller of the settings is known to run a
- * version that reads it (pm_lead_protocol_version). A controller that does not name its version
+ * version that reads it (pm_leader_protocol_version). A controller that does not name its version
  * runs version 1. */
 #ifndef PM_BASE_PROTOCOL_H
 #define PM_BASE_PROTOCOL_H
--- a/src/blocks/ask.c
+++ b/src/blocks/ask.c
@@ -2,7 +2,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "block.pb-c.h"
-#include "blocks/parts.h"
+#include "blocks/internal.h"
 
 #include <string.h>
 
@@ -17,13 +17,13 @@
  * transaction: its commands die with the old token, its placements fail on the block's key. */
 static void lose_block(struct pm_blocks *b, struct block *k, const char *why, double now)
 {
-    if (k->in_flight || (k->losing && now - k->losing_at < 1) || !pm_blocks_stamp(k))
+    if (k->in_flight || (k->losing && now - k->losing_at < 1) || !pm_blocks_revision(k))
         return;
     if (!k->losing)
         pm_info("blocks.recall", "%s: %s", k->name, why);
     k->losing = true;
     k->losing_at = now;
-    pm_lead_raise(b->lead, k->key, pm_blocks_stamp(k));
+    pm_leader_raise(b->lead, k->key, pm_blocks_revision(k));
 }
 
 struct flight {
@@ -54,7 +54,7 @@
     }
 }
 
-static void on_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_written(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     struct flight *f = arg;
     struct pm_blocks *b = f->blocks;
@@ -64,20 +64,20 @@
     if (b->leading && b->round == f->round) {
         k->in_flight = false;
         if (status == PM_HTTP_LOST)
-            k->unsure = pm_lead_epoch(b->lead);
+            k->unsure = pm_leader_epoch(b->lead);
         if (status == 200) {
-            k->unsure = 0; /* it fails on this one's stamp */
-            k->wrote = edition;
-            pm_lead_confirm(b->lead, k->written, edition);
+            k->unsure = 0; /* it fails on this one's revision */
+            k->wrote = store_revision;
+            pm_leader_confirm(b->lead, k->written, store_revision);
             settle_written(b, k, f->serial);
         } else {
-            k->dirty = true;     /* the watch tells the stamp; a copy applied late fails on it */
+            k->dirty = true;     /* the watch tells the revision; a copy applied late fails on it */
             if (status == 400) { /* too large, most likely */
                 pm_error("blocks.refused", "the state service refuses %s", k->key);
                 k->written = pm_clock_steady() + REFUSED_S;
             }
             if (status == 409)
-                pm_lead_doubt(b->lead);
+                pm_leader_suspect(b->lead);
         }
     }
     g_free(f);
@@ -85,14 +85,14 @@
 
 static void write_block(struct pm_blocks *b, struct block *k, double now)
 {
-    const struct pm_settings *s = b->books->settings;
+    const struct pm_settings *s = b->tables->settings;
     struct pm_txn txn = {0};
     struct flight *f = g_new0(struct flight, 1);
 
     k->serial++;
     *f = (struct flight){b, (int)(k - b->block), b->round, k->serial};
-    pm_txn_if(&txn, "p/epoch", pm_lead_stamp(b->lead));
-    pm_txn_if(&txn, k->key, pm_blocks_stamp(k));
+    pm_txn_if(&txn, "p/epoch", pm_leader_revision(b->lead));
+    pm_txn_if(&txn, k->key, pm_blocks_revision(k));
     pm_txn_put(&txn, k->key);
     pm_put_map(&txn.writes);
     pm_put_pair_text(&txn.writes, "boot", k->boot);
@@ -110,7 +110,7 @@
         pm_put_pair_text(&txn.writes, "host", m->name);
         pm_put_pair_text(&txn.writes, "endpoint", m->endpoint);
         if (m->type >= 0)
-            pm_put_pair_text(&txn.writes, "model", pm_names_text(b->books->types, m->type));
+            pm_put_pair_text(&txn.writes, "model", pm_names_text(b->tables->types, m->type));
         if (m->zone >= 0)
             pm_put_pair_text(&txn.writes, "room", s->zone_name[m->zone]);
         pm_put_pair_flag(&txn.writes, "borrowed", m->spot);
@@ -128,7 +128,7 @@
         }
         pm_put_map(&txn.writes);
         pm_put_pair_text(&txn.writes, "id", job->id);
-        pm_put_pair_count(&txn.writes, "width", job->width);
+        pm_put_pair_count(&txn.writes, "width", job->parallelism);
         pm_put_end(&txn.writes);
         i++;
     }
@@ -148,20 +148,20 @@
  * dies with the epoch; what was carried out before that is in the replica by then. */
 static bool never_written(struct pm_blocks *b, const struct block *k)
 {
-    if (k->in_flight || pm_blocks_stamp(k))
+    if (k->in_flight || pm_blocks_revision(k))
         return false;
     if (!k->unsure)
         return true;
-    if (pm_lead_epoch(b->lead) <= k->unsure) {
-        pm_lead_raise(b->lead, NULL, 0);
+    if (pm_leader_epoch(b->lead) <= k->unsure) {
+        pm_leader_raise(b->lead, NULL, 0);
         return false;
     }
-    return pm_store_edition(b->store) >= pm_lead_stamp(b->lead);
+    return pm_store_revision(b->store) >= pm_leader_revision(b->lead);
 }
 
 static struct entry *find_entry(const struct pm_blocks *b, struct block *k, const char *machine)
 {
-    int index = pm_names_find(b->books->machines, machine);
+    int index = pm_names_find(b->tables->machines, machine);
 
     for (guint i = 0; i < k->entries->len; i++)
         if (g_array_index(k->entries, struct entry, i).machine == index)
@@ -228,30 +228,30 @@
 
     k->asked = now;
     k->asking = true;
-    call.from = (char *)b->books->settings->name;
-    call.epoch = pm_lead_epoch(b->lead);
+    call.from = (char *)b->tables->settings->name;
+    call.epoch = pm_leader_epoch(b->lead);
     call.leaving = leaving;
     call.stop = stop;
     for (guint i = 0; i < k->entries->len; i++) {
         struct entry *e = &g_array_index(k->entries, struct entry, i);
         if (e->state != LEAVING)
             continue;
-        leaving[call.n_leaving++] = (char *)pm_names_text(b->books->machines, e->machine);
+        leaving[call.n_leaving++] = (char *)pm_names_text(b->tables->machines, e->machine);
         if (e->stop)
-            stop[call.n_stop++] = (char *)pm_names_text(b->books->machines, e->machine);
+            stop[call.n_stop++] = (char *)pm_names_text(b->tables->machines, e->machine);
     }
     size = pm__block_call__get_packed_size(&call);
     data = g_malloc(size + 1);
     pm__block_call__pack(&call, data);
     *f = (struct flight){b, (int)(k - b->block), b->round, 0};
-    pm_http_call(b->http, b->books->settings->peer[f->index].addr, "POST", "/block", data, size,
+    pm_http_call(b->http, b->tables->settings->peer[f->index].addr, "POST", "/block", data, size,
                  ASK_S, 64 * 1024, on_told, f);
     g_free(data);
     g_free(leaving);
     g_free(stop);
 }
 
-/* A machine whose release was confirmed, or that vanished from the books, leaves its block. */
+/* A machine whose release was confirmed, or that vanished from the replica, leaves its block. */
 static void drop_vanished(struct pm_blocks *b, struct block *k)
 {
     for (guint i = 0; i < k->entries->len; i++) {
@@ -266,7 +266,7 @@
 
 void pm_blocks_run(struct pm_blocks *b, double now)
 {
-    if (!b->leading || !pm_lead_confirmed(b->lead, now))
+    if (!b->leading || !pm_leader_confirmed(b->lead, now))
         return;
     for (int i = 0; i < b->n - 1; i++) {
         struct block *k = &b->block[i];
@@ -274,12 +274,12 @@
         drop_vanished(b, k);
         if (!k->asking && now - k->asked > (holds ? ASK_PACE_S : IDLE_PACE_S))
             ask(b, k, now);
-        if (k->stamp && k->stamp >= k->wrote && k->boot[0] && strcmp(k->boot, k->boot_seen)) {
+        if (k->revision && k->revision >= k->wrote && k->boot[0] && strcmp(k->boot, k->boot_seen)) {
             lose_block(b, k, "its process is a new one", now);
             continue;
         }
         if (holds && now - k->alive > DEAD_S) {
-            if (pm_blocks_stamp(k)) {
+            if (pm_blocks_revision(k)) {
                 lose_block(b, k, "not heard of", now);
             } else if (never_written(b, k)) { /* what was to be given stays here */
                 k->losing = k->lost = true;
@@ -293,6 +293,6 @@
     }
     if (b->doubt) {
         b->doubt = false;
-        pm_lead_raise(b->lead, NULL, 0);
+        pm_leader_raise(b->lead, NULL, 0);
     }
 }
--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -1,4 +1,4 @@
-#include "blocks/parts.h"
+#include "blocks/internal.h"
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -13,14 +13,14 @@
     return NULL;
 }
 
-struct pm_blocks *pm_blocks_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_blocks *pm_blocks_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                                 struct pm_workers *workers, struct pm_plan *plan,
                                 struct pm_store *store, struct pm_http_client *http,
-                                struct pm_lead *lead, const struct pm_blocks_hooks *hooks)
+                                struct pm_leader *lead, const struct pm_blocks_hooks *hooks)
 {
     struct pm_blocks *b = g_new0(struct pm_blocks, 1);
 
-    b->books = books;
+    b->tables = tables;
     b->jobs = jobs;
     b->workers = workers;
     b->plan = plan;
@@ -28,10 +28,10 @@
     b->http = http;
     b->lead = lead;
     b->hooks = *hooks;
-    b->n = books->settings->peers + 1;
+    b->n = tables->settings->peers + 1;
     for (int i = 0; i < b->n; i++) {
         struct block *k = &b->block[i];
-        k->name = i < b->n - 1 ? books->settings->peer[i].name : books->settings->name;
+        k->name = i < b->n - 1 ? tables->settings->peer[i].name : tables->settings->name;
         snprintf(k->key, sizeof k->key, "p/b/%s", k->name);
         k->machines = g_array_new(FALSE, FALSE, sizeof(int));
         k->jobs = g_array_new(FALSE, FALSE, sizeof(struct seen_job));
@@ -54,7 +54,7 @@
 
 const char *pm_blocks_holder(const struct pm_blocks *b, const char *machine)
 {
-    int index = pm_names_find(b->books->machines, machine);
+    int index = pm_names_find(b->tables->machines, machine);
 
     for (int i = 0; index >= 0 && i < b->n; i++)
         for (guint j = 0; j < b->block[i].machines->len; j++)
@@ -65,7 +65,8 @@
 
 /* ---- feed ---- */
 
-void pm_blocks_put(struct pm_blocks *b, const char *key, const cbor_item_t *value, uint64_t stamp)
+void pm_blocks_put(struct pm_blocks *b, const char *key, const cbor_item_t *value,
+                   uint64_t revision)
 {
     struct block *k = by_key(b, key);
     cbor_item_t *hosts = pm_cbor_get(value, "hosts");
@@ -73,9 +74,9 @@
     char name[PM_NAME_MAX];
     uint64_t width;
 
-    if (!k || stamp <= k->stamp)
+    if (!k || revision <= k->revision)
         return;
-    k->stamp = stamp;
+    k->revision = revision;
     k->boot_seen[0] = 0;
     pm_cbor_text(pm_cbor_get(value, "boot"), k->boot_seen, sizeof k->boot_seen);
     pm_cbor_count(pm_cbor_get(value, "serial"), &k->serial_seen);
@@ -83,7 +84,7 @@
     for (size_t i = 0; i < pm_cbor_length(hosts); i++) {
         if (pm_cbor_text(pm_cbor_get(pm_cbor_at(hosts, i), "host"), name, sizeof name))
             continue;
-        g_array_append_vals(k->machines, (int[]){pm_names_add(b->books->machines, name)}, 1);
+        g_array_append_vals(k->machines, (int[]){pm_names_add(b->tables->machines, name)}, 1);
     }
     g_array_set_size(k->jobs, 0);
     for (size_t i = 0; i < pm_cbor_length(jobs); i++) {
@@ -92,27 +93,27 @@
         if (pm_cbor_text(pm_cbor_get(job, "id"), seen.id, sizeof seen.id) ||
             pm_cbor_count(pm_cbor_get(job, "width"), &width))
             continue;
-        seen.width = (uint32_t)width;
+        seen.parallelism = (uint32_t)width;
         g_array_append_val(k->jobs, seen);
     }
     if (k != pm_blocks_own(b) || b->leading)
         return;
     /* A block that was leased to a predecessor of this process is not ours to use: what that one
      * had under way is unknown. The leader sees the new boot name and takes the block back. */
-    if (!strcmp(k->boot_seen, pm_lead_boot(b->lead)))
+    if (!strcmp(k->boot_seen, pm_leader_boot(b->lead)))
         pm_blocks_join(b, value, pm_clock_steady());
     else
         pm_blocks_leave_all(b);
 }
 
-void pm_blocks_drop(struct pm_blocks *b, const char *key, uint64_t stamp)
+void pm_blocks_drop(struct pm_blocks *b, const char *key, uint64_t revision)
 {
     struct block *k = by_key(b, key);
 
-    if (!k || stamp < k->stamp)
+    if (!k || revision < k->revision)
         return;
-    k->stamp = 0;
-    if (stamp >= k->wrote)
+    k->revision = 0;
+    if (revision >= k->wrote)
         k->wrote = 0;
     g_array_set_size(k->machines, 0);
     g_array_set_size(k->jobs, 0);
@@ -125,7 +126,7 @@
 void pm_blocks_relist(struct pm_blocks *b)
 {
     for (int i = 0; i < b->n; i++) {
-        b->block[i].stamp = 0;
+        b->block[i].revision = 0;
         g_array_set_size(b->block[i].machines, 0);
         g_array_set_size(b->block[i].jobs, 0);
     }
@@ -161,7 +162,7 @@
         for (guint j = 0; j < k->machines->len; j++) {
             struct entry entry = {.machine = g_array_index(k->machines, int, j), .state = HELD};
             struct pm_machine *m =
-                pm_workers_add(b->workers, pm_names_text(b->books->machines, entry.machine));
+                pm_workers_add(b->workers, pm_names_text(b->tables->machines, entry.machine));
             m->lent = i + 1;
             m->state = PM_UP;
             m->heard = now;
@@ -172,8 +173,8 @@
             struct pm_job *job = pm_jobs_find(b->jobs, seen->id);
             if (!job || !job->spec)
                 continue;
-            job->away = true;
-            job->width = seen->width;
+            job->delegated = true;
+            job->parallelism = seen->parallelism;
             g_ptr_array_add(k->given, job);
         }
     }
@@ -206,15 +207,15 @@
             m->reported = false;
             m->heard = pm_clock_steady();
             m->floor = 0; /* until a majority knows the raised epoch */
-            m->since_epoch = pm_lead_epoch(b->lead);
+            m->since_epoch = pm_leader_epoch(b->lead);
         }
         given = k->given;
         k->given = g_ptr_array_new();
         forget_block(k);
         for (guint j = 0; j < given->len; j++) {
             struct pm_job *job = g_ptr_array_index(given, j);
-            job->away = false;
-            job->width = UINT32_MAX;
+            job->delegated = false;
+            job->parallelism = UINT32_MAX;
             b->hooks.back(b->hooks.arg, job);
         }
         g_ptr_array_free(given, TRUE);
--- a/src/blocks/blocks.h
+++ b/src/blocks/blocks.h
@@ -1,8 +1,8 @@
 /* Leasing machine blocks, with the jobs to place in them, to the other controllers.
  *
  * Key:  p/b/CONTROLLER  {boot, serial, hosts, jobs}: written by the leader only, on the condition
- * of the epoch's key. Its holder writes every placement on the condition of this key's stamp too,
- * so the leader takes a block back by one compare-and-set.
+ * of the epoch's key. Its holder writes every placement on the condition of this key's revision
+ * too, so the leader takes a block back by one compare-and-set.
  *
  * The leader keeps services, gangs and whatever spans blocks to itself, and leases whole machines
  * to the holders of array jobs. A machine comes back when its holder says that it is clean; a
@@ -27,18 +27,18 @@
     void *arg;
 };
 
-struct pm_blocks *pm_blocks_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_blocks *pm_blocks_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                                 struct pm_workers *workers, struct pm_plan *plan,
                                 struct pm_store *store, struct pm_http_client *http,
-                                struct pm_lead *lead, const struct pm_blocks_hooks *hooks);
+                                struct pm_leader *lead, const struct pm_blocks_hooks *hooks);
 void pm_blocks_free(struct pm_blocks *blocks);
 
 /* The replica's feed, for p/b. */
 void pm_blocks_put(struct pm_blocks *blocks, const char *key, const cbor_item_t *value,
-                   uint64_t stamp);
-void pm_blocks_drop(struct pm_blocks *blocks, const char *key, uint64_t stamp);
+                   uint64_t revision);
+void pm_blocks_drop(struct pm_blocks *blocks, const char *key, uint64_t revision);
 void pm_blocks_relist(struct pm_blocks *blocks);
-/* All changes up to some edition are in: completes what waited for that. */
+/* All changes up to some store revision are in: completes what waited for that. */
 void pm_blocks_caught_up(struct pm_blocks *blocks);
 
 /* The controller that holds the machine's block, NULL: the leader. */
@@ -54,7 +54,7 @@
 /* Leader, loop: writes what changed, asks the holders. */
 void pm_blocks_run(struct pm_blocks *blocks, double now);
 
-/* Holder. The stamp of this controller's block, 0: holds none. */
+/* Holder. The revision of this controller's block, 0: holds none. */
 uint64_t pm_blocks_mine(const struct pm_blocks *blocks);
 /* POST /block on the back address. */
 void pm_blocks_peer(struct pm_blocks *blocks, struct pm_http_request *req);
--- a/src/blocks/hold.c
+++ b/src/blocks/hold.c
@@ -1,7 +1,7 @@
 /* A holder: its own block, and what it tells the leader. */
 #include "base/clock.h"
 #include "block.pb-c.h"
-#include "blocks/parts.h"
+#include "blocks/internal.h"
 
 #include <string.h>
 
@@ -48,9 +48,9 @@
     pm_cbor_count(pm_cbor_get(host, "shift"), &session);
     m->session = session;
     if (!pm_cbor_text(pm_cbor_get(host, "room"), text, sizeof text))
-        m->zone = pm_settings_zone(b->books->settings, text);
+        m->zone = pm_settings_zone(b->tables->settings, text);
     if (!pm_cbor_text(pm_cbor_get(host, "model"), text, sizeof text))
-        pm_workers_set_type(b->workers, m, pm_names_find(b->books->types, text));
+        pm_workers_set_type(b->workers, m, pm_names_find(b->tables->types, text));
 }
 
 void pm_blocks_join(struct pm_blocks *b, const cbor_item_t *value, double now)
@@ -59,7 +59,7 @@
     bool granted = pm_blocks_own(b)->machines->len || pm_blocks_own(b)->jobs->len;
 
     if (granted && !b->mine_granted)
-        pm_jobs_set_away(b->jobs, true);
+        pm_jobs_set_delegated(b->jobs, true);
     leave_machines(b, now);
     for (size_t i = 0; i < pm_cbor_length(hosts); i++)
         join_machine(b, pm_cbor_at(hosts, i), now);
@@ -77,7 +77,7 @@
 
 uint64_t pm_blocks_mine(const struct pm_blocks *b)
 {
-    return b->mine_granted && !b->leading ? b->block[b->n - 1].stamp : 0;
+    return b->mine_granted && !b->leading ? b->block[b->n - 1].revision : 0;
 }
 
 /* A job's own key may be told after the block that lists it. */
@@ -88,8 +88,8 @@
         struct pm_job *job = pm_jobs_find(b->jobs, seen->id);
         if (!job || !job->spec)
             continue;
-        job->away = false;
-        job->width = seen->width;
+        job->delegated = false;
+        job->parallelism = seen->parallelism;
     }
 }
 
@@ -114,9 +114,9 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
-    tell.boot = (char *)pm_lead_boot(b->lead);
+    tell.boot = (char *)pm_leader_boot(b->lead);
     tell.ready = pm_store_ready(b->store) && !pm_store_refusing(b->store) &&
-                 now - pm_store_served(b->store) < 7 && b->books->ntypes > 0;
+                 now - pm_store_served(b->store) < 7 && b->tables->ntypes > 0;
     for (size_t i = 0; !b->leading && b->mine_granted && i < call->n_leaving; i++) {
         struct pm_machine *m = pm_workers_find(b->workers, call->leaving[i]);
         if (!m)
@@ -127,7 +127,7 @@
                 if (!strcmp(call->stop[s], m->name))
                     pm_plan_yield(g_ptr_array_index(m->places, j));
         /* Said once, and kept: a clean machine that is leaving is answered no more. */
-        if (pm_workers_clean(m, pm_lead_epoch(b->lead)))
+        if (pm_workers_clean(m, pm_leader_epoch(b->lead)))
             m->left = true;
         if (m->left)
             add_name(&tell.clean, &tell.n_clean, m->name);
@@ -138,11 +138,11 @@
             continue;
         up++;
         heard += now - m->heard < 6;
-        tell.doubt |= m->doubtful && m->doubtful >= pm_lead_epoch(b->lead);
+        tell.doubt |= m->doubtful && m->doubtful >= pm_leader_epoch(b->lead);
         if (m->errors >= 3)
             add_name(&tell.bad, &tell.n_bad, m->name);
         if (m->reported &&
-            (pm_workers_deaf(m, now) || pm_workers_silent(m, b->books->settings, now)))
+            (pm_workers_deaf(m, now) || pm_workers_silent(m, b->tables->settings, now)))
             add_name(&tell.silent, &tell.n_silent, m->name);
     }
     tell.helpless = (up > 1 && !heard) || (b->mine_granted && !tell.ready);
--- a/src/blocks/parts.h
+++ b/src/blocks/internal.h
@@ -20,8 +20,8 @@
     const char *name; /* the holder's */
     char key[PM_NAME_MAX + 8], boot[24];
     /* As the state service has it. */
-    uint64_t stamp, serial_seen;
-    uint64_t wrote;   /* stamp of our own last write: the watch may not have told it yet */
+    uint64_t revision, serial_seen;
+    uint64_t wrote;   /* revision of our own last write: the watch may not have told it yet */
     GArray *machines; /* of int: machine indices */
     GArray *jobs;     /* of struct seen_job */
     char boot_seen[24];
@@ -37,17 +37,17 @@
 
 struct seen_job { /* a job of a block, as the state service has it */
     char id[PM_ID_MAX];
-    uint32_t width;
+    uint32_t parallelism;
 };
 
 struct pm_blocks {
-    struct pm_books *books;
+    struct pm_name_tables *tables;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_plan *plan;
     struct pm_store *store;
     struct pm_http_client *http;
-    struct pm_lead *lead;
+    struct pm_leader *lead;
     struct pm_blocks_hooks hooks;
     int n;
     struct block block[PM_PEERS_MAX + 1]; /* the peers', and last our own */
@@ -56,10 +56,10 @@
     bool mine_granted;
 };
 
-/* The stamp that the block's key has by now, as far as we know. */
-static inline uint64_t pm_blocks_stamp(const struct block *k)
+/* The revision that the block's key has by now, as far as we know. */
+static inline uint64_t pm_blocks_revision(const struct block *k)
 {
-    return MAX(k->stamp, k->wrote);
+    return MAX(k->revision, k->wrote);
 }
 
 /* Our own. */
--- a/src/blocks/lend.c
+++ b/src/blocks/lend.c
@@ -1,6 +1,6 @@
 /* The leader gives jobs, and machines to place them on, to holders. */
 #include "base/log.h"
-#include "blocks/parts.h"
+#include "blocks/internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -17,13 +17,13 @@
 
     return job->state == PM_LIVE && spec && spec->form == PM_ARRAY && spec->spot && !job->unmet &&
            job->priority != PM_PRODUCTION && job->priority != PM_BEST_EFFORT && !spec->same_place &&
-           !spec->spread && !job->away && !job->nplaced && !job->ndone && !job->tried;
+           !spec->spread && !job->delegated && !job->nplaced && !job->ndone && !job->tried;
 }
 
 static bool alive(const struct block *k, double now)
 {
     return k->ready && k->boot[0] && now - k->alive < ALIVE_S && !k->losing &&
-           (!k->stamp || k->stamp < k->wrote || !strcmp(k->boot, k->boot_seen));
+           (!k->revision || k->revision < k->wrote || !strcmp(k->boot, k->boot_seen));
 }
 
 /* Bytes of JSON that the block's value takes at most; kept below the limit of a value. */
@@ -36,7 +36,7 @@
 /* Whether it holds one more job, with so many machines. */
 static bool has_space(const struct pm_blocks *b, const struct block *k, unsigned machines)
 {
-    return value_size(b, k) + 50 + 150.0 * machines < b->books->settings->value_kb * 1024;
+    return value_size(b, k) + 50 + 150.0 * machines < b->tables->settings->value_kb * 1024;
 }
 
 static double load(const struct block *k)
@@ -58,16 +58,16 @@
         for (guint j = 0; j < b->block[i].given->len; j++) {
             struct pm_job *job = g_ptr_array_index(b->block[i].given, j);
             uint32_t more;
-            if (!job->spec || job->state != PM_LIVE || job->width >= job->entries)
+            if (!job->spec || job->state != PM_LIVE || job->parallelism >= job->entries)
                 continue;
-            more =
-                MIN(pm_plan_lease_tasks(b->plan, job->spec, KEPT_SHARE), job->entries - job->width);
+            more = MIN(pm_plan_lease_tasks(b->plan, job->spec, KEPT_SHARE),
+                       job->entries - job->parallelism);
             if (!more)
                 continue;
-            job->width += more;
+            job->parallelism += more;
             pm_plan_lease(b->plan, job->spec, more);
             b->block[i].dirty = true;
-            pm_debug("blocks.widen", "%s to %u", job->id, job->width);
+            pm_debug("blocks.widen", "%s to %u", job->id, job->parallelism);
         }
 }
 
@@ -92,7 +92,7 @@
 
     *machines = 0;
 
-    for (guint i = 0; i < whole->len && n < job->width; i++) {
+    for (guint i = 0; i < whole->len && n < job->parallelism; i++) {
         struct pm_machine *m = g_ptr_array_index(whole, i);
         double room[3];
         if (taken[i] || !pm_plan_whole(b->plan, m, job, now))
@@ -113,7 +113,7 @@
 void pm_blocks_assign(struct pm_blocks *b, double now)
 {
     GPtrArray *active = pm_jobs_active(b->jobs);
-    const GPtrArray *whole = pm_plan_find_whole(b->plan, pm_lead_epoch(b->lead), now);
+    const GPtrArray *whole = pm_plan_find_whole(b->plan, pm_leader_epoch(b->lead), now);
     guint *taken = g_new0(guint, whole->len + 1);
 
     widen(b);
@@ -123,24 +123,25 @@
         unsigned machines = 0;
         if (!delegable(job))
             continue;
-        /* Its width counts against the team's limit as long as it is away. */
-        job->width = MIN(pm_plan_lease_tasks(b->plan, job->spec, KEPT_SHARE), job->entries);
-        if (job->width && whole_room(b, job, whole, taken, i + 1, &machines, now) >= job->width)
+        /* What its lease allows at once counts against the limit as long as it is delegated. */
+        job->parallelism = MIN(pm_plan_lease_tasks(b->plan, job->spec, KEPT_SHARE), job->entries);
+        if (job->parallelism &&
+            whole_room(b, job, whole, taken, i + 1, &machines, now) >= job->parallelism)
             for (int j = 0; j < b->n - 1; j++) {
                 struct block *k = &b->block[j];
                 if (alive(k, now) && has_space(b, k, machines) && (!best || load(k) < load(best)))
                     best = k;
             }
         if (!best) {
-            job->width = UINT32_MAX;
+            job->parallelism = UINT32_MAX;
             continue;
         }
-        job->away = true;
-        pm_plan_lease(b->plan, job->spec, job->width);
+        job->delegated = true;
+        pm_plan_lease(b->plan, job->spec, job->parallelism);
         g_ptr_array_add(best->given, job);
         best->dirty = true;
         pm_debug("blocks.give", "%s of %s to %s, %u at once", job->id,
-                 b->books->settings->team[job->spec->team].name, best->name, job->width);
+                 b->tables->settings->team[job->spec->team].name, best->name, job->parallelism);
     }
     g_free(taken);
 }
@@ -170,18 +171,18 @@
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || !m->lent || m->type < 0)
             continue;
-        room[i][0] = b->books->type[m->type].cpus;
-        room[i][1] = b->books->type[m->type].gpus;
-        room[i][2] = b->books->type[m->type].ram_gb;
+        room[i][0] = b->tables->type[m->type].cpus;
+        room[i][1] = b->tables->type[m->type].gpus;
+        room[i][2] = b->tables->type[m->type].ram_gb;
     }
     for (guint i = 0; i < active->len; i++) {
         const struct pm_job *job = g_ptr_array_index(active, i);
-        if (!job->away || !job->spec)
+        if (!job->delegated || !job->spec)
             continue;
         for (int k = 0; k < job->nchunks; k++) {
-            const GArray *spots = job->chunk[k] ? job->chunk[k]->spots : NULL;
-            for (guint s = 0; spots && s < spots->len; s++) {
-                int index = g_array_index(spots, struct pm_spot, s).machine;
+            const GArray *stored_places = job->chunk[k] ? job->chunk[k]->stored_places : NULL;
+            for (guint s = 0; stored_places && s < stored_places->len; s++) {
+                int index = g_array_index(stored_places, struct pm_stored_place, s).machine;
                 if (index < 0 || index >= (int)all->len)
                     continue;
                 take_off(room[index], job->spec, 1);
@@ -198,7 +199,7 @@
         struct entry *e = &g_array_index(s->block->entries, struct entry, i);
         const struct pm_machine *m = pm_workers_at(b->workers, e->machine);
         uint32_t n;
-        if (!m || e->state > HELD || !pm_plan_allows(b->books, s->job, m->type, m->zone, m->spot))
+        if (!m || e->state > HELD || !pm_plan_allows(b->tables, s->job, m->type, m->zone, m->spot))
             continue;
         n = MIN(room_fit(room[e->machine], s->job->spec), s->waiting);
         take_off(room[e->machine], s->job->spec, n);
@@ -245,12 +246,12 @@
             double room[3];
             uint32_t n;
             if (!m || m->type < 0 || e->state != HELD || used[e->machine] ||
-                !pm_plan_allows(b->books, s->job, m->type, m->zone, m->spot) ||
+                !pm_plan_allows(b->tables, s->job, m->type, m->zone, m->spot) ||
                 !pm_plan_may_clear(b->plan, s->job, e->machine))
                 continue;
-            room[0] = b->books->type[m->type].cpus;
-            room[1] = b->books->type[m->type].gpus;
-            room[2] = b->books->type[m->type].ram_gb;
+            room[0] = b->tables->type[m->type].cpus;
+            room[1] = b->tables->type[m->type].gpus;
+            room[2] = b->tables->type[m->type].ram_gb;
             n = room_fit(room, s->job->spec);
             if (!n)
                 continue;
@@ -302,7 +303,7 @@
     double(*room)[3] = room_away(b, tasks_on);
     struct shortage *short_of;
 
-    pm_plan_find_whole(b->plan, pm_lead_epoch(b->lead), now);
+    pm_plan_find_whole(b->plan, pm_leader_epoch(b->lead), now);
     for (int i = 0; i < b->n - 1; i++)
         for (guint j = 0; j < b->block[i].given->len; j++) {
             struct pm_job *job = g_ptr_array_index(b->block[i].given, j);
@@ -319,7 +320,7 @@
         pm_jobs_count(job, &done, &placed);
         left = job->entries - MIN(job->entries, done + placed);
         short_of[i].job = job;
-        short_of[i].waiting = MIN(left, job->width - MIN(job->width, placed));
+        short_of[i].waiting = MIN(left, job->parallelism - MIN(job->parallelism, placed));
         short_of[i].block = block_of(b, job);
         use_held(b, &short_of[i], room, used);
     }
--- a/src/cmd/pumicemount/parts.h
+++ b/src/cmd/pumicemount/internal.h
@@ -5,7 +5,7 @@
 #include "base/http.h"
 #include "blocks/blocks.h"
 #include "fleet/fleet.h"
-#include "intake/intake.h"
+#include "api/api.h"
 #include "jobs/commit.h"
 #include "leadership/cancels.h"
 #include "leadership/leadership.h"
@@ -24,25 +24,25 @@
     struct ev_loop *loop;
     const struct pm_settings *settings;
     const struct pm_operator *op;
-    struct pm_books books;
+    struct pm_name_tables tables;
     struct pm_http_client *http;
     struct pm_http_server *front, *back;
     struct pm_store *store;
-    struct pm_lead *lead;
+    struct pm_leader *lead;
     struct pm_cancels *cancels;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_plan *plan;
     struct pm_commit *commit;
     struct pm_fleet *fleet;
-    struct pm_intake *intake;
+    struct pm_api *intake;
     struct pm_blocks *blocks;
     GMutex lock;  /* all of the above */
     bool ruling;  /* leads, or holds a block, and the working state is rebuilt */
     bool leading; /* leads */
     struct pm_buf ledger;
     char block_key[PM_NAME_MAX + 8];
-    uint64_t types_stamp, ledger_stamp;
+    uint64_t types_revision, ledger_revision;
     bool ledger_busy, types_busy, blocks_changed;
     double ledger_at, raised_at, took_at, report_at, told_at;
     /* The planner's thread. */
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -1,11 +1,11 @@
 /* One controller: the loop's thread does all I/O, the planner's thread decides what runs where.
- * The loop holds the books' lock while it handles the events at hand, and lets go of it around
+ * The loop holds the node's lock while it handles the events at hand, and lets go of it around
  * every wait; the planner takes it for one plan. Sockets never block, so nobody waits with the
  * lock. */
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/protocol.h"
-#include "parts.h"
+#include "internal.h"
 
 #include <errno.h>
 #include <ev.h>
@@ -32,18 +32,18 @@
         pm_node_direct(n, place->machine, false);
 }
 
-static void on_commit_confirmed(void *arg, double sent, uint64_t edition)
+static void on_commit_confirmed(void *arg, double sent, uint64_t store_revision)
 {
     struct pm_node *n = arg;
 
-    pm_lead_confirm(n->lead, sent, edition);
+    pm_leader_confirm(n->lead, sent, store_revision);
     pm_node_commit(n);
     pm_node_plan_soon(n);
 }
 
 static void on_commit_doubt(void *arg)
 {
-    pm_lead_doubt(((struct pm_node *)arg)->lead);
+    pm_leader_suspect(((struct pm_node *)arg)->lead);
 }
 
 static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
@@ -96,16 +96,17 @@
     pm_node_plan_soon(n);
 }
 
-/* The books changed. */
+/* The replica changed. */
 static void on_changed(void *arg)
 {
     pm_node_plan_soon(arg);
 }
 
-static void on_types_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_types_written(void *arg, int status, uint64_t store_revision,
+                             const cbor_item_t *failed)
 {
     (void)status;
-    (void)edition;
+    (void)store_revision;
     (void)failed;
     ((struct pm_node *)arg)->types_busy = false;
 }
@@ -115,16 +116,16 @@
     struct pm_node *n = arg;
     struct pm_txn txn = {0};
 
-    if (!pm_fleet_read_types(&n->books, models)) {
+    if (!pm_fleet_read_types(&n->tables, models)) {
         pm_error("fleet.types", "unreadable machine types");
         return;
     }
     pm_node_plan_soon(n);
-    if (!n->leading || n->types_busy || n->types_stamp)
+    if (!n->leading || n->types_busy || n->types_revision)
         return;
     /* Kept in the state service, for controllers that start while the cloud has an outage. */
     n->types_busy = true;
-    pm_txn_if(&txn, "p/epoch", pm_lead_stamp(n->lead));
+    pm_txn_if(&txn, "p/epoch", pm_leader_revision(n->lead));
     pm_txn_if(&txn, "p/types", 0);
     pm_txn_put(&txn, "p/types");
     pm_put_item(&txn.writes, models);
@@ -140,11 +141,12 @@
     int places = 0;
 
     for (int k = 0; job->spec && k < job->nchunks; k++) {
-        GArray *spots = job->chunk[k] && job->chunk[k]->stored ? job->chunk[k]->spots : NULL;
-        for (guint s = 0; spots && s < spots->len; s++) {
-            struct pm_spot *spot = &g_array_index(spots, struct pm_spot, s);
+        GArray *stored_places =
+            job->chunk[k] && job->chunk[k]->stored ? job->chunk[k]->stored_places : NULL;
+        for (guint s = 0; stored_places && s < stored_places->len; s++) {
+            struct pm_stored_place *spot = &g_array_index(stored_places, struct pm_stored_place, s);
             struct pm_machine *m =
-                pm_workers_add(n->workers, pm_names_text(n->books.machines, spot->machine));
+                pm_workers_add(n->workers, pm_names_text(n->tables.machines, spot->machine));
             pm_workers_place(n->workers, job, (uint32_t)k * PM_CHUNK + spot->task, m, spot->attempt,
                              spot->session, PM_DURABLE, now);
             if (m->state == PM_BOOTING) { /* its worker may be silent by now: counted from here */
@@ -177,12 +179,12 @@
     int places = 0;
 
     start_anew(n);
-    pm_jobs_set_away(n->jobs, false);
+    pm_jobs_set_delegated(n->jobs, false);
     pm_fleet_reset(n->fleet, epoch);
     pm_blocks_take(n->blocks, now);
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (!job->away)
+        if (!job->delegated)
             places += find_places(n, job, now);
     }
     ledger = pm_cbor_parse(n->ledger.data, n->ledger.size);
@@ -256,7 +258,7 @@
     if (n->leading)
         return;
     if (!granted) {
-        pm_lead_hold(n->lead, n->block_key, 0);
+        pm_leader_hold(n->lead, n->block_key, 0);
         if (n->ruling)
             start_anew(n);
         n->ruling = false;
@@ -267,59 +269,59 @@
         pm_plan_reset(n->plan);
     }
     n->ruling = true;
-    pm_lead_hold(n->lead, n->block_key, pm_blocks_mine(n->blocks));
+    pm_leader_hold(n->lead, n->block_key, pm_blocks_mine(n->blocks));
     pm_node_plan_soon(n);
 }
 
 /* ---- the replica's feed ---- */
 
-static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t stamp)
+static void on_put(void *arg, const char *key, const cbor_item_t *value, uint64_t revision)
 {
     struct pm_node *n = arg;
     const struct pm_job *job;
 
     if (!strcmp(key, "p/epoch") || !strcmp(key, "p/lead") || !strncmp(key, "p/speaks", 8)) {
-        pm_lead_put(n->lead, key, value, stamp);
-        n->books.protocol_version = pm_lead_protocol_version(n->lead);
-        pm_intake_enable_dependencies(n->intake,
-                                      n->books.protocol_version >= PM_PROTOCOL_DEPENDENCIES);
+        pm_leader_put(n->lead, key, value, revision);
+        n->tables.protocol_version = pm_leader_protocol_version(n->lead);
+        pm_api_enable_dependencies(n->intake,
+                                   n->tables.protocol_version >= PM_PROTOCOL_DEPENDENCIES);
     } else if (!strncmp(key, "p/b/", 4)) {
         n->blocks_changed |= n->ruling;
-        pm_blocks_put(n->blocks, key, value, stamp);
+        pm_blocks_put(n->blocks, key, value, revision);
     } else if (!strncmp(key, "p/seen/", 7)) {
         pm_cancels_put(n->cancels, key, value);
     } else if (!strcmp(key, "p/ledger")) {
-        n->ledger_stamp = MAX(n->ledger_stamp, stamp);
+        n->ledger_revision = MAX(n->ledger_revision, revision);
         if (!n->leading) {
             pm_plan_read_ledger(n->plan, value);
             n->ledger.size = 0; /* kept for the images, should this controller take the lead */
             pm_put_item(&n->ledger, value);
         }
     } else if (!strcmp(key, "p/types")) {
-        n->types_stamp = stamp;
-        if (!n->books.ntypes && !pm_fleet_read_types(&n->books, value))
+        n->types_revision = revision;
+        if (!n->tables.ntypes && !pm_fleet_read_types(&n->tables, value))
             pm_error("fleet.types", "unreadable machine types in the state service");
-    } else if ((job = pm_jobs_put(n->jobs, key, value, stamp))) {
-        if (job->cancelled == stamp && pm_store_ready(n->store))
-            pm_cancels_read(n->cancels, stamp);
+    } else if ((job = pm_jobs_put(n->jobs, key, value, revision))) {
+        if (job->cancelled == revision && pm_store_ready(n->store))
+            pm_cancels_read(n->cancels, revision);
         pm_node_plan_soon(n);
     }
 }
 
-static void on_drop(void *arg, const char *key, uint64_t stamp)
+static void on_drop(void *arg, const char *key, uint64_t revision)
 {
     struct pm_node *n = arg;
 
-    pm_lead_drop(n->lead, key, stamp);
-    pm_blocks_drop(n->blocks, key, stamp);
-    pm_jobs_drop(n->jobs, key, stamp);
+    pm_leader_drop(n->lead, key, revision);
+    pm_blocks_drop(n->blocks, key, revision);
+    pm_jobs_drop(n->jobs, key, revision);
 }
 
 static void on_begin(void *arg)
 {
     struct pm_node *n = arg;
 
-    pm_lead_relist(n->lead);
+    pm_leader_relist(n->lead);
     pm_blocks_relist(n->blocks);
     pm_jobs_sweep_begin(n->jobs);
 }
@@ -328,14 +330,14 @@
 {
     struct pm_node *n = arg;
 
-    pm_info("node.listed", "edition %llu", (unsigned long long)pm_store_edition(n->store));
+    pm_info("node.listed", "edition %llu", (unsigned long long)pm_store_revision(n->store));
 }
 
-static void on_caught_up(void *arg, uint64_t edition)
+static void on_caught_up(void *arg, uint64_t store_revision)
 {
     struct pm_node *n = arg;
 
-    (void)edition;
+    (void)store_revision;
     pm_blocks_caught_up(n->blocks);
     if (n->blocks_changed) {
         n->blocks_changed = false;
@@ -346,25 +348,25 @@
 
 /* ---- cancellations that others tell of ---- */
 
-static void on_cancelled(void *arg, const char *id, uint64_t stamp)
+static void on_cancelled(void *arg, const char *id, uint64_t revision)
 {
     struct pm_node *n = arg;
 
-    if (pm_jobs_cancel(n->jobs, id, stamp)) {
+    if (pm_jobs_cancel(n->jobs, id, revision)) {
         pm_info("node.cancelled", "%s, by a peer's word", id);
         pm_node_plan_soon(n); /* its tasks are killed at once */
     }
 }
 
-static const struct pm_cancelled *on_list_cancelled(void *arg, uint64_t stamp, size_t most,
+static const struct pm_cancelled *on_list_cancelled(void *arg, uint64_t revision, size_t most,
                                                     size_t *count, bool *more)
 {
-    return pm_jobs_cancelled_after(((struct pm_node *)arg)->jobs, stamp, most, count, more);
+    return pm_jobs_cancelled_after(((struct pm_node *)arg)->jobs, revision, most, count, more);
 }
 
-static void on_peer_reached(void *arg, int peer, uint64_t edition)
+static void on_peer_reached(void *arg, int peer, uint64_t store_revision)
 {
-    pm_cancels_reached(((struct pm_node *)arg)->cancels, peer, edition);
+    pm_cancels_reached(((struct pm_node *)arg)->cancels, peer, store_revision);
 }
 
 static void on_front(void *arg, struct pm_http_request *req)
@@ -377,9 +379,9 @@
         else
             pm_http_reply(req, 405, NULL, 0, 0);
     } else if (!strcmp(req->path, "/ready")) {
-        pm_intake_ready(n->intake, req, pm_lead_refused_alone(n->lead, pm_clock_steady()));
+        pm_api_ready(n->intake, req, pm_leader_refused_alone(n->lead, pm_clock_steady()));
     } else if (!strcmp(req->path, "/work") || !strncmp(req->path, "/work/", 6)) {
-        pm_intake_request(n->intake, req);
+        pm_api_request(n->intake, req);
     } else {
         pm_http_reply(req, 404, NULL, 0, 0);
     }
@@ -390,7 +392,7 @@
     struct pm_node *n = arg;
 
     if (!strcmp(req->path, "/peer") && req->method == PM_HTTP_POST)
-        pm_lead_peer(n->lead, req);
+        pm_leader_peer(n->lead, req);
     else if (!strcmp(req->path, "/cancelled") && req->method == PM_HTTP_POST)
         pm_cancels_peer(n->cancels, req);
     else if (!strcmp(req->path, "/block") && req->method == PM_HTTP_POST)
@@ -409,14 +411,14 @@
     g_mutex_lock(&((struct pm_node *)ev_userdata(loop))->lock);
 }
 
-static void make_names(struct pm_books *books, const struct pm_settings *settings)
+static void make_names(struct pm_name_tables *tables, const struct pm_settings *settings)
 {
-    books->settings = settings;
-    books->classes = pm_names_new();
-    books->images = pm_names_new();
-    books->types = pm_names_new();
-    books->machines = pm_names_new();
-    books->dependency_ids = pm_names_new();
+    tables->settings = settings;
+    tables->classes = pm_names_new();
+    tables->images = pm_names_new();
+    tables->types = pm_names_new();
+    tables->machines = pm_names_new();
+    tables->dependency_ids = pm_names_new();
 }
 
 /* The loop's thread has the lock but for its waits. */
@@ -432,11 +434,11 @@
 /* What decides: no I/O of its own but for the fleet's calls to the cloud. */
 static void make_planning(struct pm_node *n)
 {
-    n->jobs = pm_jobs_new(&n->books);
+    n->jobs = pm_jobs_new(&n->tables);
     n->workers =
-        pm_workers_new(&n->books, n->jobs, &(struct pm_workers_hooks){on_ended, on_ran, n});
-    n->plan = pm_plan_new(&n->books, n->jobs, n->workers, n->op);
-    n->fleet = pm_fleet_new(n->http, &n->books, n->jobs, n->workers, n->plan, n->op,
+        pm_workers_new(&n->tables, n->jobs, &(struct pm_workers_hooks){on_ended, on_ran, n});
+    n->plan = pm_plan_new(&n->tables, n->jobs, n->workers, n->op);
+    n->fleet = pm_fleet_new(n->http, &n->tables, n->jobs, n->workers, n->plan, n->op,
                             &(struct pm_fleet_hooks){on_types, on_gone, on_changed, n});
 }
 
@@ -450,20 +452,20 @@
         &(struct pm_store_feed){on_put, on_drop, on_begin, on_listed, on_caught_up, n});
     share_of_others(n);
     pm_store_set_pace(n->store, STORE_SHARE * settings->state_rps / settings->size);
-    n->lead =
-        pm_lead_new(n->loop, n->store, n->http, settings, n->op,
-                    &(struct pm_lead_hooks){on_took, on_lost, on_raised, on_lead_confirmed,
-                                            on_cancelled, on_list_cancelled, on_peer_reached, n});
+    n->lead = pm_leader_new(n->loop, n->store, n->http, settings, n->op,
+                            &(struct pm_leader_hooks){on_took, on_lost, on_raised,
+                                                      on_lead_confirmed, on_cancelled,
+                                                      on_list_cancelled, on_peer_reached, n});
     n->cancels = pm_cancels_new(n->loop, n->store, n->http, settings,
                                 &(struct pm_cancels_hooks){on_cancelled, n});
     n->commit = pm_commit_new(
-        &n->books, n->jobs, n->store,
+        &n->tables, n->jobs, n->store,
         &(struct pm_commit_hooks){on_durable, on_commit_confirmed, on_commit_doubt, n});
     snprintf(n->block_key, sizeof n->block_key, "p/b/%s", settings->name);
     n->blocks = pm_blocks_new(
-        &n->books, n->jobs, n->workers, n->plan, n->store, n->http, n->lead,
+        &n->tables, n->jobs, n->workers, n->plan, n->store, n->http, n->lead,
         &(struct pm_blocks_hooks){on_changed, on_job_back, on_machine_bad, on_block_mine, n});
-    n->intake = pm_intake_new(n->loop, n->store, n->jobs, &n->books, n->cancels, n->op);
+    n->intake = pm_api_new(n->loop, n->store, n->jobs, &n->tables, n->cancels, n->op);
 }
 
 static void start_timers(struct pm_node *n)
@@ -509,7 +511,7 @@
     n->loop = loop;
     n->settings = settings;
     n->op = op;
-    make_names(&n->books, settings);
+    make_names(&n->tables, settings);
     make_locks(n);
     n->http = pm_http_client_new(loop, settings->sockets / CLIENT_SHARE);
     make_planning(n);
--- a/src/cmd/pumicemount/planning.c
+++ b/src/cmd/pumicemount/planning.c
@@ -1,7 +1,7 @@
 /* The planner's thread, and what follows from a plan: what is written, sent and rented. */
 #include "base/clock.h"
 #include "base/log.h"
-#include "parts.h"
+#include "internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -42,7 +42,7 @@
         n->due = false;
         g_mutex_unlock(&n->wake_lock);
         g_mutex_lock(&n->lock);
-        if (n->ruling && n->books.ntypes) {
+        if (n->ruling && n->tables.ntypes) {
             double began = pm_clock_steady();
             plan(n);
             n->plan_cost = n->plan_cost * 0.7 + (pm_clock_steady() - began) * 0.3;
@@ -87,10 +87,10 @@
 
     if (!n->ruling)
         return;
-    grounds.epoch_stamp = pm_lead_stamp(n->lead);
+    grounds.epoch_revision = pm_leader_revision(n->lead);
     if (!n->leading) {
         grounds.block_key = n->block_key;
-        grounds.block_stamp = pm_blocks_mine(n->blocks);
+        grounds.block_revision = pm_blocks_mine(n->blocks);
     }
     next = pm_commit_run(n->commit, &grounds, now, pm_clock_day());
     ev_timer_stop(n->loop, &n->commit_timer);
@@ -131,7 +131,7 @@
     if (n->ruling) {
         pm_node_commit(n);
         pm_node_direct_all(n);
-        if (n->leading && pm_lead_confirmed(n->lead, pm_clock_steady())) {
+        if (n->leading && pm_leader_confirmed(n->lead, pm_clock_steady())) {
             pm_blocks_run(n->blocks, pm_clock_steady());
             fleet_run(n);
         }
--- a/src/cmd/pumicemount/round.c
+++ b/src/cmd/pumicemount/round.c
@@ -1,7 +1,7 @@
 /* What is looked after by the clock: leases, machines not heard of, the ledger, the log. */
 #include "base/clock.h"
 #include "base/log.h"
-#include "parts.h"
+#include "internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -10,14 +10,15 @@
 #define LEDGER_S 5.0
 #define TELL_S 10.0
 
-static void on_ledger_written(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_ledger_written(void *arg, int status, uint64_t store_revision,
+                              const cbor_item_t *failed)
 {
     struct pm_node *n = arg;
 
     if (status == 400)
         pm_error("node.ledger", "the state service refuses p/ledger");
     if (status == 200)
-        n->ledger_stamp = MAX(n->ledger_stamp, edition);
+        n->ledger_revision = MAX(n->ledger_revision, store_revision);
     (void)failed;
     n->ledger_busy = false;
 }
@@ -31,10 +32,10 @@
         return; /* launches first, though not for long: who leads next reads it */
     n->ledger_busy = true;
     n->ledger_at = now;
-    pm_txn_if(&txn, "p/epoch", pm_lead_stamp(n->lead));
+    pm_txn_if(&txn, "p/epoch", pm_leader_revision(n->lead));
     /* One that is carried out late must not hide a newer one: which zones were silent would be said
      * of a time long past. */
-    pm_txn_if(&txn, "p/ledger", n->ledger_stamp);
+    pm_txn_if(&txn, "p/ledger", n->ledger_revision);
     pm_txn_put(&txn, "p/ledger");
     pm_plan_write_ledger(n->plan, now, pm_clock_day(), &txn.writes);
     pm_txn_put_end(&txn, 0);
@@ -49,7 +50,7 @@
     GPtrArray *all = pm_workers_all(n->workers);
     /* Cut off, we hear nothing because workers report to a later leader: that proves nothing, and
      * returning their machines as idle would end what runs there. */
-    if (!pm_lead_confirmed(n->lead, now))
+    if (!pm_leader_confirmed(n->lead, now))
         return;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
@@ -58,12 +59,12 @@
             continue;
         base = m->floor;
         if (!base && n->leading) {
-            base = pm_lead_floor(n->lead, m->since_epoch);
+            base = pm_leader_floor(n->lead, m->since_epoch);
             if (m->since_epoch && isfinite(base))
                 m->floor = base;
         }
         /* Another controller may have answered it in our stead. */
-        base = MAX(base, pm_lead_sure_since(n->lead));
+        base = MAX(base, pm_leader_sure_since(n->lead));
         if (!pm_workers_lapsed(m, base, n->settings->lease_s, now))
             continue;
         pm_info("workers.lapsed", "%s with %u places", m->name, m->places->len);
@@ -95,8 +96,8 @@
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->state == PM_RELEASING || m->lent)
             continue;
-        doubtful |= m->doubtful && m->mandate <= m->doubtful &&
-                    m->doubtful >= pm_lead_epoch(n->lead) && now - m->heard < 3;
+        doubtful |= m->doubtful && m->token <= m->doubtful &&
+                    m->doubtful >= pm_leader_epoch(n->lead) && now - m->heard < 3;
         /* A worker that has not come to us yet is asked: the answer is its report, and it learns
          * our token. A wrong session is refused, with the report all the same. */
         if (asked >= ASK_MAX)
@@ -107,13 +108,13 @@
     }
     if (doubtful && n->leading && now - n->raised_at > 6) {
         n->raised_at = now;
-        pm_lead_raise(n->lead, NULL, 0); /* ends the doubt: late copies of the old token die */
+        pm_leader_raise(n->lead, NULL, 0); /* ends the doubt: late copies of the old token die */
     }
 }
 
 /* Cut off from the workers alone, a leader does nothing but let their leases lapse: another one may
  * reach them. */
-static void resign_if_deaf(struct pm_node *n, double now)
+static void step_down_if_unheard(struct pm_node *n, double now)
 {
     GPtrArray *all = pm_workers_all(n->workers);
     double limit = MAX(3.5, 1.6 * n->settings->report_s);
@@ -134,9 +135,9 @@
     }
     /* Any report counts, also one that an outage keeps from being answered. */
     if (silent >= 3 && now - n->report_at >= limit)
-        pm_lead_resign(n->lead, "no worker is heard");
-    else if (deaf >= 3 && 2 * deaf > up && pm_lead_confirmed(n->lead, now))
-        pm_lead_resign(n->lead, "the workers do not hear us");
+        pm_leader_step_down(n->lead, "no worker is heard");
+    else if (deaf >= 3 && 2 * deaf > up && pm_leader_confirmed(n->lead, now))
+        pm_leader_step_down(n->lead, "the workers do not hear us");
 }
 
 /* What there is and what waits, for whoever reads the log. */
@@ -150,7 +151,7 @@
     int silent = 0;
     unsigned placed = 0;
     unsigned waiting = 0;
-    unsigned away = 0;
+    unsigned delegated = 0;
     double cpus = 0;
     double idle = 0;
 
@@ -167,17 +168,17 @@
         silent += m->state == PM_UP && !m->lent && pm_workers_silent(m, n->settings, now);
         if (m->state != PM_UP)
             continue;
-        cpus += n->books.type[m->type].cpus;
+        cpus += n->tables.type[m->type].cpus;
         idle += m->lent ? 0 : m->cpus;
     }
     for (guint i = 0; i < active->len; i++) {
         const struct pm_job *job = g_ptr_array_index(active, i);
         uint32_t done;
         uint32_t running;
-        if (job->away && job->spec) {
+        if (job->delegated && job->spec) {
             pm_jobs_count(job, &done, &running);
             placed += running;
-            away += job->entries - MIN(job->entries, done + running);
+            delegated += job->entries - MIN(job->entries, done + running);
         } else {
             placed += job->nplaced;
             waiting += pm_job_waiting(job);
@@ -186,7 +187,7 @@
     pm_info("node.state",
             "machines up %d (%d silent), leased out %d, booting %d; cpus %.0f, idle %.0f; jobs %u, "
             "tasks placed %u, waiting %u, at holders %u",
-            up, silent, lent, booting, cpus, idle, active->len, placed, waiting, away);
+            up, silent, lent, booting, cpus, idle, active->len, placed, waiting, delegated);
 }
 
 void pm_node_on_round(struct ev_loop *loop, ev_timer *w, int events)
@@ -199,7 +200,7 @@
     if (n->round_at && now - n->round_at > 2 * ROUND_S)
         n->late_until = now + DIRECT_S;
     n->round_at = now;
-    if (!n->books.ntypes && pm_store_ready(n->store))
+    if (!n->tables.ntypes && pm_store_ready(n->store))
         pm_fleet_ask_types(n->fleet, now);
     if (n->ruling) {
         judge_leases(n, now);
@@ -210,7 +211,7 @@
         if (n->leading)
             tell_state(n, now);
         if (n->leading)
-            resign_if_deaf(n, now);
+            step_down_if_unheard(n, now);
         pm_node_plan_soon(n);
     }
 }
--- a/src/cmd/pumicemount/workers.c
+++ b/src/cmd/pumicemount/workers.c
@@ -1,7 +1,7 @@
 /* Commands to workers, and their reports. */
 #include "base/clock.h"
 #include "base/log.h"
-#include "parts.h"
+#include "internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -36,7 +36,7 @@
             m->direct_retry = m->unreached + 0.7;
         }
         if (report) {
-            pm_workers_report(n->workers, report, PM_DIRECT, pm_lead_epoch(n->lead),
+            pm_workers_report(n->workers, report, PM_DIRECT, pm_leader_epoch(n->lead),
                               pm_clock_steady(), &fresh);
             pm_node_plan_soon(n);
             pm_node_commit(n);
@@ -55,10 +55,10 @@
 
     if (m->direct_busy || n->directs >= n->settings->sockets / DIRECT_SHARE || !m->endpoint[0] ||
         m->direct_retry > pm_clock_steady() || (!probe && !pm_workers_direct_due(m)) ||
-        !pm_lead_confirmed(n->lead, pm_clock_steady()))
+        !pm_leader_confirmed(n->lead, pm_clock_steady()))
         return;
     direct = g_new0(struct direct, 1);
-    *direct = (struct direct){n, m->index, pm_lead_epoch(n->lead)};
+    *direct = (struct direct){n, m->index, pm_leader_epoch(n->lead)};
     pm_put_map(&body);
     pm_put_pair_count(&body, "mandate", direct->epoch);
     pm_put_pair_count(&body, "shift", m->session ? m->session : 1);
@@ -89,7 +89,7 @@
     struct pm_buf body = {0};
 
     if (!other || !strcmp(other, n->settings->name))
-        other = pm_lead_other(n->lead);
+        other = pm_leader_other(n->lead);
 
     if (!other) {
         pm_http_reply(req, 503, NULL, 0, 1);
@@ -125,8 +125,8 @@
  * below what the worker has seen. */
 void pm_node_report(struct pm_node *n, struct pm_http_request *req)
 {
-    uint64_t epoch = pm_lead_epoch(n->lead);
-    uint64_t mandate = 0;
+    uint64_t epoch = pm_leader_epoch(n->lead);
+    uint64_t token = 0;
     double now = pm_clock_steady();
     struct pm_machine *m;
     cbor_item_t *report;
@@ -140,7 +140,7 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
-    pm_cbor_count(pm_cbor_get(report, "mandate"), &mandate);
+    pm_cbor_count(pm_cbor_get(report, "mandate"), &token);
     if (n->leading && pm_fleet_returned(n->fleet, name)) {
         /* A copy of a report of a machine that is proven gone. */
         pm_cbor_free(report);
@@ -149,18 +149,18 @@
     }
     m = n->ruling ? pm_workers_find(n->workers, name) : NULL;
     if (!n->ruling || (n->leading ? m && m->lent : !m || m->left)) {
-        if (pm_lead_caretaker(n->lead, now) && mandate <= epoch)
+        if (pm_leader_may_renew_in_outage(n->lead, now) && token <= epoch)
             answer_worker(n, req, epoch, NULL, report);
         else
             reply_elsewhere(n, req, name);
         pm_cbor_free(report);
         return;
     }
-    if (!pm_lead_confirmed(n->lead, now) || mandate > epoch) {
-        if (mandate > epoch)
-            pm_lead_doubt(n->lead);
+    if (!pm_leader_confirmed(n->lead, now) || token > epoch) {
+        if (token > epoch)
+            pm_leader_suspect(n->lead);
         pm_debug("report.unsure", "%s: epoch %llu, its token %llu", name, (unsigned long long)epoch,
-                 (unsigned long long)mandate);
+                 (unsigned long long)token);
         pm_cbor_free(report);
         pm_http_reply(req, 503, NULL, 0, 1);
         return;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,4 +1,4 @@
-#include "fleet/parts.h"
+#include "fleet/internal.h"
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -20,7 +20,7 @@
     int tries;
 };
 
-struct pm_fleet *pm_fleet_new(struct pm_http_client *http, struct pm_books *books,
+struct pm_fleet *pm_fleet_new(struct pm_http_client *http, struct pm_name_tables *tables,
                               struct pm_jobs *jobs, struct pm_workers *workers,
                               struct pm_plan *plan, const struct pm_operator *op,
                               const struct pm_fleet_hooks *hooks)
@@ -28,7 +28,7 @@
     struct pm_fleet *f = g_new0(struct pm_fleet, 1);
 
     f->http = http;
-    f->books = books;
+    f->tables = tables;
     f->jobs = jobs;
     f->workers = workers;
     f->plan = plan;
@@ -66,7 +66,7 @@
 
 void pm_fleet_read_heard(struct pm_fleet *f, const cbor_item_t *ledger, double now, double day)
 {
-    const struct pm_settings *s = f->books->settings;
+    const struct pm_settings *s = f->tables->settings;
     const cbor_item_t *heard = pm_cbor_get(ledger, "heard");
     double at;
     double written;
@@ -83,7 +83,7 @@
 
 static bool may_call(struct pm_fleet *f, double now)
 {
-    double rate = f->books->settings->cloud_rps * 0.85;
+    double rate = f->tables->settings->cloud_rps * 0.85;
 
     f->tokens = MIN(f->tokens + (now - f->filled) * rate, rate * 1.7);
     f->filled = now;
@@ -95,7 +95,7 @@
 
 /* ---- machine types ---- */
 
-bool pm_fleet_read_types(struct pm_books *books, const cbor_item_t *models)
+bool pm_fleet_read_types(struct pm_name_tables *tables, const cbor_item_t *models)
 {
     char name[PM_NAME_MAX];
 
@@ -120,19 +120,19 @@
         for (size_t z = 0; z < pm_cbor_length(zones); z++) {
             int zone = pm_cbor_text(pm_cbor_at(zones, z), name, sizeof name)
                            ? -1
-                           : pm_settings_zone(books->settings, name);
+                           : pm_settings_zone(tables->settings, name);
             if (zone >= 0)
                 type.zones |= 1u << zone;
         }
         pm_cbor_text(pm_cbor_get(item, "sku"), name, sizeof name);
-        index = pm_names_add(books->types, name);
+        index = pm_names_add(tables->types, name);
         if (index >= PM_TYPES_MAX) {
             pm_error("fleet.types", "%s is not used: only %d types are", name, PM_TYPES_MAX);
             continue;
         }
-        books->type[index] = type;
+        tables->type[index] = type;
     }
-    books->ntypes = MIN(pm_names_count(books->types), PM_TYPES_MAX);
+    tables->ntypes = MIN(pm_names_count(tables->types), PM_TYPES_MAX);
     return true;
 }
 
@@ -156,7 +156,7 @@
         return;
     f->types_busy = true;
     f->types_asked = now;
-    pm_http_call(f->http, f->books->settings->cloud, "GET", "/machine_types", NULL, 0, CALL_S,
+    pm_http_call(f->http, f->tables->settings->cloud, "GET", "/machine_types", NULL, 0, CALL_S,
                  256 * 1024, on_types, f);
 }
 
@@ -187,10 +187,10 @@
         m->rented = now - age;
     }
     if (m->type < 0 && !pm_cbor_text(pm_cbor_get(item, "model"), text, sizeof text) &&
-        (type = pm_names_find(f->books->types, text)) >= 0 && type < f->books->ntypes) {
+        (type = pm_names_find(f->tables->types, text)) >= 0 && type < f->tables->ntypes) {
         pm_workers_set_type(f->workers, m, type);
         if (!pm_cbor_text(pm_cbor_get(item, "room"), text, sizeof text))
-            m->zone = pm_settings_zone(f->books->settings, text);
+            m->zone = pm_settings_zone(f->tables->settings, text);
         pm_cbor_flag(pm_cbor_get(item, "borrowed"), &m->spot);
     }
     if (!m->endpoint[0])
@@ -217,7 +217,7 @@
 static void read_absent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
-    double lag = 2 * f->books->settings->list_lag_s + 1;
+    double lag = 2 * f->tables->settings->list_lag_s + 1;
 
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
@@ -275,7 +275,7 @@
     call->sent = f->filled;
     snprintf(target, sizeof target, "/machines?%s%s%spage=%d", f->since[0] ? "since=" : "",
              f->since, f->since[0] ? "&" : "", PAGE);
-    pm_http_call(f->http, f->books->settings->cloud, "GET", target, NULL, 0, CALL_S, 1024 * 1024,
+    pm_http_call(f->http, f->tables->settings->cloud, "GET", target, NULL, 0, CALL_S, 1024 * 1024,
                  on_list, call);
 }
 
@@ -286,7 +286,7 @@
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         if (m && m->state == PM_UP && !m->lent && m->places->len &&
-            now - m->heard > 1.6 * f->books->settings->report_s + 0.5)
+            now - m->heard > 1.6 * f->tables->settings->report_s + 0.5)
             return true;
     }
     return false;
@@ -295,7 +295,7 @@
 static void list_start(struct pm_fleet *f, double now)
 {
     /* Somebody silent: the list may tell why. */
-    double every = some_silent(f, now) ? 1.5 : CLAMP(f->books->settings->list_lag_s / 2, 2, 6);
+    double every = some_silent(f, now) ? 1.5 : CLAMP(f->tables->settings->list_lag_s / 2, 2, 6);
 
     if (f->list_busy || (f->listed && now - f->listed < every) || !may_call(f, now))
         return;
@@ -316,13 +316,13 @@
 
     pm_put_map(&body);
     pm_put_pair_text(&body, "booking", call->booking);
-    pm_put_pair_text(&body, "model", pm_names_text(f->books->types, call->rent.type));
-    pm_put_pair_text(&body, "room", f->books->settings->zone_name[call->rent.zone]);
+    pm_put_pair_text(&body, "model", pm_names_text(f->tables->types, call->rent.type));
+    pm_put_pair_text(&body, "room", f->tables->settings->zone_name[call->rent.zone]);
     pm_put_pair_flag(&body, "borrowed", call->rent.spot);
     pm_put_pair_count(&body, "how_many", (uint64_t)call->rent.count);
     pm_put_end(&body);
     f->in_flight++;
-    pm_http_call(f->http, f->books->settings->cloud, "POST", "/machines", body.data, body.size,
+    pm_http_call(f->http, f->tables->settings->cloud, "POST", "/machines", body.data, body.size,
                  CALL_S, 64 * 1024, on_rented, call);
     pm_buf_free(&body);
 }
@@ -356,10 +356,10 @@
         m->zone = call->rent.zone;
         m->spot = call->rent.spot;
         pm_debug("fleet.machine", "%s is a %s%s", m->name,
-                 pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "");
+                 pm_names_text(f->tables->types, call->rent.type), call->rent.spot ? " spot" : "");
     }
     pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->booking, got, call->rent.count,
-            pm_names_text(f->books->types, call->rent.type), call->rent.spot ? " spot" : "",
+            pm_names_text(f->tables->types, call->rent.type), call->rent.spot ? " spot" : "",
             status);
     if ((status == 200 && got < (size_t)call->rent.count) || status == 503)
         f->refused_until[call->rent.type][call->rent.zone][call->rent.spot] = f->filled + REFUSED_S;
@@ -381,7 +381,7 @@
     call->round = f->round;
     call->rent = *rent;
     call->sent = now;
-    /* The epoch is this reign's alone, so the name is never used again by anybody. */
+    /* The epoch is this term's alone, so the name is never used again by anybody. */
     snprintf(call->booking, sizeof call->booking, "r-%llu-%llu", (unsigned long long)f->epoch,
              (unsigned long long)++f->bookings);
     rent_send(f, call);
@@ -453,7 +453,7 @@
     pm_put_end(&body);
     pm_put_end(&body);
     f->in_flight++;
-    pm_http_call(f->http, f->books->settings->cloud, "POST", "/machines/release", body.data,
+    pm_http_call(f->http, f->tables->settings->cloud, "POST", "/machines/release", body.data,
                  body.size, CALL_S, 64 * 1024, on_released, call);
     pm_buf_free(&body);
 }
@@ -469,14 +469,14 @@
 {
     struct pm_rent rents[RENT_MAX];
     int n;
-    int in_flight_max = (int)CLAMP(f->books->settings->cloud_rps * 0.6, 3, 8);
+    int in_flight_max = (int)CLAMP(f->tables->settings->cloud_rps * 0.6, 3, 8);
 
-    if (!f->books->ntypes)
+    if (!f->tables->ntypes)
         return;
     pm_fleet_review(f, now);
     if (f->in_flight < in_flight_max)
         release_due(f, now);
-    /* Sized only with no request under way: its machines are not in the books yet. */
+    /* Sized only with no request under way: its machines are not in the tables yet. */
     if (f->in_flight == 0) {
         n = pm_fleet_size(f, now, day, rents, RENT_MAX);
         for (int i = 0; i < n; i++)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -11,16 +11,16 @@
 struct pm_fleet_hooks {
     void (*types)(void *arg, const cbor_item_t *models); /* the cloud told its machine types */
     void (*gone)(void *arg, struct pm_machine *machine); /* a release was confirmed */
-    void (*changed)(void *arg);                          /* the books of machines changed */
+    void (*changed)(void *arg);                          /* the replica of machines changed */
     void *arg;
 };
 
-struct pm_fleet *pm_fleet_new(struct pm_http_client *http, struct pm_books *books,
+struct pm_fleet *pm_fleet_new(struct pm_http_client *http, struct pm_name_tables *tables,
                               struct pm_jobs *jobs, struct pm_workers *workers,
                               struct pm_plan *plan, const struct pm_operator *op,
                               const struct pm_fleet_hooks *hooks);
 void pm_fleet_free(struct pm_fleet *fleet);
-/* On taking or losing the lead; `epoch` makes the request names of this reign its own. */
+/* On taking or losing the lead; `epoch` makes the request names of this term its own. */
 /* How long a machine may idle before it goes back, on a fleet of so many. */
 double pm_fleet_idle_s(const struct pm_operator *op, int machines);
 /* Marks the machines that are to go back: idle, silent, failed, taken. */
@@ -29,8 +29,8 @@
  * leader before wrote it, and since when. */
 void pm_fleet_read_heard(struct pm_fleet *fleet, const cbor_item_t *ledger, double now, double day);
 void pm_fleet_reset(struct pm_fleet *fleet, uint64_t epoch);
-/* Reads the machine types into the books; false when malformed. */
-bool pm_fleet_read_types(struct pm_books *books, const cbor_item_t *models);
+/* Reads the machine types into the replica; false when malformed. */
+bool pm_fleet_read_types(struct pm_name_tables *tables, const cbor_item_t *models);
 /* Asks the cloud for the machine types, for a controller that knows none. */
 void pm_fleet_ask_types(struct pm_fleet *fleet, double now);
 /* Whether placements can be written; while they can't, nothing that runs is given up. */
--- a/src/fleet/parts.h
+++ b/src/fleet/internal.h
@@ -9,7 +9,7 @@
 
 struct pm_fleet {
     struct pm_http_client *http;
-    struct pm_books *books;
+    struct pm_name_tables *tables;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_plan *plan;
--- a/src/fleet/review.c
+++ b/src/fleet/review.c
@@ -1,5 +1,5 @@
 /* Which machines are to go back, and why. */
-#include "fleet/parts.h"
+#include "fleet/internal.h"
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -27,11 +27,11 @@
 static void give_up_zones(struct pm_fleet *f, const bool *reported, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
-    double over = f->books->settings->lease_s * (1 + 2 * PM_DRIFT) + 0.5;
+    double over = f->tables->settings->lease_s * (1 + 2 * PM_DRIFT) + 0.5;
     bool any = false;
 
     /* Nobody heard at all, or not yet: that is this controller's trouble, not a zone's. */
-    for (int z = 0; z < f->books->settings->zones; z++)
+    for (int z = 0; z < f->tables->settings->zones; z++)
         any |= reported[z];
     if (!any || now - f->took_at < SETTLE_S)
         return;
@@ -51,7 +51,7 @@
 static void give_up_silent(struct pm_fleet *f, double now)
 {
     GPtrArray *all = pm_workers_all(f->workers);
-    double limit = MAX(SILENT_S, 1.25 * f->books->settings->report_s + 2.4);
+    double limit = MAX(SILENT_S, 1.25 * f->tables->settings->report_s + 2.4);
     GPtrArray *silent;
     int heard[PM_ZONES_MAX] = {0};
     int missed[PM_ZONES_MAX] = {0};
@@ -69,7 +69,7 @@
         reported[m->zone] |= m->reported;
         /* Of one that is lent, its holder tells. */
         since = m->lent ? (now - m->silent_told < 2 ? m->silent_since : now) : m->heard;
-        lost = pm_workers_deaf(m, now) || pm_workers_mute(m, f->books->settings, now);
+        lost = pm_workers_deaf(m, now) || pm_workers_mute(m, f->tables->settings, now);
         if (lost) { /* its tasks end with its lease, whatever still comes of it or arrives there */
             missed[m->zone]++;
             g_ptr_array_add(silent, m);
@@ -89,7 +89,7 @@
         struct pm_machine *m = g_ptr_array_index(silent, i);
         if (missed[m->zone] <= heard[m->zone])
             give_back(m, pm_workers_deaf(m, now) ? "does not hear us, while its zone does"
-                         : pm_workers_mute(m, f->books->settings, now)
+                         : pm_workers_mute(m, f->tables->settings, now)
                              ? "reports to nobody, while its zone does"
                              : "silent, while its zone is heard");
     }
@@ -107,13 +107,13 @@
 /* Why a machine is to be returned that is not there, or never was: NULL, it is to stay. */
 static const char *why_gone(const struct pm_fleet *f, const struct pm_machine *m, double now)
 {
-    const struct pm_type *type = m->type >= 0 ? &f->books->type[m->type] : NULL;
+    const struct pm_type *type = m->type >= 0 ? &f->tables->type[m->type] : NULL;
 
     if (m->failed)
         return "failed";
     /* Taken or dead: the confirmed release proves it at once, sooner than its lease. */
     if (m->absent_since && m->state == PM_UP &&
-        (m->lent || now - m->heard > 1.3 * f->books->settings->report_s + 1))
+        (m->lent || now - m->heard > 1.3 * f->tables->settings->report_s + 1))
         return "no longer listed, and silent";
     /* One that the list calls running has come up; after a change of leader it has yet to report
      * here. */
@@ -121,7 +121,7 @@
         now - (m->runs_since ? m->runs_since : m->rented) > 6 * type->ready_s + 30)
         return "does not come up";
     if (!m->lent && m->state == PM_UP && m->places->len == 0 &&
-        now - m->heard > 2 * f->books->settings->lease_s + 20)
+        now - m->heard > 2 * f->tables->settings->lease_s + 20)
         return "silent and empty";
     return NULL;
 }
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -1,5 +1,5 @@
 /* What to rent: array work as a flow, services with a reserve. */
-#include "fleet/parts.h"
+#include "fleet/internal.h"
 
 #include <limits.h>
 #include <math.h>
@@ -22,7 +22,7 @@
     int n;
 
     if (tasks <= 0 || bin->cpus + EPS < spec->cpus ||
-        !pm_plan_allows(s->f->books, job, bin->type, bin->zone, bin->spot))
+        !pm_plan_allows(s->f->tables, job, bin->type, bin->zone, bin->spot))
         return 0;
     n = (int)MIN(pm_spec_fit(spec, bin->cpus, bin->gpus, bin->ram_gb), (uint32_t)tasks);
     bin->cpus -= n * spec->cpus;
@@ -37,19 +37,19 @@
 {
     double best = INFINITY;
 
-    for (int type = 0; type < s->f->books->ntypes; type++) {
-        const struct pm_type *t = &s->f->books->type[type];
+    for (int type = 0; type < s->f->tables->ntypes; type++) {
+        const struct pm_type *t = &s->f->tables->type[type];
         bool service = job->spec->form == PM_SERVICE;
         int most = (int)pm_spec_fit(job->spec, t->cpus, t->gpus, t->ram_gb);
         int fit = service ? most : MIN(most, left);
-        for (int zone = 0; fit > 0 && zone < s->f->books->settings->zones; zone++) {
+        for (int zone = 0; fit > 0 && zone < s->f->tables->settings->zones; zone++) {
             for (int spot = spot_only; spot < 2; spot++) {
                 /* Longer boots cost as well, as a share of a machine's usual stay; users of a
                  * service wait for them. What a service leaves free, others use. */
                 double price =
                     (spot ? t->spot_price : t->price) * (1 + t->ready_s / (service ? 60 : 300));
                 if (!(t->zones >> zone & 1) || (zone_wanted >= 0 && zone != zone_wanted) ||
-                    !pm_plan_allows(s->f->books, job, type, zone, spot) ||
+                    !pm_plan_allows(s->f->tables, job, type, zone, spot) ||
                     s->f->refused_until[type][zone][spot] > s->now)
                     continue;
                 if (price / fit < best) {
@@ -64,7 +64,7 @@
 
 static void add_rent(struct sizing *s, const struct pm_rent *rent)
 {
-    const struct pm_type *t = &s->f->books->type[rent->type];
+    const struct pm_type *t = &s->f->tables->type[rent->type];
     struct bin bin = {t->cpus, t->gpus, t->ram_gb, rent->type, rent->zone, rent->spot, false, true};
 
     g_array_append_val(s->bins, bin);
@@ -119,7 +119,7 @@
         const struct pm_job *job = g_ptr_array_index(active, i);
         uint32_t done;
         uint32_t placed;
-        if (!job->away || !in_flow(job))
+        if (!job->delegated || !in_flow(job))
             continue;
         pm_jobs_count(job, &done, &placed);
         work += placed * task_seconds(f, job) * job->spec->cpus / 2;
@@ -146,9 +146,9 @@
     if (!in_flow(want->job))
         return (int)want->tasks;
     flow->work += want->tasks * each * caution * spec->cpus;
-    for (int type = 0; type < s->f->books->ntypes; type++)
+    for (int type = 0; type < s->f->tables->ntypes; type++)
         if (spec->types >> type & 1)
-            boot = MIN(boot, s->f->books->type[type].ready_s * 1.1 + 2);
+            boot = MIN(boot, s->f->tables->type[type].ready_s * 1.1 + 2);
     left = isinf(want->job->due) ? 0 : want->job->due - s->day - each * 0.6;
     if (left > 0 && flow->work <= flow->pool * left)
         return 0;
@@ -254,12 +254,12 @@
     for (guint i = 0; i < s->bins->len; i++) { /* what was just sized for the jobs that wait */
         const struct bin *bin = &g_array_index(s->bins, struct bin, i);
         if (bin->fresh && bin->spot)
-            missing -= s->f->books->type[bin->type].cpus;
+            missing -= s->f->tables->type[bin->type].cpus;
     }
     while (typical && missing >= typical->spec->cpus &&
            cheapest(s, typical, (int)(missing / typical->spec->cpus), -1, true, &rent)) {
         add_rent(s, &rent);
-        missing -= s->f->books->type[rent.type].cpus;
+        missing -= s->f->tables->type[rent.type].cpus;
     }
 }
 
@@ -287,10 +287,10 @@
         if (!m || m->type < 0 || m->zone < 0)
             continue;
         /* One that boots too long is not counted on. */
-        if (m->state == PM_BOOTING && !pm_plan_boots_soon(f->books, m, now))
+        if (m->state == PM_BOOTING && !pm_plan_boots_soon(f->tables, m, now))
             continue;
         if (m->spot && m->state != PM_RELEASING && !m->recall_at)
-            f->spot_cpus += f->books->type[m->type].cpus;
+            f->spot_cpus += f->tables->type[m->type].cpus;
         if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
             continue;
--- a/src/jobs/cancellations.c
+++ b/src/jobs/cancellations.c
@@ -4,14 +4,14 @@
 
 #include <string.h>
 
-void pm_jobs_note_cancelled(struct pm_jobs *jobs, const char *id, uint64_t stamp)
+void pm_jobs_note_cancelled(struct pm_jobs *jobs, const char *id, uint64_t revision)
 {
-    struct pm_cancelled entry = {.stamp = stamp};
+    struct pm_cancelled entry = {.revision = revision};
     GArray *list = jobs->cancelled;
 
     g_strlcpy(entry.id, id, sizeof entry.id);
     /* A listing goes by key, and peers tell in their own order: sorted when next asked for. */
-    if (list->len && g_array_index(list, struct pm_cancelled, list->len - 1).stamp > stamp)
+    if (list->len && g_array_index(list, struct pm_cancelled, list->len - 1).revision > revision)
         jobs->unsorted = true;
     g_array_append_val(list, entry);
 }
@@ -26,41 +26,41 @@
     job->inferred = true;
 }
 
-bool pm_jobs_cancel(struct pm_jobs *jobs, const char *id, uint64_t stamp)
+bool pm_jobs_cancel(struct pm_jobs *jobs, const char *id, uint64_t revision)
 {
     struct pm_job *job = g_hash_table_lookup(jobs->by_id, id);
 
-    if (!pm_jobs_id_valid(id) || !stamp || pm_jobs_cancelled(jobs, id) ||
+    if (!pm_jobs_id_valid(id) || !revision || pm_jobs_cancelled(jobs, id) ||
         (job && job->state == PM_DONE))
         return false;
     if (job) {
-        job->cancelled = stamp;
+        job->cancelled = revision;
         job->state = PM_CANCELLED;
     } else {
-        g_hash_table_insert(jobs->unknown, g_strdup(id), g_memdup2(&stamp, sizeof stamp));
+        g_hash_table_insert(jobs->unknown, g_strdup(id), g_memdup2(&revision, sizeof revision));
     }
-    pm_jobs_note_cancelled(jobs, id, stamp);
-    pm_dependencies_cancelled(jobs->dependencies, id, pm_jobs_infer_cancelled, &stamp);
+    pm_jobs_note_cancelled(jobs, id, revision);
+    pm_dependencies_cancelled(jobs->dependencies, id, pm_jobs_infer_cancelled, &revision);
     return true;
 }
 
 uint64_t pm_jobs_cancelled(const struct pm_jobs *jobs, const char *id)
 {
     const struct pm_job *job = g_hash_table_lookup(jobs->by_id, id);
-    const uint64_t *stamp = job ? &job->cancelled : g_hash_table_lookup(jobs->unknown, id);
+    const uint64_t *revision = job ? &job->cancelled : g_hash_table_lookup(jobs->unknown, id);
 
-    return stamp ? *stamp : 0;
+    return revision ? *revision : 0;
 }
 
-static gint by_stamp(gconstpointer a, gconstpointer b)
+static gint by_revision(gconstpointer a, gconstpointer b)
 {
     const struct pm_cancelled *x = a;
     const struct pm_cancelled *y = b;
 
-    return (x->stamp > y->stamp) - (x->stamp < y->stamp);
+    return (x->revision > y->revision) - (x->revision < y->revision);
 }
 
-const struct pm_cancelled *pm_jobs_cancelled_after(struct pm_jobs *jobs, uint64_t stamp,
+const struct pm_cancelled *pm_jobs_cancelled_after(struct pm_jobs *jobs, uint64_t revision,
                                                    size_t most, size_t *n, bool *more)
 {
     struct pm_cancelled *all;
@@ -69,18 +69,18 @@
     size_t end;
 
     if (jobs->unsorted)
-        g_array_sort(jobs->cancelled, by_stamp);
+        g_array_sort(jobs->cancelled, by_revision);
     jobs->unsorted = false;
     all = (struct pm_cancelled *)(void *)jobs->cancelled->data;
-    while (from < to) { /* the first with a later stamp */
+    while (from < to) { /* the first with a later revision */
         size_t middle = from + (to - from) / 2;
-        if (all[middle].stamp > stamp)
+        if (all[middle].revision > revision)
             to = middle;
         else
             from = middle + 1;
     }
     end = MIN(from + most, jobs->cancelled->len);
-    while (end > from && end < jobs->cancelled->len && all[end].stamp == all[end - 1].stamp)
+    while (end > from && end < jobs->cancelled->len && all[end].revision == all[end - 1].revision)
         end++;
     *n = end - from;
     *more = end < jobs->cancelled->len;
--- a/src/jobs/chunks.c
+++ b/src/jobs/chunks.c
@@ -15,10 +15,10 @@
     if (!chunk)
         return;
     for (int half = -1; half < 2; half++)
-        if (pm_chunk_value(chunk, half)->spots)
-            g_array_free(pm_chunk_value(chunk, half)->spots, TRUE);
-    if (chunk->spots)
-        g_array_free(chunk->spots, TRUE);
+        if (pm_chunk_value(chunk, half)->stored_places)
+            g_array_free(pm_chunk_value(chunk, half)->stored_places, TRUE);
+    if (chunk->stored_places)
+        g_array_free(chunk->stored_places, TRUE);
     g_free(chunk->task);
     g_free(chunk);
 }
@@ -98,30 +98,32 @@
 /* What the chunk's values say together. */
 void pm_chunk_merge(struct pm_chunk *chunk)
 {
-    if (!chunk->spots)
-        chunk->spots = g_array_new(FALSE, FALSE, sizeof(struct pm_spot));
-    g_array_set_size(chunk->spots, 0);
+    if (!chunk->stored_places)
+        chunk->stored_places = g_array_new(FALSE, FALSE, sizeof(struct pm_stored_place));
+    g_array_set_size(chunk->stored_places, 0);
     chunk->stored = false;
     chunk->last_try = 0;
     for (int h = 0; h < 2; h++) {
-        const struct pm_value *value = chunk->half[h].stamp ? &chunk->half[h] : &chunk->whole;
-        chunk->done[h] = value->stamp ? value->done[h] : 0;
-        if (!value->stamp)
+        const struct pm_value *value = chunk->half[h].revision ? &chunk->half[h] : &chunk->whole;
+        chunk->done[h] = value->revision ? value->done[h] : 0;
+        if (!value->revision)
             continue;
         chunk->stored = true;
         chunk->last_try = MAX(chunk->last_try, value->last_try);
-        for (guint i = 0; i < value->spots->len; i++) {
-            const struct pm_spot *spot = &g_array_index(value->spots, struct pm_spot, i);
+        for (guint i = 0; i < value->stored_places->len; i++) {
+            const struct pm_stored_place *spot =
+                &g_array_index(value->stored_places, struct pm_stored_place, i);
             if (spot->task / PM_HALF == h)
-                g_array_append_vals(chunk->spots, spot, 1);
+                g_array_append_vals(chunk->stored_places, spot, 1);
         }
     }
-    if (chunk->whole.stamp)
+    if (chunk->whole.revision)
         chunk->last_try = MAX(chunk->last_try, chunk->whole.last_try);
 }
 
 /* A place as stored: [task, attempt, machine, session]. False: unreadable. */
-static bool read_place(struct pm_books *books, const cbor_item_t *item, struct pm_spot *out)
+static bool read_place(struct pm_name_tables *tables, const cbor_item_t *item,
+                       struct pm_stored_place *out)
 {
     char machine[TEXT_MAX];
     uint64_t task;
@@ -133,14 +135,14 @@
         pm_cbor_text(pm_cbor_at(item, 2), machine, sizeof machine) ||
         pm_cbor_count(pm_cbor_at(item, 3), &session) || task >= PM_CHUNK)
         return false;
-    *out = (struct pm_spot){.task = (uint16_t)task,
-                            .attempt = (uint32_t)attempt,
-                            .session = (uint32_t)session,
-                            .machine = pm_names_add(books->machines, machine)};
+    *out = (struct pm_stored_place){.task = (uint16_t)task,
+                                    .attempt = (uint32_t)attempt,
+                                    .session = (uint32_t)session,
+                                    .machine = pm_names_add(tables->machines, machine)};
     return true;
 }
 
-bool pm_chunk_read(struct pm_books *books, const cbor_item_t *value, struct pm_value *out)
+bool pm_chunk_read(struct pm_name_tables *tables, const cbor_item_t *value, struct pm_value *out)
 {
     char done[DONE_MAX];
     uint64_t last_try = 0;
@@ -151,21 +153,21 @@
         return false;
     read_ranges(done, out->done);
     out->last_try = (uint32_t)last_try;
-    if (out->spots)
-        g_array_set_size(out->spots, 0);
+    if (out->stored_places)
+        g_array_set_size(out->stored_places, 0);
     else
-        out->spots = g_array_new(FALSE, FALSE, sizeof(struct pm_spot));
+        out->stored_places = g_array_new(FALSE, FALSE, sizeof(struct pm_stored_place));
     places = pm_cbor_get(value, "at");
     for (size_t i = 0; i < pm_cbor_length(places); i++) {
-        struct pm_spot spot;
-        if (read_place(books, pm_cbor_at(places, i), &spot))
-            g_array_append_val(out->spots, spot);
+        struct pm_stored_place spot;
+        if (read_place(tables, pm_cbor_at(places, i), &spot))
+            g_array_append_val(out->stored_places, spot);
     }
     return true;
 }
 
-void pm_jobs_write_chunk(const struct pm_books *books, const struct pm_job *job, int k, int half,
-                         struct pm_buf *out)
+void pm_jobs_write_chunk(const struct pm_name_tables *tables, const struct pm_job *job, int k,
+                         int half, struct pm_buf *out)
 {
     const struct pm_chunk *chunk = job->chunk[k];
     int from = half < 0 ? 0 : half * PM_HALF;
@@ -185,7 +187,7 @@
         pm_put_list(out);
         pm_put_count(out, (uint64_t)i);
         pm_put_count(out, place->attempt);
-        pm_put_text(out, pm_names_text(books->machines, place->machine_index));
+        pm_put_text(out, pm_names_text(tables->machines, place->machine_index));
         pm_put_count(out, place->session);
         pm_put_end(out);
     }
@@ -193,35 +195,35 @@
     pm_put_end(out);
 }
 
-uint64_t pm_value_stamp(const struct pm_value *value)
+uint64_t pm_value_revision(const struct pm_value *value)
 {
-    return MAX(value->stamp, value->written);
+    return MAX(value->revision, value->written);
 }
 
-bool pm_job_in_halves(const struct pm_books *books, const struct pm_job *job, int k)
+bool pm_job_in_halves(const struct pm_name_tables *tables, const struct pm_job *job, int k)
 {
     const struct pm_chunk *chunk = job->chunk[k];
     uint32_t tasks = MIN(PM_CHUNK, job->entries - (uint32_t)k * PM_CHUNK);
 
-    if (chunk && (pm_value_stamp(&chunk->half[0]) || pm_value_stamp(&chunk->half[1])))
+    if (chunk && (pm_value_revision(&chunk->half[0]) || pm_value_revision(&chunk->half[1])))
         return true;
-    if (books->protocol_version < PM_PROTOCOL_DEPENDENCIES)
+    if (tables->protocol_version < PM_PROTOCOL_DEPENDENCIES)
         return false; /* an earlier version would take a half for the whole */
     return (chunk && chunk->split) ||
-           tasks * PLACE_SIZE + VALUE_SIZE > books->settings->value_kb * 1024;
+           tasks * PLACE_SIZE + VALUE_SIZE > tables->settings->value_kb * 1024;
 }
 
-bool pm_job_has_room(const struct pm_books *books, const struct pm_job *job, uint32_t index)
+bool pm_job_has_room(const struct pm_name_tables *tables, const struct pm_job *job, uint32_t index)
 {
     const struct pm_chunk *chunk = job->chunk[index / PM_CHUNK];
-    const struct pm_settings *s = books->settings;
-    bool early = books->protocol_version < PM_PROTOCOL_DEPENDENCIES;
+    const struct pm_settings *s = tables->settings;
+    bool early = tables->protocol_version < PM_PROTOCOL_DEPENDENCIES;
     double kb = early ? MAX(s->value_kb, s->value_kb_now) : s->value_kb;
     unsigned placed;
 
     if (!chunk)
         return true;
-    placed = pm_job_in_halves(books, job, (int)(index / PM_CHUNK))
+    placed = pm_job_in_halves(tables, job, (int)(index / PM_CHUNK))
                  ? chunk->placed[index % PM_CHUNK / PM_HALF]
                  : (unsigned)chunk->placed[0] + chunk->placed[1];
     return (placed + 1) * PLACE_SIZE + VALUE_SIZE <= kb * 1024;
--- a/src/jobs/commit.c
+++ b/src/jobs/commit.c
@@ -11,7 +11,7 @@
 #define BATCH_S 0.15 /* what no launch waits for is written together with what follows soon */
 
 struct pm_commit {
-    struct pm_books *books;
+    struct pm_name_tables *tables;
     struct pm_jobs *jobs;
     struct pm_store *store;
     struct pm_commit_hooks hooks;
@@ -44,12 +44,12 @@
     struct pm_txn txn;
 };
 
-struct pm_commit *pm_commit_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_commit *pm_commit_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                                 struct pm_store *store, const struct pm_commit_hooks *hooks)
 {
     struct pm_commit *c = g_new0(struct pm_commit, 1);
 
-    c->books = books;
+    c->tables = tables;
     c->jobs = jobs;
     c->store = store;
     c->hooks = *hooks;
@@ -80,17 +80,17 @@
 static guint content_of(struct pm_commit *c, struct pm_job *job, int k)
 {
     struct pm_buf buf = {0};
-    guint hash = pm_job_in_halves(c->books, job, k);
+    guint hash = pm_job_in_halves(c->tables, job, k);
 
-    pm_jobs_write_chunk(c->books, job, k, -1, &buf);
+    pm_jobs_write_chunk(c->tables, job, k, -1, &buf);
     for (size_t i = 0; i < buf.size; i++)
         hash = hash * 33 + buf.data[i];
     pm_buf_free(&buf);
     return hash ? hash : 1;
 }
 
-static void settle_value(struct pm_commit *c, const struct part *part, int status, uint64_t edition,
-                         double now, double pause)
+static void settle_value(struct pm_commit *c, const struct part *part, int status,
+                         uint64_t store_revision, double now, double pause)
 {
     struct pm_chunk *chunk = part->job->chunk[part->k];
     struct pm_value *value = pm_chunk_value(chunk, part->half);
@@ -98,15 +98,15 @@
     chunk->in_flight = false;
     chunk->failures = status == 200 ? 0 : chunk->failures + 1;
     if (status == 200 && part->drop) {
-        value->stamp = value->written = 0;
+        value->revision = value->written = 0;
         return;
     }
     if (status == 200) {
-        value->written = edition;
+        value->written = store_revision;
         chunk->refused = 0;
         chunk->alone = false;
-        if (part->half >= 0 && pm_value_stamp(&chunk->whole) &&
-            pm_value_stamp(&chunk->half[!part->half]))
+        if (part->half >= 0 && pm_value_revision(&chunk->whole) &&
+            pm_value_revision(&chunk->half[!part->half]))
             chunk->dirty |= PM_DIRTY_WHOLE;
         return;
     }
@@ -118,8 +118,8 @@
             chunk->refused = content_of(c, part->job, part->k);
         chunk->alone = true;
     }
-    /* Unknown or failed: written again on the stamp that the watch tells by then. If this copy is
-     * applied late after all, its own stamps no longer match, or ours don't. */
+    /* Unknown or failed: written again on the revision that the watch tells by then. If this copy
+     * is applied late after all, its own revisions no longer match, or ours don't. */
     if (part->drop && part->half < 0)
         chunk->dirty |= PM_DIRTY_WHOLE;
     else if (!part->drop)
@@ -127,7 +127,7 @@
     chunk->retry_at = now + pause * (1 << MIN(chunk->failures / 4, 6));
 }
 
-static void settle(struct flight *f, int status, uint64_t edition)
+static void settle(struct flight *f, int status, uint64_t store_revision)
 {
     struct pm_commit *c = f->commit;
     double now = pm_clock_steady();
@@ -149,7 +149,7 @@
         }
         if (part->k >= job->nchunks || !job->chunk[part->k])
             continue; /* over meanwhile */
-        settle_value(c, part, status, edition, now, pause);
+        settle_value(c, part, status, store_revision, now, pause);
     }
     for (guint i = 0; status == 200 && i < f->marks->len; i++) {
         struct mark *mark = &g_array_index(f->marks, struct mark, i);
@@ -165,7 +165,7 @@
     }
 }
 
-static void on_done(void *arg, int status, uint64_t edition, const cbor_item_t *failed)
+static void on_done(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
 {
     struct flight *f = arg;
     struct pm_commit *c = f->commit;
@@ -173,9 +173,9 @@
 
     if (f->round == c->round) {
         c->in_flight--;
-        settle(f, status, edition);
+        settle(f, status, store_revision);
         if (status == 200)
-            c->hooks.confirmed(c->hooks.arg, f->sent, edition);
+            c->hooks.confirmed(c->hooks.arg, f->sent, store_revision);
         else
             pm_debug("commit.failed", "status %d", status);
         for (size_t i = 0; i < pm_cbor_length(failed); i++)
@@ -206,7 +206,7 @@
         if (g_array_index(f->parts, struct part, i).job == job)
             return;
     job_key(job, key, sizeof key);
-    pm_txn_if(&f->txn, key, job->stamp);
+    pm_txn_if(&f->txn, key, job->revision);
 }
 
 static void condition_value(struct flight *f, struct pm_job *job, int k, int half)
@@ -214,7 +214,7 @@
     char key[64];
 
     value_key(job, k, half, key, sizeof key);
-    pm_txn_if(&f->txn, key, pm_value_stamp(pm_chunk_value(job->chunk[k], half)));
+    pm_txn_if(&f->txn, key, pm_value_revision(pm_chunk_value(job->chunk[k], half)));
 }
 
 static void put_value(struct pm_commit *c, struct flight *f, struct pm_job *job, int k, int half)
@@ -224,7 +224,7 @@
 
     value_key(job, k, half, key, sizeof key);
     pm_txn_put(&f->txn, key);
-    pm_jobs_write_chunk(c->books, job, k, half, &f->txn.writes);
+    pm_jobs_write_chunk(c->tables, job, k, half, &f->txn.writes);
     pm_txn_put_end(&f->txn, 0);
     for (int i = 0; i < PM_CHUNK; i++) {
         const struct pm_place *place = chunk->task[i].place;
@@ -253,16 +253,16 @@
 static void add_chunk(struct pm_commit *c, struct flight *f, struct pm_job *job, int k, int room)
 {
     struct pm_chunk *chunk = job->chunk[k];
-    bool whole = pm_value_stamp(&chunk->whole) != 0;
+    bool whole = pm_value_revision(&chunk->whole) != 0;
 
     condition_job(f, job);
     condition_value(f, job, k, -1);
-    if (!pm_job_in_halves(c->books, job, k)) {
+    if (!pm_job_in_halves(c->tables, job, k)) {
         put_value(c, f, job, k, -1);
         return;
     }
     for (int h = 0; h < 2 && room > 0; h++) {
-        if (!(chunk->dirty >> h & 1) && !(whole && !pm_value_stamp(&chunk->half[h])))
+        if (!(chunk->dirty >> h & 1) && !(whole && !pm_value_revision(&chunk->half[h])))
             continue;
         condition_value(f, job, k, h);
         put_value(c, f, job, k, h);
@@ -293,7 +293,7 @@
         if (!job->chunk[k])
             continue;
         for (int half = -1; half < 2; half++)
-            n += pm_value_stamp(pm_chunk_value(job->chunk[k], half)) != 0;
+            n += pm_value_revision(pm_chunk_value(job->chunk[k], half)) != 0;
         *busy |= job->chunk[k]->in_flight;
     }
     return n;
@@ -319,9 +319,9 @@
         pm_txn_put(&f->txn, key);
         if (end == PM_DONE) {
             job->ended = job->ended > 0 ? job->ended : c->day;
-            pm_jobs_write_done(c->books, job, !fits, &f->txn.writes);
+            pm_jobs_write_done(c->tables, job, !fits, &f->txn.writes);
         } else {
-            pm_jobs_write(c->books, job->spec, job->entries, end, !fits, &f->txn.writes);
+            pm_jobs_write(c->tables, job->spec, job->entries, end, !fits, &f->txn.writes);
         }
         pm_txn_put_end(&f->txn, 0);
         room--;
@@ -337,7 +337,7 @@
     }
     for (int k = 0; k < job->nchunks; k++)
         for (int half = -1; job->chunk[k] && half < 2 && room > 0; half++) {
-            if (!pm_value_stamp(pm_chunk_value(job->chunk[k], half)))
+            if (!pm_value_revision(pm_chunk_value(job->chunk[k], half)))
                 continue;
             condition_value(f, job, k, half);
             drop_value(f, job, k, half);
@@ -356,9 +356,9 @@
     f->sent = now;
     f->marks = g_array_new(FALSE, FALSE, sizeof(struct mark));
     f->parts = g_array_new(FALSE, FALSE, sizeof(struct part));
-    pm_txn_if(&f->txn, "p/epoch", grounds->epoch_stamp);
+    pm_txn_if(&f->txn, "p/epoch", grounds->epoch_revision);
     if (grounds->block_key)
-        pm_txn_if(&f->txn, grounds->block_key, grounds->block_stamp);
+        pm_txn_if(&f->txn, grounds->block_key, grounds->block_revision);
     return f;
 }
 
@@ -401,7 +401,7 @@
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (!job->spec || job->away || job->final_in_flight)
+        if (!job->spec || job->delegated || job->final_in_flight)
             continue;
         if (over(job)) {
             if (pass == final_pass(job) && job->retry_at <= now) {
@@ -429,7 +429,7 @@
  * with the job's final state, unless the budget has room to spare. */
 static bool room_for_lazy(struct pm_commit *c, double now)
 {
-    return pm_store_room(c->store, now) >= 0.3 * c->books->settings->state_write_rps;
+    return pm_store_room(c->store, now) >= 0.3 * c->tables->settings->state_write_rps;
 }
 
 /* Whether there is anything to write that no launch waits for. */
@@ -440,7 +440,7 @@
 
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
-        if (!job->spec || job->away)
+        if (!job->spec || job->delegated)
             continue;
         if (over(job)) {
             if (!job->final_in_flight && job->retry_at <= now && final_pass(job) == PASS_LAZY)
@@ -470,7 +470,7 @@
 
 double pm_commit_run(struct pm_commit *c, const struct pm_grounds *grounds, double now, double day)
 {
-    int txn_ops = c->books->settings->txn_ops;
+    int txn_ops = c->tables->settings->txn_ops;
 
     c->day = day;
     for (;;) {
--- a/src/jobs/commit.h
+++ b/src/jobs/commit.h
@@ -1,5 +1,5 @@
-/* Writes the leader's working state back, in transactions that each carry the epoch's stamp, every
- * job's stamp and every chunk's (safety invariants 1 and 2). */
+/* Writes the leader's working state back, in transactions that each carry the epoch's revision,
+ * every job's revision and every chunk's (safety invariants 1 and 2). */
 #ifndef PM_JOBS_COMMIT_H
 #define PM_JOBS_COMMIT_H
 
@@ -9,20 +9,21 @@
 struct pm_commit;
 
 struct pm_commit_hooks {
-    void (*durable)(void *arg, struct pm_place *place);          /* an intent may be launched now */
-    void (*confirmed)(void *arg, double sent, uint64_t edition); /* the epoch held at that time */
-    void (*doubt)(void *arg); /* the epoch's stamp did not match */
+    void (*durable)(void *arg, struct pm_place *place); /* an intent may be launched now */
+    void (*confirmed)(void *arg, double sent,
+                      uint64_t store_revision); /* the epoch held at that time */
+    void (*doubt)(void *arg);                   /* the epoch's revision did not match */
     void *arg;
 };
 
-struct pm_commit *pm_commit_new(struct pm_books *books, struct pm_jobs *jobs,
+struct pm_commit *pm_commit_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                                 struct pm_store *store, const struct pm_commit_hooks *hooks);
 void pm_commit_free(struct pm_commit *commit);
 /* What every transaction is conditioned on. */
 struct pm_grounds {
-    uint64_t epoch_stamp;
+    uint64_t epoch_revision;
     const char *block_key; /* NULL for the leader, whose block is what it has not leased out */
-    uint64_t block_stamp;
+    uint64_t block_revision;
 };
 /* Sends what is due and what the write budget has room for; `day` is the time of day. Returns the
  * steady time at which to call again, 0 when nothing waits. */
--- a/src/jobs/dependencies.c
+++ b/src/jobs/dependencies.c
@@ -14,16 +14,16 @@
 };
 
 struct pm_dependency_graph {
-    struct pm_books *books;
+    struct pm_name_tables *tables;
     GPtrArray *nodes; /* by index of `dependency_ids`; NULL: over, or in no dependency */
     uint64_t steps;
 };
 
-struct pm_dependency_graph *pm_dependencies_new(struct pm_books *books)
+struct pm_dependency_graph *pm_dependencies_new(struct pm_name_tables *tables)
 {
     struct pm_dependency_graph *graph = g_new0(struct pm_dependency_graph, 1);
 
-    graph->books = books;
+    graph->tables = tables;
     graph->nodes = g_ptr_array_new();
     return graph;
 }
@@ -114,7 +114,7 @@
 /* Whether the edge is in the order of acceptance, as every edge between accepted jobs is. */
 static bool in_order(const struct node *dependency, const struct node *dependent)
 {
-    return dependency->job && dependency->job->stamp < dependent->job->stamp;
+    return dependency->job && dependency->job->revision < dependent->job->revision;
 }
 
 /* Latest accepted first. */
@@ -124,7 +124,7 @@
     const struct node *y = b;
 
     (void)data;
-    return (x->job->stamp < y->job->stamp) - (x->job->stamp > y->job->stamp);
+    return (x->job->revision < y->job->revision) - (x->job->revision > y->job->revision);
 }
 
 static void enqueue(GSequence *queue, struct node *node)
@@ -194,7 +194,7 @@
     for (uint32_t i = 0; i < spec->ndependencies; i++) {
         int index = spec->dependencies[i];
         struct pm_dependency_outcome outcome =
-            lookup(arg, pm_names_text(graph->books->dependency_ids, index));
+            lookup(arg, pm_names_text(graph->tables->dependency_ids, index));
         graph->steps++;
         if (outcome.cancelled)
             cancelled = cancelled ? MIN(cancelled, outcome.cancelled) : outcome.cancelled;
@@ -209,7 +209,7 @@
 uint64_t pm_dependencies_add(struct pm_dependency_graph *graph, struct pm_job *job,
                              pm_dependency_lookup *lookup, void *arg)
 {
-    struct pm_names *ids = graph->books->dependency_ids;
+    struct pm_names *ids = graph->tables->dependency_ids;
     int index = job->spec->ndependencies ? pm_names_add(ids, job->id) : pm_names_find(ids, job->id);
     struct node *node = index >= 0 ? make_node(graph, index) : NULL;
     uint64_t cancelled;
@@ -233,7 +233,7 @@
 
 void pm_dependencies_done(struct pm_dependency_graph *graph, const char *id, double ended)
 {
-    int index = pm_names_find(graph->books->dependency_ids, id);
+    int index = pm_names_find(graph->tables->dependency_ids, id);
     const struct node *node = find_node(graph, index);
 
     if (!node)
@@ -252,7 +252,7 @@
                                pm_dependency_cancel *cancel, void *arg)
 {
     GArray *walk = g_array_new(FALSE, FALSE, sizeof(int));
-    int index = pm_names_find(graph->books->dependency_ids, id);
+    int index = pm_names_find(graph->tables->dependency_ids, id);
 
     if (find_node(graph, index))
         g_array_append_val(walk, index);
@@ -268,7 +268,7 @@
             int next;
             if (dependent->over)
                 continue;
-            next = pm_names_find(graph->books->dependency_ids, dependent->job->id);
+            next = pm_names_find(graph->tables->dependency_ids, dependent->job->id);
             cancel(arg, dependent->job);
             g_array_append_val(walk, next);
         }
--- a/src/jobs/dependencies.h
+++ b/src/jobs/dependencies.h
@@ -16,7 +16,7 @@
 
 struct pm_dependency_graph;
 
-struct pm_dependency_graph *pm_dependencies_new(struct pm_books *books);
+struct pm_dependency_graph *pm_dependencies_new(struct pm_name_tables *tables);
 void pm_dependencies_free(struct pm_dependency_graph *graph);
 
 /* What is known of a job: NULL and 0 while nothing is. */
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -23,14 +23,14 @@
     g_free(job);
 }
 
-struct pm_jobs *pm_jobs_new(struct pm_books *books)
+struct pm_jobs *pm_jobs_new(struct pm_name_tables *tables)
 {
     struct pm_jobs *jobs = g_new0(struct pm_jobs, 1);
 
-    jobs->books = books;
+    jobs->tables = tables;
     jobs->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
     jobs->active = g_ptr_array_new();
-    jobs->dependencies = pm_dependencies_new(books);
+    jobs->dependencies = pm_dependencies_new(tables);
     jobs->cancelled = g_array_new(FALSE, FALSE, sizeof(struct pm_cancelled));
     jobs->lists =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
@@ -63,8 +63,8 @@
 {
     if (!job->listed) {
         job->listed = true;
-        job->away = jobs->away;
-        job->width = UINT32_MAX;
+        job->delegated = jobs->delegated;
+        job->parallelism = UINT32_MAX;
         g_ptr_array_add(jobs->active, job);
     }
 }
@@ -85,14 +85,14 @@
     }
 }
 
-/* The stamp of a cancellation that was told before the job itself. */
+/* The revision of a cancellation that was told before the job itself. */
 static uint64_t take_unknown(struct pm_jobs *jobs, const char *id)
 {
     const uint64_t *found = g_hash_table_lookup(jobs->unknown, id);
-    uint64_t stamp = found ? *found : 0;
+    uint64_t revision = found ? *found : 0;
 
     g_hash_table_remove(jobs->unknown, id);
-    return stamp;
+    return revision;
 }
 
 static struct pm_dependency_outcome find_outcome(void *arg, const char *id)
@@ -105,7 +105,7 @@
 /* The job as the replica tells it, in the dependency graph. */
 static void update_graph(struct pm_jobs *jobs, struct pm_job *job)
 {
-    uint64_t stamp;
+    uint64_t revision;
 
     if (job->state == PM_DONE) {
         pm_dependencies_done(jobs->dependencies, job->id, job->ended);
@@ -116,13 +116,13 @@
         job->priority = MAX(job->priority, spec->priority);
         if (spec->due_s >= 0)
             job->due = MIN(job->due, spec->submitted + spec->due_s);
-        stamp = pm_dependencies_add(jobs->dependencies, job, find_outcome, jobs);
-        if (stamp)
-            pm_jobs_infer_cancelled(&stamp, job);
+        revision = pm_dependencies_add(jobs->dependencies, job, find_outcome, jobs);
+        if (revision)
+            pm_jobs_infer_cancelled(&revision, job);
     }
     if (job->state == PM_CANCELLED) {
-        stamp = job->cancelled;
-        pm_dependencies_cancelled(jobs->dependencies, job->id, pm_jobs_infer_cancelled, &stamp);
+        revision = job->cancelled;
+        pm_dependencies_cancelled(jobs->dependencies, job->id, pm_jobs_infer_cancelled, &revision);
     }
 }
 
@@ -145,7 +145,7 @@
         for (guint i = 0; i < list->len; i++)
             g_ptr_array_add(ids, g_ptr_array_index(list, i));
     }
-    pm_spec_set_dependencies(jobs->books, job->spec, ids);
+    pm_spec_set_dependencies(jobs->tables, job->spec, ids);
     g_ptr_array_free(ids, TRUE);
     g_hash_table_remove(jobs->lists, job->id);
     job->incomplete = false;
@@ -229,8 +229,8 @@
     /* What is known cancelled stays so: this value is an older one then. */
     job->state = job->cancelled ? PM_CANCELLED : state;
     if (job->state == PM_CANCELLED && !job->cancelled) {
-        job->cancelled = job->stamp;
-        pm_jobs_note_cancelled(jobs, job->id, job->stamp);
+        job->cancelled = job->revision;
+        pm_jobs_note_cancelled(jobs, job->id, job->revision);
     }
 }
 
@@ -252,7 +252,7 @@
         job->unmet++;
     }
     if (dependencies) {
-        pm_spec_set_dependencies(jobs->books, spec, dependencies);
+        pm_spec_set_dependencies(jobs->tables, spec, dependencies);
         g_ptr_array_free(dependencies, TRUE);
     }
 }
@@ -260,13 +260,13 @@
 /* Reads the description from the job's value. False: unreadable. */
 static bool read_spec(struct pm_jobs *jobs, struct pm_job *job, const cbor_item_t *value)
 {
-    const struct pm_settings *settings = jobs->books->settings;
+    const struct pm_settings *settings = jobs->tables->settings;
     bool known = job->spec != NULL;
     struct pm_spec *spec = known ? job->spec : g_new0(struct pm_spec, 1);
     struct pm_raw_names names;
     const char *why;
 
-    if (pm_spec_read_fields(jobs->books, value, spec, &names, &why) ||
+    if (pm_spec_read_fields(jobs->tables, value, spec, &names, &why) ||
         (spec->team = pm_spec_find_team(settings, names.team)) < 0) {
         pm_error("jobs.value", "unreadable description of job %s", job->id);
         if (!known)
@@ -274,8 +274,8 @@
         return false;
     }
     spec->zone = names.zone[0] ? pm_settings_zone(settings, names.zone) : -1;
-    spec->class_index = pm_names_add(jobs->books->classes, names.class_name);
-    spec->image = pm_names_add(jobs->books->images, names.image);
+    spec->class_index = pm_names_add(jobs->tables->classes, names.class_name);
+    spec->image = pm_names_add(jobs->tables->images, names.image);
     pm_cbor_number(pm_cbor_get(value, "at"), &spec->submitted);
     if (!known) {
         job->spec = spec;
@@ -294,14 +294,14 @@
 }
 
 static struct pm_job *put_job(struct pm_jobs *jobs, const char *id, const cbor_item_t *value,
-                              uint64_t stamp)
+                              uint64_t revision)
 {
     struct pm_job *job = pm_jobs_find(jobs, id);
     enum pm_job_state state = PM_LIVE;
     uint32_t entries = 1;
     bool readable;
 
-    if ((job && job->stamp >= stamp) || !pm_jobs_id_valid(id))
+    if ((job && job->revision >= revision) || !pm_jobs_id_valid(id))
         return NULL;
     readable = read_summary(value, &state, &entries);
     if (!readable) {
@@ -312,7 +312,7 @@
     }
     if (!job)
         job = job_new(jobs, id, entries);
-    job->stamp = stamp;
+    job->revision = revision;
     set_state(jobs, job, state);
     if (state == PM_DONE)
         pm_cbor_number(pm_cbor_get(value, "ended"), &job->ended);
@@ -334,7 +334,7 @@
 }
 
 static struct pm_job *put_chunk(struct pm_jobs *jobs, const char *rest, const cbor_item_t *value,
-                                uint64_t stamp)
+                                uint64_t revision)
 {
     char id[PM_ID_MAX];
     struct pm_job *job;
@@ -348,13 +348,13 @@
     job = pm_jobs_find(jobs, id);
     chunk = job ? pm_job_chunk(job, k) : NULL;
     stored = chunk ? pm_chunk_value(chunk, half) : NULL;
-    if (!stored || stored->stamp >= stamp)
+    if (!stored || stored->revision >= revision)
         return NULL;
-    if (!pm_chunk_read(jobs->books, value, stored)) {
+    if (!pm_chunk_read(jobs->tables, value, stored)) {
         pm_error("jobs.value", "unreadable chunk %s", rest);
         return NULL;
     }
-    stored->stamp = stamp;
+    stored->revision = revision;
     pm_chunk_merge(chunk);
     return job;
 }
@@ -362,18 +362,18 @@
 /* ---- feed ---- */
 
 struct pm_job *pm_jobs_put(struct pm_jobs *jobs, const char *key, const cbor_item_t *value,
-                           uint64_t stamp)
+                           uint64_t revision)
 {
     if (!strncmp(key, "p/j/", 4))
-        return put_job(jobs, key + 4, value, stamp);
+        return put_job(jobs, key + 4, value, revision);
     if (!strncmp(key, "p/n/", 4))
         return put_list(jobs, key + 4, value);
     if (!strncmp(key, "p/t/", 4))
-        return put_chunk(jobs, key + 4, value, stamp);
+        return put_chunk(jobs, key + 4, value, revision);
     return NULL;
 }
 
-struct pm_job *pm_jobs_drop(struct pm_jobs *jobs, const char *key, uint64_t stamp)
+struct pm_job *pm_jobs_drop(struct pm_jobs *jobs, const char *key, uint64_t revision)
 {
     char id[PM_ID_MAX];
     struct pm_job *job;
@@ -385,9 +385,9 @@
         !(job = pm_jobs_find(jobs, id)) || k >= job->nchunks || !job->chunk[k])
         return NULL;
     value = pm_chunk_value(job->chunk[k], half);
-    if (value->stamp > stamp)
+    if (value->revision > revision)
         return NULL;
-    value->stamp = 0;
+    value->revision = 0;
     pm_chunk_merge(job->chunk[k]);
     return job;
 }
@@ -406,7 +406,7 @@
             if (!job->chunk[k])
                 continue;
             for (int half = -1; half < 2; half++)
-                pm_chunk_value(job->chunk[k], half)->stamp = 0;
+                pm_chunk_value(job->chunk[k], half)->revision = 0;
             pm_chunk_merge(job->chunk[k]);
         }
     }
@@ -424,8 +424,8 @@
             continue;
         for (int i = 0; i < PM_CHUNK / 64; i++)
             *done += (uint32_t)__builtin_popcountll(job->chunk[k]->done[i]);
-        if (job->chunk[k]->spots)
-            *running += job->chunk[k]->spots->len;
+        if (job->chunk[k]->stored_places)
+            *running += job->chunk[k]->stored_places->len;
     }
 }
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -34,7 +34,7 @@
 enum pm_job_state { PM_LIVE, PM_CANCELLED, PM_DONE };
 
 /* The dense indices of all names that jobs and machines speak of. */
-struct pm_books {
+struct pm_name_tables {
     const struct pm_settings *settings;
     struct pm_names *classes, *images, *types, *machines;
     struct pm_names *dependency_ids; /* of jobs that others need */
@@ -62,7 +62,7 @@
 };
 
 /* A task's place as the state service knows it. */
-struct pm_spot {
+struct pm_stored_place {
     uint16_t task; /* within the chunk */
     uint32_t attempt, session;
     int machine;
@@ -94,7 +94,7 @@
     double since;     /* steady: placed, or found again */
     double ran_from;  /* steady: first seen running, 0: not yet */
     uint64_t direct;  /* epoch of a /do that may have carried the launch, 0: none */
-    uint64_t replied; /* tally of the report whose answer carried the launch, 0: none */
+    uint64_t replied; /* sequence number of the report whose answer carried the launch, 0: none */
 };
 
 /* The leader's view of one task. */
@@ -108,11 +108,11 @@
 
 /* One value of a chunk: of all its tasks, or of half of them. */
 struct pm_value {
-    uint64_t stamp;   /* 0: not in the state service */
-    uint64_t written; /* of our own last write: the watch may not have told it yet */
+    uint64_t revision; /* 0: not in the state service */
+    uint64_t written;  /* of our own last write: the watch may not have told it yet */
     uint64_t done[PM_CHUNK / PM_HALF];
     uint32_t last_try;
-    GArray *spots; /* of struct pm_spot */
+    GArray *stored_places; /* of struct pm_spot */
 };
 
 enum { PM_DIRTY_WHOLE = 4 }; /* the value of the whole chunk is to go: both halves are there */
@@ -125,7 +125,7 @@
     bool stored; /* any of them is there */
     uint64_t done[PM_CHUNK / PM_HALF];
     uint32_t last_try;
-    GArray *spots; /* of struct pm_spot, as written; NULL when none */
+    GArray *stored_places; /* of struct pm_spot, as written; NULL when none */
     /* Leader only. */
     struct pm_task *task; /* PM_CHUNK of them, or NULL: none was ever touched */
     unsigned dirty;       /* bit h: half h needs writing; and PM_DIRTY_WHOLE */
@@ -140,9 +140,10 @@
 
 struct pm_job {
     char id[PM_ID_MAX];
-    uint64_t stamp;
+    uint64_t revision;
     enum pm_job_state state;
-    uint64_t cancelled; /* stamp of its durable cancellation, as far as known; 0: none is known */
+    uint64_t
+        cancelled; /* revision of its durable cancellation, as far as known; 0: none is known */
     uint32_t entries;
     /* Dependencies (dependencies.h). */
     bool incomplete; /* what it needs is not all known yet */
@@ -163,21 +164,21 @@
     uint32_t hint; /* no task below it waits */
     bool final_in_flight, listed;
     double claims_until; /* gang: room is being cleared for it (placement) */
-    bool away;           /* another controller places it */
-    bool overdue;        /* has waited too long to begin (placement) */
-    bool hurried;        /* was overdue: what runs of it went first (placement) */
+    bool delegated;      /* another controller places it */
+    bool starving;       /* has waited too long to begin (placement) */
+    bool aged;           /* was starving: what runs of it went first (placement) */
     double left;         /* processor-seconds of an array that are left (placement) */
     bool sized;          /* counted as part of the stream of array work (fleet) */
     bool tried;          /* a chunk was written, or is being written, from here */
     double ran_sum; /* run times seen of this job's tasks: its owner's estimate may be far off */
     uint32_t ran_n;
-    uint32_t width; /* tasks at once that its block's lease allows */
+    uint32_t parallelism; /* tasks at once that its block's lease allows */
     double retry_at;
 };
 
 struct pm_jobs;
 
-struct pm_jobs *pm_jobs_new(struct pm_books *books);
+struct pm_jobs *pm_jobs_new(struct pm_name_tables *tables);
 void pm_jobs_free(struct pm_jobs *jobs);
 struct pm_job *pm_jobs_find(const struct pm_jobs *jobs, const char *id);
 /* Jobs that are not over, or whose tasks are not all proven gone; in no set order. */
@@ -185,53 +186,54 @@
 
 /* The replica's feed; each returns the job that changed, or NULL. */
 struct pm_job *pm_jobs_put(struct pm_jobs *jobs, const char *key, const cbor_item_t *value,
-                           uint64_t stamp);
-struct pm_job *pm_jobs_drop(struct pm_jobs *jobs, const char *key, uint64_t stamp);
+                           uint64_t revision);
+struct pm_job *pm_jobs_drop(struct pm_jobs *jobs, const char *key, uint64_t revision);
 void pm_jobs_sweep_begin(struct pm_jobs *jobs);
 
 /* ---- cancellations ----
  *
  * A durable cancellation may be known before the replica tells it: from this controller's own
- * write, or from a peer. From then on the job is cancelled here, though its key's stamp is still
- * the old one: what is written on that stamp fails, as it should. */
+ * write, or from a peer. From then on the job is cancelled here, though its key's revision is still
+ * the old one: what is written on that revision fails, as it should. */
 
 struct pm_cancelled {
-    uint64_t stamp;
+    uint64_t revision;
     char id[PM_ID_MAX];
 };
 
-/* `id` was cancelled at `stamp`, durably. True if that is news. */
-bool pm_jobs_cancel(struct pm_jobs *jobs, const char *id, uint64_t stamp);
-/* The stamp of its cancellation, also if nothing else is known of the job; 0: none is known. */
+/* `id` was cancelled at `revision`, durably. True if that is news. */
+bool pm_jobs_cancel(struct pm_jobs *jobs, const char *id, uint64_t revision);
+/* The revision of its cancellation, also if nothing else is known of the job; 0: none is known. */
 uint64_t pm_jobs_cancelled(const struct pm_jobs *jobs, const char *id);
-/* Jobs cancelled after that stamp, by stamp: at most about `most`, but all of one stamp together.
- * Returns where in the borrowed array they begin; `n` is how many, `more` whether there are others
- * behind them. */
-const struct pm_cancelled *pm_jobs_cancelled_after(struct pm_jobs *jobs, uint64_t stamp,
+/* Jobs cancelled after that revision, by revision: at most about `most`, but all of one revision
+ * together. Returns where in the borrowed array they begin; `n` is how many, `more` whether there
+ * are others behind them. */
+const struct pm_cancelled *pm_jobs_cancelled_after(struct pm_jobs *jobs, uint64_t revision,
                                                    size_t most, size_t *n, bool *more);
 
 /* Whether `id` has the form that users' ids always have. */
 bool pm_jobs_id_valid(const char *id);
 /* Reads a submission: 200, or 400, 422, 503 (types not known yet) with the reason in `why`. */
-int pm_jobs_read(struct pm_books *books, const cbor_item_t *body, char *id, struct pm_spec *spec,
-                 const char **why);
+int pm_jobs_read(struct pm_name_tables *tables, const cbor_item_t *body, char *id,
+                 struct pm_spec *spec, const char **why);
 /* The jobs that a submission, or a job's value, names as to be done before: each once, NULL for
  * none; owned by the caller. -1: not a list of ids in the known form. They become indices once they
  * are known to be jobs: a name alone costs no lasting memory. */
 int pm_jobs_read_dependencies(const cbor_item_t *body, GPtrArray **out);
-void pm_spec_set_dependencies(struct pm_books *books, struct pm_spec *spec, const GPtrArray *ids);
+void pm_spec_set_dependencies(struct pm_name_tables *tables, struct pm_spec *spec,
+                              const GPtrArray *ids);
 /* How many p/n values the spec's needs take; 0 where the job's own value, which takes `size` bytes
  * without them, has room for all. */
-uint32_t pm_spec_overflow_lists(const struct pm_books *books, const struct pm_spec *spec,
+uint32_t pm_spec_overflow_lists(const struct pm_name_tables *tables, const struct pm_spec *spec,
                                 size_t size);
 /* Writes the value of p/n/ID/K. */
-void pm_jobs_write_overflow_list(const struct pm_books *books, const struct pm_spec *spec,
+void pm_jobs_write_overflow_list(const struct pm_name_tables *tables, const struct pm_spec *spec,
                                  uint32_t k, struct pm_buf *out);
 /* Writes the value of p/j for a job in that state; `full` keeps the description. */
-void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
-                   enum pm_job_state state, bool full, struct pm_buf *out);
+void pm_jobs_write(const struct pm_name_tables *tables, const struct pm_spec *spec,
+                   uint32_t entries, enum pm_job_state state, bool full, struct pm_buf *out);
 /* The same for a job that is done, with the time of its end where all controllers read that. */
-void pm_jobs_write_done(const struct pm_books *books, const struct pm_job *job, bool full,
+void pm_jobs_write_done(const struct pm_name_tables *tables, const struct pm_job *job, bool full,
                         struct pm_buf *out);
 void pm_spec_free(struct pm_spec *spec);
 /* How many such tasks that room holds. */
@@ -249,25 +251,25 @@
 void pm_job_touch(struct pm_job *job, uint32_t index); /* its chunk needs writing */
 /* Whether jobs are, until told otherwise, another controller's to place: for all, and for those to
  * come. */
-void pm_jobs_set_away(struct pm_jobs *jobs, bool away);
+void pm_jobs_set_delegated(struct pm_jobs *jobs, bool delegated);
 /* Rebuilds one job's counts from the replica. */
 void pm_job_reset_work(struct pm_job *job);
 /* Drops the working state of all jobs and rebuilds the counts from the replica. */
 void pm_jobs_reset_work(struct pm_jobs *jobs);
 /* Writes the value of p/t/ID/k, or of one half of it (-1: the whole), from the working state. */
-void pm_jobs_write_chunk(const struct pm_books *books, const struct pm_job *job, int k, int half,
-                         struct pm_buf *out);
-/* The stamp to write the value on. */
-uint64_t pm_value_stamp(const struct pm_value *value);
+void pm_jobs_write_chunk(const struct pm_name_tables *tables, const struct pm_job *job, int k,
+                         int half, struct pm_buf *out);
+/* The revision to write the value on. */
+uint64_t pm_value_revision(const struct pm_value *value);
 /* The value of half h of the chunk, or, for -1, of the whole. */
 struct pm_value *pm_chunk_value(struct pm_chunk *chunk, int half);
 /* A task of the job got a place, or lost it (`by` -1). */
 void pm_job_count_place(struct pm_job *job, uint32_t index, int by);
 /* Whether chunk k is written in halves: it is already, or it could grow too large for one value.
  * Every further value costs a change of the state service's, the scarcest of all. */
-bool pm_job_in_halves(const struct pm_books *books, const struct pm_job *job, int k);
+bool pm_job_in_halves(const struct pm_name_tables *tables, const struct pm_job *job, int k);
 /* Whether the value that tells of the task holds one more place. */
-bool pm_job_has_room(const struct pm_books *books, const struct pm_job *job, uint32_t index);
+bool pm_job_has_room(const struct pm_name_tables *tables, const struct pm_job *job, uint32_t index);
 /* Tasks that are neither done nor placed, and may start. */
 uint32_t pm_job_waiting(const struct pm_job *job);
 
--- a/src/jobs/spec.c
+++ b/src/jobs/spec.c
@@ -68,7 +68,7 @@
     return 0;
 }
 
-static int read_types(const struct pm_books *books, const cbor_item_t *list, uint64_t *out)
+static int read_types(const struct pm_name_tables *tables, const cbor_item_t *list, uint64_t *out)
 {
     char name[TEXT_MAX];
 
@@ -83,7 +83,7 @@
         int type;
         if (pm_cbor_text(pm_cbor_at(list, i), name, sizeof name))
             return -1;
-        type = pm_names_find(books->types, name);
+        type = pm_names_find(tables->types, name);
         if (type >= 0 && type < PM_TYPES_MAX)
             *out |= (uint64_t)1 << type;
     }
@@ -99,8 +99,8 @@
 }
 
 /* 0, or -1 with the field at fault in `why`. Names are left for the caller to judge. */
-int pm_spec_read_fields(const struct pm_books *books, const cbor_item_t *body, struct pm_spec *spec,
-                        struct pm_raw_names *names, const char **why)
+int pm_spec_read_fields(const struct pm_name_tables *tables, const cbor_item_t *body,
+                        struct pm_spec *spec, struct pm_raw_names *names, const char **why)
 {
     char text[TEXT_MAX];
     uint64_t entries;
@@ -144,7 +144,7 @@
         read_flag(body, "borrowed", &spec->spot, why))
         return -1;
     *why = "models";
-    if (read_types(books, pm_cbor_get(body, "models"), &spec->types))
+    if (read_types(tables, pm_cbor_get(body, "models"), &spec->types))
         return -1;
     names->zone[0] = 0;
     if (pm_cbor_has(body, "room") && read_name(body, "room", names->zone, why))
@@ -152,10 +152,10 @@
     return 0;
 }
 
-static bool fits_some_type(const struct pm_books *books, const struct pm_spec *spec)
+static bool fits_some_type(const struct pm_name_tables *tables, const struct pm_spec *spec)
 {
-    for (int i = 0; i < books->ntypes; i++) {
-        const struct pm_type *type = &books->type[i];
+    for (int i = 0; i < tables->ntypes; i++) {
+        const struct pm_type *type = &tables->type[i];
         bool offered = spec->zone < 0 || (type->zones >> spec->zone & 1);
         if (offered && spec->types >> i & 1 && type->cpus >= spec->cpus &&
             type->gpus >= spec->gpus && type->ram_gb >= spec->ram_gb)
@@ -193,19 +193,20 @@
     return 0;
 }
 
-void pm_spec_set_dependencies(struct pm_books *books, struct pm_spec *spec, const GPtrArray *ids)
+void pm_spec_set_dependencies(struct pm_name_tables *tables, struct pm_spec *spec,
+                              const GPtrArray *ids)
 {
     spec->dependencies = g_new(int, ids->len);
     spec->ndependencies = ids->len;
     for (guint i = 0; i < ids->len; i++)
-        spec->dependencies[i] = pm_names_add(books->dependency_ids, g_ptr_array_index(ids, i));
+        spec->dependencies[i] = pm_names_add(tables->dependency_ids, g_ptr_array_index(ids, i));
 }
 
-int pm_jobs_read(struct pm_books *books, const cbor_item_t *body, char *id, struct pm_spec *spec,
-                 const char **why)
+int pm_jobs_read(struct pm_name_tables *tables, const cbor_item_t *body, char *id,
+                 struct pm_spec *spec, const char **why)
 {
     static const char *const flags[] = {"same_place", "spread", "borrowed"};
-    const struct pm_settings *settings = books->settings;
+    const struct pm_settings *settings = tables->settings;
     struct pm_raw_names names;
     const struct pm_team_setting *team;
     double tasks;
@@ -220,9 +221,9 @@
         if (!pm_cbor_has(body, flags[i]))
             return 400;
     }
-    if (pm_spec_read_fields(books, body, spec, &names, why))
+    if (pm_spec_read_fields(tables, body, spec, &names, why))
         return 400;
-    if (!books->ntypes) {
+    if (!tables->ntypes) {
         *why = "machine types not known yet";
         return 503;
     }
@@ -232,23 +233,24 @@
     if (spec->team < 0 || (names.zone[0] && spec->zone < 0))
         return 422;
     *why = "fits no allowed machine type";
-    if (!fits_some_type(books, spec))
+    if (!fits_some_type(tables, spec))
         return 422;
     team = &settings->team[spec->team];
     tasks = spec->form == PM_ARRAY ? 1 : spec->entries;
     *why = "above the team's limit";
     if (tasks * spec->cpus > team->cpus_max + EPS || tasks * spec->gpus > team->gpus_max + EPS)
         return 422;
-    spec->class_index = pm_names_add(books->classes, names.class_name);
-    spec->image = pm_names_add(books->images, names.image);
+    spec->class_index = pm_names_add(tables->classes, names.class_name);
+    spec->image = pm_names_add(tables->images, names.image);
     return 200;
 }
 
 /* ---- values of p/j ---- */
 
 /* `ended`: the time of day at which it was done, 0: not to be written. */
-static void write_value(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
-                        enum pm_job_state state, bool full, double ended, struct pm_buf *out)
+static void write_value(const struct pm_name_tables *tables, const struct pm_spec *spec,
+                        uint32_t entries, enum pm_job_state state, bool full, double ended,
+                        struct pm_buf *out)
 {
     pm_put_map(out);
     pm_put_pair_text(out, "now", pm_job_state_names[state]);
@@ -256,9 +258,9 @@
     if (ended > 0)
         pm_put_pair_number(out, "ended", ended);
     if (full) {
-        pm_put_pair_text(out, "ledger", pm_names_text(books->classes, spec->class_index));
-        pm_put_pair_text(out, "desk", books->settings->team[spec->team].name);
-        pm_put_pair_text(out, "bundle", pm_names_text(books->images, spec->image));
+        pm_put_pair_text(out, "ledger", pm_names_text(tables->classes, spec->class_index));
+        pm_put_pair_text(out, "desk", tables->settings->team[spec->team].name);
+        pm_put_pair_text(out, "bundle", pm_names_text(tables->images, spec->image));
         pm_put_pair_text(out, "form", form_names[spec->form]);
         pm_put_pair_text(out, "urgency", priority_names[spec->priority]);
         pm_put_pair_number(out, "cpus", spec->cpus);
@@ -276,20 +278,20 @@
         if (spec->types != ~(uint64_t)0) {
             pm_put_text(out, "models");
             pm_put_list(out);
-            for (int i = 0; i < books->ntypes; i++)
+            for (int i = 0; i < tables->ntypes; i++)
                 if (spec->types >> i & 1)
-                    pm_put_text(out, pm_names_text(books->types, i));
+                    pm_put_text(out, pm_names_text(tables->types, i));
             pm_put_end(out);
         }
         if (spec->zone >= 0)
-            pm_put_pair_text(out, "room", books->settings->zone_name[spec->zone]);
+            pm_put_pair_text(out, "room", tables->settings->zone_name[spec->zone]);
         if (spec->overflow_lists)
             pm_put_pair_count(out, "lists", spec->overflow_lists);
         else if (spec->ndependencies) {
             pm_put_text(out, "awaits");
             pm_put_list(out);
             for (uint32_t i = 0; i < spec->ndependencies; i++)
-                pm_put_text(out, pm_names_text(books->dependency_ids, spec->dependencies[i]));
+                pm_put_text(out, pm_names_text(tables->dependency_ids, spec->dependencies[i]));
             pm_put_end(out);
         }
         pm_put_pair_number(out, "at", spec->submitted);
@@ -297,49 +299,49 @@
     pm_put_end(out);
 }
 
-void pm_jobs_write(const struct pm_books *books, const struct pm_spec *spec, uint32_t entries,
-                   enum pm_job_state state, bool full, struct pm_buf *out)
+void pm_jobs_write(const struct pm_name_tables *tables, const struct pm_spec *spec,
+                   uint32_t entries, enum pm_job_state state, bool full, struct pm_buf *out)
 {
-    write_value(books, spec, entries, state, full, 0, out);
+    write_value(tables, spec, entries, state, full, 0, out);
 }
 
-void pm_jobs_write_done(const struct pm_books *books, const struct pm_job *job, bool full,
+void pm_jobs_write_done(const struct pm_name_tables *tables, const struct pm_job *job, bool full,
                         struct pm_buf *out)
 {
-    bool says_when = books->protocol_version >= PM_PROTOCOL_END_TIMES;
+    bool says_when = tables->protocol_version >= PM_PROTOCOL_END_TIMES;
 
-    write_value(books, job->spec, job->entries, PM_DONE, full, says_when ? job->ended : 0, out);
+    write_value(tables, job->spec, job->entries, PM_DONE, full, says_when ? job->ended : 0, out);
 }
 
 /* ---- what a job needs, where its own value does not name it ---- */
 
-static uint32_t ids_in_list(const struct pm_books *books)
+static uint32_t ids_in_list(const struct pm_name_tables *tables)
 {
-    return (uint32_t)MAX(1, (books->settings->value_kb * 1024 - 64) / (PM_ID_MAX + 3));
+    return (uint32_t)MAX(1, (tables->settings->value_kb * 1024 - 64) / (PM_ID_MAX + 3));
 }
 
-uint32_t pm_spec_overflow_lists(const struct pm_books *books, const struct pm_spec *spec,
+uint32_t pm_spec_overflow_lists(const struct pm_name_tables *tables, const struct pm_spec *spec,
                                 size_t size)
 {
-    uint32_t per = ids_in_list(books);
+    uint32_t per = ids_in_list(tables);
 
     for (uint32_t i = 0; i < spec->ndependencies; i++)
-        size += strlen(pm_names_text(books->dependency_ids, spec->dependencies[i])) + 3;
-    return (double)size + 32 <= books->settings->value_kb * 1024
+        size += strlen(pm_names_text(tables->dependency_ids, spec->dependencies[i])) + 3;
+    return (double)size + 32 <= tables->settings->value_kb * 1024
                ? 0
                : (spec->ndependencies + per - 1) / per;
 }
 
-void pm_jobs_write_overflow_list(const struct pm_books *books, const struct pm_spec *spec,
+void pm_jobs_write_overflow_list(const struct pm_name_tables *tables, const struct pm_spec *spec,
                                  uint32_t k, struct pm_buf *out)
 {
-    uint32_t per = ids_in_list(books);
+    uint32_t per = ids_in_list(tables);
 
     pm_put_map(out);
     pm_put_text(out, "awaits");
     pm_put_list(out);
     for (uint32_t i = k * per; i < MIN((k + 1) * per, spec->ndependencies); i++)
-        pm_put_text(out, pm_names_text(books->dependency_ids, spec->dependencies[i]));
+        pm_put_text(out, pm_names_text(tables->dependency_ids, spec->dependencies[i]));
     pm_put_end(out);
     pm_put_end(out);
 }
