--- a/src/blocks/ask.c
+++ b/src/blocks/ask.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "block.pb-c.h"
 #include "blocks/internal.h"
+#include "workers/faults.h"
 
 #include <string.h>
 
@@ -169,6 +170,21 @@
     return NULL;
 }
 
+/* Which of its jobs the holder finds failing, and which no more. */
+static void take_failing(struct block *k, const Pm__BlockTell *tell, double now)
+{
+    for (guint i = 0; i < k->given->len; i++) {
+        struct pm_job *job = g_ptr_array_index(k->given, i);
+        bool failing = false;
+        for (size_t j = 0; j < tell->n_failing; j++)
+            failing |= !strcmp(tell->failing[j], job->id);
+        if (failing)
+            pm_fault_told(job, now);
+        else
+            pm_fault_untold(job);
+    }
+}
+
 static void on_told(void *arg, int status, const unsigned char *body, size_t size)
 {
     struct flight *f = arg;
@@ -213,6 +229,7 @@
             m->silent_since = pm_clock_steady();
         m->silent_told = pm_clock_steady();
     }
+    take_failing(k, tell, pm_clock_steady());
     pm__block_tell__free_unpacked(tell, NULL);
     pm_blocks_run(b, pm_clock_steady());
 }
--- a/src/blocks/hold.c
+++ b/src/blocks/hold.c
@@ -2,6 +2,7 @@
 #include "base/clock.h"
 #include "block.pb-c.h"
 #include "blocks/internal.h"
+#include "workers/faults.h"
 
 #include <string.h>
 
@@ -99,6 +100,19 @@
     (*list)[(*n)++] = (char *)name;
 }
 
+/* The jobs of the block that keep failing. */
+static void tell_failing(const struct pm_blocks *b, Pm__BlockTell *tell)
+{
+    const GArray *jobs = b->block[b->n - 1].jobs;
+
+    for (guint i = 0; i < jobs->len; i++) {
+        const struct pm_job *job =
+            pm_jobs_find(b->jobs, g_array_index(jobs, struct seen_job, i).id);
+        if (job && job->state == PM_LIVE && pm_fault_job_failing(job))
+            add_name(&tell->failing, &tell->n_failing, job->id);
+    }
+}
+
 void pm_blocks_peer(struct pm_blocks *b, struct pm_http_request *req)
 {
     Pm__BlockCall *call = pm__block_call__unpack(NULL, req->body_size, req->body);
@@ -139,12 +153,14 @@
         up++;
         heard += now - m->heard < 6;
         tell.doubt |= m->doubtful && m->doubtful >= pm_leader_epoch(b->lead);
-        if (m->errors >= 3)
+        if (pm_fault_machine_faulty(m))
             add_name(&tell.bad, &tell.n_bad, m->name);
         if (m->reported &&
             (pm_workers_deaf(m, now) || pm_workers_silent(m, b->tables->settings, now)))
             add_name(&tell.silent, &tell.n_silent, m->name);
     }
+    if (!b->leading && b->mine_granted)
+        tell_failing(b, &tell);
     tell.helpless = (up > 1 && !heard) || (b->mine_granted && !tell.ready);
     size = pm__block_tell__get_packed_size(&tell);
     data = g_malloc(size + 1);
@@ -154,5 +170,6 @@
     g_free(tell.clean);
     g_free(tell.bad);
     g_free(tell.silent);
+    g_free(tell.failing);
     pm__block_call__free_unpacked(call, NULL);
 }
--- a/src/blocks/lend.c
+++ b/src/blocks/lend.c
@@ -1,6 +1,7 @@
 /* The leader gives jobs, and machines to place them on, to holders. */
 #include "base/log.h"
 #include "blocks/internal.h"
+#include "workers/faults.h"
 
 #include <math.h>
 #include <string.h>
@@ -17,7 +18,8 @@
 
     return job->state == PM_LIVE && spec && spec->form == PM_ARRAY && spec->spot && !job->unmet &&
            job->priority != PM_PRODUCTION && job->priority != PM_BEST_EFFORT && !spec->same_place &&
-           !spec->spread && !job->delegated && !job->nplaced && !job->ndone && !job->tried;
+           !spec->spread && !pm_fault_job_failing(job) && !job->delegated && !job->nplaced &&
+           !job->ndone && !job->tried;
 }
 
 static bool alive(const struct block *k, double now)
@@ -322,6 +324,8 @@
         short_of[i].job = job;
         short_of[i].waiting = MIN(left, job->parallelism - MIN(job->parallelism, placed));
         short_of[i].block = block_of(b, job);
+        if (pm_fault_job_failing(job)) /* its holder tries it with one task at a time */
+            short_of[i].waiting = placed ? 0 : MIN(short_of[i].waiting, 1);
         use_held(b, &short_of[i], room, used);
     }
     /* What is within a guarantee goes first, ratio order in both. */
@@ -339,7 +343,7 @@
                 call_back_for(b, &part, used);
         }
     for (guint i = 0; i < queue->len; i++)
-        if (short_of[i].waiting)
+        if (short_of[i].waiting && !pm_fault_job_failing(short_of[i].job))
             pm_plan_add_want(b->plan, short_of[i].job, short_of[i].waiting);
     call_idle(b, tasks_on, used, now);
     g_free(short_of);
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/protocol.h"
 #include "internal.h"
+#include "workers/faults.h"
 
 #include <errno.h>
 #include <ev.h>
@@ -59,10 +60,8 @@
         task->resumed = true;
     /* What was stopped to make room does not compete for that room at once. */
     if (end != PM_END_DONE && place->stop && job->spec->form == PM_ARRAY)
-        task->not_before = now + YIELDED_S;
+        pm_job_rest(job, place->index, now + YIELDED_S);
     if (end == PM_END_DONE) {
-        m->errors = 0;
-        task->errors = 0;
         if (place->ran_from && !task->resumed)
             pm_plan_learn(n->plan, job, now - place->ran_from);
         if (job->spec->form == PM_GANG) { /* its tasks complete together */
@@ -70,13 +69,6 @@
                 pm_job_task(job, i)->done = true;
             job->ndone = job->entries;
         }
-    } else if (end == PM_END_ERROR || end == PM_END_REFUSED) {
-        /* Mostly the machine; a job that fails everywhere rests longer and longer. */
-        task->errors = (uint16_t)MIN(task->errors + 1, 6);
-        task->not_before = now + (end == PM_END_REFUSED ? 0.5 : 0.5 * (1 << task->errors));
-        if (end == PM_END_ERROR)
-            m->errors++;
-        pm_info("task.failed", "%s/%u on %s", job->id, place->index, m->name);
     }
 }
 
@@ -247,7 +239,7 @@
 static void on_machine_bad(void *arg, struct pm_machine *m)
 {
     (void)arg;
-    m->errors = MAX(m->errors, 3);
+    pm_fault_condemn(m);
 }
 
 /* This controller holds a block now, or a different one, or none. */
--- a/src/fleet/review.c
+++ b/src/fleet/review.c
@@ -2,6 +2,7 @@
 #include "fleet/internal.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "workers/faults.h"
 
 #include <math.h>
 
@@ -161,7 +162,7 @@
         m->idle_since = now;
     if (m->draining)
         return "emptied";
-    if (m->errors >= 3)
+    if (pm_fault_machine_faulty(m))
         return "its tasks keep failing";
     if (now - m->idle_since < idle_s || now - m->rented < LEAST_AGE_S)
         return NULL;
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -1,5 +1,6 @@
 /* What to rent: array work as a flow, services with a reserve. */
 #include "fleet/internal.h"
+#include "workers/faults.h"
 
 #include <limits.h>
 #include <math.h>
@@ -291,7 +292,7 @@
             continue;
         if (m->spot && m->state != PM_RELEASING && !m->recall_at)
             f->spot_cpus += f->tables->type[m->type].cpus;
-        if (m->state == PM_RELEASING || m->recall_at || m->errors >= 3 || m->lent ||
+        if (m->state == PM_RELEASING || m->recall_at || pm_fault_machine_faulty(m) || m->lent ||
             (m->state == PM_UP && now - m->heard > 12))
             continue;
         if (m->cpus > EPS)
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -138,6 +138,17 @@
     unsigned refused;  /* what was refused alone, see commit.c; 0: nothing */
 };
 
+/* What the outcomes of a job's tasks say of it (workers/faults.h). */
+struct pm_job_faults {
+    int machine[4]; /* distinct ones on which its tasks failed since the last that succeeded */
+    unsigned nmachines;
+    unsigned in_a_row; /* failures since the last success */
+    unsigned rounds;   /* tries since it was found failing, as far as they make the pause longer */
+    bool told;         /* found failing by its holder, or by the leader before */
+    bool succeeded;    /* a task of it completed */
+    double retry_at;   /* steady: no task of it starts before, while it is failing */
+};
+
 struct pm_job {
     char id[PM_ID_MAX];
     uint64_t revision;
@@ -173,6 +184,8 @@
     double ran_sum; /* run times seen of this job's tasks: its owner's estimate may be far off */
     uint32_t ran_n;
     uint32_t parallelism; /* tasks at once that its block's lease allows */
+    struct pm_job_faults faults;
+    double rest_until; /* steady: some of its tasks rest until then, see struct pm_task */
     double retry_at;
 };
 
@@ -249,6 +262,10 @@
 struct pm_task *pm_job_task(struct pm_job *job, uint32_t index);             /* made when missing */
 const struct pm_task *pm_job_peek(const struct pm_job *job, uint32_t index); /* NULL: untouched */
 void pm_job_touch(struct pm_job *job, uint32_t index); /* its chunk needs writing */
+/* The task is not to start before that time. */
+void pm_job_rest(struct pm_job *job, uint32_t index, double until);
+/* How many of the waiting tasks may start now: those that rest are left out. */
+uint32_t pm_job_startable(const struct pm_job *job, double now);
 /* Whether jobs are, until told otherwise, another controller's to place: for all, and for those to
  * come. */
 void pm_jobs_set_delegated(struct pm_jobs *jobs, bool delegated);
--- a/src/jobs/work.c
+++ b/src/jobs/work.c
@@ -41,11 +41,42 @@
     return job->entries - job->ndone - job->nplaced;
 }
 
+void pm_job_rest(struct pm_job *job, uint32_t index, double until)
+{
+    pm_job_task(job, index)->not_before = until;
+    job->rest_until = MAX(job->rest_until, until);
+}
+
+/* Waiting tasks of the chunk that rest. */
+static uint32_t count_resting(const struct pm_chunk *chunk, double now)
+{
+    uint32_t resting = 0;
+
+    for (int t = 0; t < PM_CHUNK; t++) {
+        const struct pm_task *task = &chunk->task[t];
+        resting += !task->done && !task->place && task->not_before > now;
+    }
+    return resting;
+}
+
+uint32_t pm_job_startable(const struct pm_job *job, double now)
+{
+    uint32_t waiting = pm_job_waiting(job);
+    uint32_t resting = 0;
+
+    if (!waiting || job->rest_until <= now)
+        return waiting;
+    for (int k = 0; k < job->nchunks; k++)
+        if (job->chunk[k] && job->chunk[k]->task)
+            resting += count_resting(job->chunk[k], now);
+    return waiting - MIN(waiting, resting);
+}
+
 void pm_job_reset_work(struct pm_job *job)
 {
     job->ndone = job->nplaced = job->last_try = job->hint = 0;
     job->final_in_flight = job->tried = job->sized = false;
-    job->retry_at = 0;
+    job->retry_at = job->rest_until = 0;
     for (int k = 0; k < job->nchunks; k++) {
         struct pm_chunk *chunk = job->chunk[k];
         if (!chunk)
--- a/src/placement/fit.c
+++ b/src/placement/fit.c
@@ -4,8 +4,10 @@
 #include <math.h>
 #include <string.h>
 
-#define LATE_S 1.0       /* where no objective says how soon a class is to start */
-#define FETCH_WEIGHT 0.3 /* of a second of fetching in a service's score */
+#define LATE_S 1.0              /* where no objective says how soon a class is to start */
+#define BLAME_WEIGHT 2.0        /* in a machine's score: each failure that speaks against it, */
+#define FAILED_THERE_WEIGHT 4.0 /* and that the job itself failed there */
+#define FETCH_WEIGHT 0.3        /* of a second of fetching in a service's score */
 
 bool pm_plan_allows(const struct pm_name_tables *tables, const struct pm_job *job, int type,
                     int zone, bool spot)
@@ -20,7 +22,7 @@
 bool pm_plan_usable(const struct pm_plan *p, const struct pm_machine *m, double now)
 {
     return m->state == PM_UP && m->reported && !m->lent && !m->leaving && !m->draining &&
-           !m->recall_at && m->errors < 3 && !m->unheard && pm_workers_proven(m) &&
+           !m->recall_at && !pm_fault_machine_faulty(m) && !m->unheard && pm_workers_proven(m) &&
            m->strays->len == 0 && !pm_workers_silent(m, p->tables->settings, now) &&
            !pm_workers_mute(m, p->tables->settings, now);
 }
@@ -200,8 +202,10 @@
     const struct pm_spec *spec = job->spec;
     const struct pm_type *t = &p->tables->type[m->type];
     bool image = pm_plan_has_image(m, spec->image);
-    double value = -2.0 * m->errors;
+    double value = -BLAME_WEIGHT * pm_fault_blame(m);
 
+    if (pm_fault_failed_there(job, m))
+        value -= FAILED_THERE_WEIGHT;
     if (spec->form == PM_SERVICE) {
         /* Spread: then every machine comes to hold every image, and has some room to start the next
          * service at once. Array tasks use that room meanwhile. */
@@ -272,6 +276,29 @@
            job->priority <= m->claim->priority;
 }
 
+static bool is_stopping(const struct pm_machine *m)
+{
+    for (guint j = 0; j < m->places->len; j++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, j);
+        if (place->stop && place->state != PM_ENDED)
+            return true;
+    }
+    return false;
+}
+
+/* Whether the machine is being cleared, task by task, for a job that the task would have to yield
+ * to: it would take the part of the room that is free already, only to be stopped again. */
+static bool cleared_for_other(struct pm_plan *p, const struct pm_machine *m,
+                              const struct pm_job *job, double now)
+{
+    const struct pm_job *other = m->clearing_for;
+
+    if (!other || other == job || now >= m->clearing_until || other->state != PM_LIVE ||
+        !pm_job_waiting(other) || !pm_plan_yields_to(p, job, other))
+        return false;
+    return is_stopping(m);
+}
+
 /* In any zone that the job allows, or in `only_zone` (-1: any). */
 struct pm_machine *pm_plan_best_machine(struct pm_plan *p, const struct pm_job *job,
                                         const struct spread *at, int only_zone, double now)
@@ -284,7 +311,8 @@
         double value;
         if (!pm_plan_has_room(m, job->spec) || (only_zone >= 0 && m->zone != only_zone) ||
             !pm_plan_allows(p->tables, job, m->type, m->zone, m->spot) ||
-            !pm_plan_zone_ok(job, at, m->zone) || pm_plan_claimed_by_other(m, job, now))
+            !pm_plan_zone_ok(job, at, m->zone) || pm_plan_claimed_by_other(m, job, now) ||
+            cleared_for_other(p, m, job, now))
             continue;
         value = score(p, m, job);
         if (value > best_score) {
--- a/src/placement/internal.h
+++ b/src/placement/internal.h
@@ -3,6 +3,7 @@
 #define PM_PLACEMENT_PARTS_H
 
 #include "placement/plan.h"
+#include "workers/faults.h"
 
 enum { BUCKETS = 96, CLASSES_MAX = 256, STEPS_MAX = 400 };
 #define EPS 1e-6
@@ -100,6 +101,9 @@
                         double now);
 
 /* preempt.c */
+/* Whether a task of the job, were it placed now, would be one that `other` may have stopped. */
+bool pm_plan_yields_to(const struct pm_plan *p, const struct pm_job *job,
+                       const struct pm_job *other);
 double pm_plan_leave_for(const struct pm_place *place, bool hurry);
 struct pm_machine *pm_plan_clear_one(struct pm_plan *p, struct pm_job *job, spoken *spoken_for,
                                      struct spread *at, int only_zone, bool dry, double now);
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#define RETRY_WAITS_S 30.0 /* a failing job's try waits so long for room before it is a want */
+
 struct pm_plan *pm_plan_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
                             struct pm_workers *workers, const struct pm_operator *op)
 {
@@ -66,6 +68,8 @@
 
     if (job->nplaced + tasks > job->parallelism)
         return false; /* the block's lease allows no more at once */
+    if (job->spec->form == PM_ARRAY && job->nplaced && pm_fault_job_failing(job))
+        return false; /* one at a time */
     if (guarantee && (p->actual[job->spec->team] + tasks * job->spec->cpus > team->cpus + EPS ||
                       p->gpus[job->spec->team] + tasks * job->spec->gpus > team->gpus + EPS))
         return false;
@@ -146,6 +150,8 @@
 {
     int zones;
 
+    if (pm_fault_job_failing(job) && !pm_fault_may_retry(job, now))
+        return 0;
     if (job->spec->form != PM_GANG)
         return place_tasks(p, job, guarantee, now);
     /* The old attempt's tasks hold their machines, and their zones, until they are gone. */
@@ -217,6 +223,19 @@
         p->ratio[t] = pm_plan_ratio(p, t);
 }
 
+/* How many tasks of the job wait for nothing but room: a reason to stop others, or to rent. What
+ * rests, or what a failing job has beyond the one task it is tried with, would not take the room. A
+ * failing job is no reason for either, unless its try finds no room for long: were it taken for
+ * broken wrongly, it would never run on a deployment that has no machine for it. */
+static uint32_t count_wanted(const struct pm_job *job, double now)
+{
+    if (!pm_fault_job_failing(job))
+        return pm_job_startable(job, now);
+    if (job->nplaced || now < job->faults.retry_at + RETRY_WAITS_S)
+        return 0;
+    return MIN(pm_job_startable(job, now), job->spec->form == PM_GANG ? job->entries : 1);
+}
+
 int pm_plan_place(struct pm_plan *p, double now)
 {
     GPtrArray *active = pm_jobs_active(p->jobs);
@@ -244,7 +263,7 @@
         double room;
         if (p->steps < STEPS_MAX)
             place_job(p, job, false, now);
-        left = pm_job_waiting(job);
+        left = count_wanted(job, now);
         if (!left || (job->spec->form == PM_GANG && job->nplaced))
             continue;
         /* More than the team's limit allows is no reason to rent or to stop anything. */
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -5,6 +5,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#define CLEARING_S 4.0    /* what is stopped is gone within this, for the most part */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
 
 static bool gets_guarantee(const struct pm_plan *p, const struct pm_job *job)
@@ -31,6 +32,17 @@
            beyond_guarantee(p, theirs);
 }
 
+bool pm_plan_yields_to(const struct pm_plan *p, const struct pm_job *job,
+                       const struct pm_job *other)
+{
+    int team = job->spec->team;
+
+    if (job->priority == PM_PRODUCTION)
+        return false;
+    return job->priority < other->priority ||
+           (p->sees_all && team != other->spec->team && beyond_guarantee(p, team));
+}
+
 /* Whether `job` may have `place` stopped to make room.
  *
  * The design's ordinary path: unallocated work yields at once to charged work; a charged task is
@@ -173,6 +185,8 @@
             p->steps++;
         }
         p->promised[job->spec->team] += job->spec->cpus;
+        best->clearing_for = job;
+        best->clearing_until = now + CLEARING_S;
     }
     spoken_for[best->index][0] += job->spec->cpus;
     spoken_for[best->index][1] += job->spec->gpus;
--- a/src/placement/rank.c
+++ b/src/placement/rank.c
@@ -123,7 +123,7 @@
         job->starving = false;
         if (job->spec && job->aged)
             cpus += job->nplaced * job->spec->cpus;
-        if (job->spec && !job->delegated && pm_job_waiting(job) &&
+        if (job->spec && !job->delegated && pm_job_waiting(job) && !pm_fault_job_failing(job) &&
             p->day - pm_plan_since(job) > OLD_S)
             g_ptr_array_add(old, job);
     }
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -1,4 +1,4 @@
-#include "workers/workers.h"
+#include "workers/faults.h"
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -74,6 +74,8 @@
     g_ptr_array_free(m->places, TRUE);
     g_array_free(m->ended, TRUE);
     g_array_free(m->strays, TRUE);
+    if (m->fault_records)
+        g_array_free(m->fault_records, TRUE);
     g_free(m);
 }
 
@@ -171,6 +173,7 @@
     }
     release(place);
     pm_job_touch(job, index);
+    pm_fault_note_end(place, end, now);
     w->hooks.ended(w->hooks.arg, place, end, saved, now);
     pm_workers_unplace(w, place);
 }
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -26,6 +26,11 @@
 
 enum { PM_CACHE_MAX = 32 };
 
+struct pm_fault_record { /* a job whose tasks failed on a machine since the last that succeeded */
+    const struct pm_job *job;
+    unsigned failures;
+};
+
 struct pm_machine {
     /* What every plan looks at comes first, the texts and the images last. */
     int index, type, zone;
@@ -51,6 +56,9 @@
     GArray *ended;                /* of struct pm_entry: ended there, to be forgotten */
     GArray *strays; /* of struct pm_entry: there, but not by our replica: to be killed */
     const struct pm_job *claim; /* a gang whose room is being cleared here (placement) */
+    /* Tasks are being stopped here for this job; until then the room is kept for it (placement). */
+    const struct pm_job *clearing_for;
+    double clearing_until; /* steady */
     /* Blocks. */
     int lent;                         /* leader: 1 + the peer that holds it, 0: nobody */
     double silent_told, silent_since; /* leader: its holder says that it does not hear it */
@@ -72,8 +80,9 @@
     double runs_since; /* steady: first listed as running, 0: never */
     bool listed, failed;
     double release_retry;
-    uint32_t errors; /* in a row, of tasks that ended with an error */
-    int ncached;     /* images that it holds, latest use first, as far as we know */
+    GArray *fault_records; /* of struct pm_fault_record (workers/faults.h), NULL: none */
+    bool condemned;        /* found faulty by its holder */
+    int ncached;           /* images that it holds, latest use first, as far as we know */
     struct pm_cached {
         int image;
         double gb;
