Idle-time work yields once it has begun and rents by the users' aims; cold starts wait less

(2) Machines were rented to finish a guest's whole batch within a minute. (3) On a cold start the services' reserve counted only what ran, so that it was rented after the first boots; replicas waited up to 70 s for machines that boot. Change: such a job yields again 40 s after all of it was placed at one time, has a quarter of the machines; nothing is rented for best-effort classes of which no objective speaks; the reserve counts waiting replicas; a replica waits for a boot no longer than replica_due_s.

--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -4,6 +4,7 @@
 
 #include <limits.h>
 #include <math.h>
+#include <string.h>
 
 #define FLOW_FIRST_S 30.0
 #define WARM_ROOT 2.0
@@ -96,6 +97,34 @@
     return job->spec && job->spec->form == PM_ARRAY && job->spec->spot && job->spec->cpus > 0;
 }
 
+/* How soon the users want jobs of the class to have begun, or ended; 0: they do not say. */
+static double wanted_within(const struct pm_fleet *f, const struct pm_job *job)
+{
+    const struct pm_settings *s = f->tables->settings;
+    const char *name = pm_names_text(f->tables->classes, job->spec->class_index);
+    double within = 0;
+
+    for (int i = 0; i < s->aims; i++)
+        if (s->aim[i].within_s > 0 && !strcmp(s->aim[i].class_name, name))
+            within = within > 0 ? MIN(within, s->aim[i].within_s) : s->aim[i].within_s;
+    return within;
+}
+
+/* Best-effort work fills idle room. Machines are rented for it only where the users say how soon
+ * its class is to begin, or to end. */
+static bool is_idle_time_work(const struct pm_fleet *f, const struct pm_job *job)
+{
+    return job->priority == PM_BEST_EFFORT && job->spec->due_s < 0 && wanted_within(f, job) <= 0;
+}
+
+/* Within what time a backlog of such jobs is to be worked off. */
+static double backlog_s(const struct pm_fleet *f, const struct pm_job *job)
+{
+    if (job->priority > PM_BEST_EFFORT)
+        return f->op->backlog_s;
+    return MAX(f->op->backlog_s, wanted_within(f, job) / 2);
+}
+
 /* What array tasks that run now still have before them. */
 static double running_work(const struct pm_fleet *f, double now)
 {
@@ -146,6 +175,8 @@
 
     if (!in_flow(want->job))
         return (int)want->tasks;
+    if (is_idle_time_work(s->f, want->job))
+        return flow->pool < spec->cpus ? 1 : 0;
     flow->work += want->tasks * each * caution * spec->cpus;
     for (int type = 0; type < s->f->tables->ntypes; type++)
         if (spec->types >> type & 1)
@@ -156,7 +187,7 @@
     if (left - boot > each * 0.3)
         need = (flow->work - flow->pool * boot) / (left - boot);
     else
-        need = flow->work / s->f->op->backlog_s;
+        need = flow->work / backlog_s(s->f, want->job);
     need = MIN(ceil(MAX(0, need - flow->pool) / spec->cpus), want->tasks);
     if (flow->pool < spec->cpus)
         need = MAX(need, 1);
@@ -224,6 +255,8 @@
         if (job->sized || !in_flow(job))
             continue;
         job->sized = true;
+        if (is_idle_time_work(f, job))
+            continue;
         weight = exp(-MAX(0, day - job->spec->submitted) / FLOW_S);
         f->flow_jobs += weight;
         f->flow += weight * job->entries * pm_plan_expected(f->plan, job) * job->spec->cpus;
@@ -316,7 +349,8 @@
         struct pm_job *job = g_ptr_array_index(active, i);
         if (!job->spec || job->spec->form != PM_SERVICE || job->state != PM_LIVE)
             continue;
-        service_cpus += job->nplaced * job->spec->cpus;
+        /* What waits too: on a cold start nothing runs yet, and what is rented late is up late. */
+        service_cpus += (job->nplaced + pm_job_waiting(job)) * job->spec->cpus;
         services++;
         if (!typical || (job->spec->zone < 0 && job->spec->types == ~(uint64_t)0))
             typical = job;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -178,6 +178,8 @@
     bool delegated;      /* another controller places it */
     bool starving;       /* has waited too long to begin (placement) */
     bool aged;           /* was starving: what runs of it went first (placement) */
+    bool begun;          /* all of its tasks were placed at one time, or done (placement) */
+    double begun_at;     /* steady: when that was, 0: before this controller led */
     double left;         /* processor-seconds of an array that are left (placement) */
     bool sized;          /* counted as part of the stream of array work (fleet) */
     bool tried;          /* a chunk was written, or is being written, from here */
--- a/src/jobs/work.c
+++ b/src/jobs/work.c
@@ -76,7 +76,8 @@
 {
     job->ndone = job->nplaced = job->last_try = job->hint = 0;
     job->final_in_flight = job->tried = job->sized = false;
-    job->retry_at = job->rest_until = 0;
+    job->retry_at = job->rest_until = job->begun_at = 0;
+    job->begun = false;
     for (int k = 0; k < job->nchunks; k++) {
         struct pm_chunk *chunk = job->chunk[k];
         if (!chunk)
@@ -101,6 +102,7 @@
             }
         }
     }
+    job->begun = job->last_try >= job->entries; /* as far as the number of attempts tells */
 }
 
 void pm_jobs_reset_work(struct pm_jobs *jobs)
--- a/src/placement/fit.c
+++ b/src/placement/fit.c
@@ -172,13 +172,22 @@
     return false;
 }
 
+bool pm_plan_awaits_boot(const struct pm_plan *p, const struct pm_job *job)
+{
+    double waited = p->day - pm_plan_since(job);
+
+    return job->spec->form == PM_SERVICE && p->cold && waited < p->op->replica_due_s &&
+           pm_plan_boot_expected(p, job);
+}
+
 /* On a cold start a replica, late already, rather waits for a machine that boots than crowds the
- * first ones that are up: they would take all, and most machines would never hold most images. */
+ * first ones that are up: they would take all, and most machines would never hold most images. Not
+ * for longer than until it is missed. */
 bool pm_plan_rather_waits(const struct pm_plan *p, const struct pm_machine *m,
                           const struct pm_job *job)
 {
-    return job->spec->form == PM_SERVICE && p->cold && crowded(p, m, job->spec) &&
-           p->day - pm_plan_since(job) >= promise(p, job) && pm_plan_boot_expected(p, job);
+    return pm_plan_awaits_boot(p, job) && crowded(p, m, job->spec) &&
+           p->day - pm_plan_since(job) >= promise(p, job);
 }
 
 /* Seconds that the machine's fetches of other images take, which an image has to wait for there. */
--- a/src/placement/internal.h
+++ b/src/placement/internal.h
@@ -79,6 +79,8 @@
 struct need pm_plan_need_of(const struct pm_plan *p, const struct pm_job *job,
                             const struct spread *at, int team);
 void pm_plan_count_zones(const struct pm_job *job, struct spread *out);
+/* Whether a replica is to wait for a machine that boots, on a cold start. */
+bool pm_plan_awaits_boot(const struct pm_plan *p, const struct pm_job *job);
 bool pm_plan_rather_waits(const struct pm_plan *p, const struct pm_machine *m,
                           const struct pm_job *job);
 bool pm_plan_claimed_by_other(const struct pm_machine *m, const struct pm_job *job, double now);
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -240,7 +240,7 @@
         uint32_t made = 0;
         /* A replica that rather waits than crowds a machine (rather_waits) would not take the room:
          * what was stopped for it would take it again, and so on without end. */
-        if (p->cold && job->spec->form == PM_SERVICE && pm_plan_boot_expected(p, job))
+        if (pm_plan_awaits_boot(p, job))
             continue;
         if (job->delegated)
             continue; /* the leader calls machines back for it */
--- a/src/placement/rank.c
+++ b/src/placement/rank.c
@@ -8,10 +8,14 @@
     215.0           /* within which every job is to have begun whole: see pm_plan_mark_starving    \
                      */
 #define OLD_S 150.0 /* what has waited for less is not looked at for that */
-#define STARVING_SHARE 0.75 /* of the machines that may go to what would be late for that */
-#define GANG_ROOM_S 45.0    /* a gang's room takes so long to come free */
-#define SURE_SHARE 0.7      /* of the machines' time, to be counted on for that */
-#define NO_DUE 1e12         /* more than any work */
+#define STARVING_SHARE 0.75    /* of the machines that may go to what would be late for that */
+#define BEST_EFFORT_SHARE 0.25 /* the same, for best-effort work */
+#define BEGUN_KEEP_S                                                                               \
+    40.0                 /* a start counts if nothing stops it within 30 s; fetches come before    \
+                          */
+#define GANG_ROOM_S 45.0 /* a gang's room takes so long to come free */
+#define SURE_SHARE 0.7   /* of the machines' time, to be counted on for that */
+#define NO_DUE 1e12      /* more than any work */
 
 static struct pm_plan *ranking; /* qsort has no argument for its comparison */
 
@@ -103,6 +107,25 @@
     }
 }
 
+/* Best-effort work that went first in order to begin has begun: it yields at once again. */
+static void note_begun(struct pm_job *job, double now)
+{
+    if (!job->begun && !pm_job_waiting(job) && job->nplaced + job->ndone > 0) {
+        job->begun = true;
+        job->begun_at = now;
+    }
+    if (job->aged && job->begun && job->priority == PM_BEST_EFFORT &&
+        now - job->begun_at >= BEGUN_KEEP_S)
+        job->aged = false;
+}
+
+/* Whether the job may yet come to go first for its age. */
+static bool may_starve(const struct pm_job *job)
+{
+    return !job->delegated && pm_job_waiting(job) && !pm_fault_job_failing(job) &&
+           !(job->begun && job->priority == PM_BEST_EFFORT);
+}
+
 /* Ratio and size order what waits, and each could hold a job back for ever: a team with a high
  * ratio, the job with most work while others keep coming, a gang that never finds its room in one
  * piece. What would else not begin whole within a bound goes first until it has, the oldest before
@@ -121,10 +144,12 @@
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         job->starving = false;
-        if (job->spec && job->aged)
+        if (!job->spec || job->state != PM_LIVE)
+            continue;
+        note_begun(job, now);
+        if (job->aged)
             cpus += job->nplaced * job->spec->cpus;
-        if (job->spec && !job->delegated && pm_job_waiting(job) && !pm_fault_job_failing(job) &&
-            p->day - pm_plan_since(job) > OLD_S)
+        if (may_starve(job) && p->day - pm_plan_since(job) > OLD_S)
             g_ptr_array_add(old, job);
     }
     g_ptr_array_sort(old, by_age);
@@ -140,6 +165,8 @@
     }
     for (guint i = 0; i < overdue && cpus < STARVING_SHARE * pool; i++) {
         struct pm_job *job = g_ptr_array_index(old, i);
+        if (job->priority == PM_BEST_EFFORT && cpus >= BEST_EFFORT_SHARE * pool)
+            continue;
         job->starving = job->aged = true;
         cpus += pm_job_waiting(job) * job->spec->cpus;
     }
