--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -5,6 +5,7 @@
 #include "../../store/tests/fake_state.h"
 #include "base/clock.h"
 #include "blocks/blocks.h"
+#include "workers/faults.h"
 
 #include <ev.h>
 #include <glib.h>
@@ -345,6 +346,34 @@
                                    pm_clock_steady() + 1000));
 }
 
+static bool is_failing(void *arg)
+{
+    round_of_leader();
+    return pm_fault_job_failing(pm_jobs_find(leader.jobs, "job-1")) == *(bool *)arg;
+}
+
+/* A holder that finds a job failing wherever it runs says so: the leader leases no machines for the
+ * tasks that wait, though they were within the lease's parallelism, and rents none. */
+static void a_holder_tells_which_jobs_fail(void **arg)
+{
+    bool failing = true;
+    const GArray *wants = pm_plan_wants(leader.plan);
+
+    (void)arg;
+    write_job(&leader, "job-1", false);
+    assert_true(fake_run_until(loop, is_granted, NULL));
+    pm_fault_told(pm_jobs_find(holder.jobs, "job-1"), pm_clock_steady());
+    assert_true(fake_run_until(loop, is_failing, &failing));
+    pm_plan_begin(leader.plan, pm_clock_steady(), 1e6);
+    pm_plan_place(leader.plan, pm_clock_steady());
+    pm_blocks_allot(leader.blocks, pm_clock_steady());
+    assert_int_equal(wants->len, 0);
+    /* One of its tasks succeeds. */
+    failing = false;
+    pm_fault_untold(pm_jobs_find(holder.jobs, "job-1"));
+    assert_true(fake_run_until(loop, is_failing, &failing));
+}
+
 static bool is_put_off(void *arg)
 {
     (void)arg;
@@ -416,6 +445,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup(leases_and_takes_back, set_up),
+        cmocka_unit_test_setup(a_holder_tells_which_jobs_fail, set_up),
         cmocka_unit_test_setup(given_only_what_the_block_holds, set_up),
         cmocka_unit_test_setup(a_late_first_write_gives_nothing_away, set_up),
     };
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -118,6 +118,65 @@
     assert_int_equal(all, 4);
 }
 
+/* Best-effort jobs that wait for room, on one machine that is full. */
+static void wait_idly(const char *id, uint32_t entries)
+{
+    struct pm_spec spec = {.zone = -1,
+                           .types = ~(uint64_t)0,
+                           .priority = PM_BEST_EFFORT,
+                           .entries = entries,
+                           .cpus = 1,
+                           .ram_gb = 1,
+                           .spot = true,
+                           .expected_s = 300,
+                           .due_s = -1,
+                           .submitted = NOW};
+
+    books_feed(&tables, jobs, id, &spec, ++revision);
+}
+
+/* A guest's batch fills idle room: machines are rented for best-effort work only where the users
+ * say how soon its class is to begin or to end. (They were rented to end 25,000 tasks in a minute.)
+ */
+static void idle_time_work_rents_none(void **state)
+{
+    int all;
+
+    (void)state;
+    boot("i-000001", 0, true);
+    wait_idly("job-1", 2000);
+    asked(0, true, &all);
+    assert_int_equal(all, 0);
+    settings.aims = 1;
+    strcpy(settings.aim[0].kind, "finished");
+    strcpy(settings.aim[0].class_name, "train");
+    settings.aim[0].within_s = 400;
+    asked(0, true, &all);
+    assert_true(all > 0);
+}
+
+/* On a deployment without any machine it gets one, or it would never begin. */
+static void idle_time_work_gets_its_first_machine(void **state)
+{
+    int all;
+
+    (void)state;
+    wait_idly("job-1", 2000);
+    asked(0, true, &all);
+    assert_int_equal(all, 1);
+}
+
+/* On a cold start no replica runs yet: the services' reserve is rented with their own machines, not
+ * once those are up. */
+static void the_reserve_counts_replicas_that_wait(void **state)
+{
+    int all;
+
+    (void)state;
+    wait_for("job-1", PM_SERVICE, 100, 2, 0, -1);
+    assert_int_equal(asked(0, false, &all), (int)ceil((200 + 0.3 * 200) / 8));
+}
+
 static void what_can_follow_on_the_same_machines_rents_none(void **state)
 {
     int all;
@@ -291,6 +350,9 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(what_can_follow_on_the_same_machines_rents_none, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(idle_time_work_rents_none, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(idle_time_work_gets_its_first_machine, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(the_reserve_counts_replicas_that_wait, set_up, tear_down),
         cmocka_unit_test_setup_teardown(booting_machines_count, set_up, tear_down),
         cmocka_unit_test_setup_teardown(services_get_ordinary_machines, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_zone_silent_for_a_lease_is_given_up, set_up, tear_down),
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -5,6 +5,7 @@
 #include "../../jobs/tests/books.h"
 #include "base/protocol.h"
 #include "placement/plan.h"
+#include "workers/faults.h"
 
 #include <math.h>
 #include <setjmp.h>
@@ -523,6 +524,41 @@
         g_string_append(w->said, machine_of(w, words)->unheard ? "> unsure\n" : "> hears\n");
 }
 
+/* fault HOST: is the machine to be given up? */
+static void do_fault(struct world *w, char **words)
+{
+    bool faulty = pm_fault_machine_faulty(machine_of(w, words));
+
+    g_string_append(w->said, faulty ? "> faulty\n" : "> sound\n");
+}
+
+/* broken JOB: does it fail wherever it runs? */
+static void do_broken(struct world *w, char **words)
+{
+    bool failing = pm_fault_job_failing(pm_jobs_find(w->jobs, words[1]));
+
+    g_string_append(w->said, failing ? "> failing\n" : "> sound\n");
+}
+
+/* found_failing JOB: the leader before, or its holder, says so */
+static void do_found_failing(struct world *w, char **words)
+{
+    pm_fault_told(pm_jobs_find(w->jobs, words[1]), w->now);
+}
+
+/* wants: what the last plan found no room for, which is what others are stopped and machines are
+ * rented for */
+static void do_wants(struct world *w, char **words)
+{
+    const GArray *wants = pm_plan_wants(w->plan);
+
+    (void)words;
+    for (guint i = 0; i < wants->len; i++) {
+        const struct pm_want *want = &g_array_index(wants, struct pm_want, i);
+        g_string_append_printf(w->said, "> %s %u\n", want->job->id, want->tasks);
+    }
+}
+
 static void do_lapsed(struct world *w, char **words)
 {
     pm_workers_gone(w->workers, machine_of(w, words), w->now);
@@ -548,6 +584,8 @@
         {"away", do_away},         {"lease", do_lease},
         {"speaks", do_speaks},     {"answer", do_answer},
         {"hears", do_hears},       {"lapsed", do_lapsed},
+        {"fault", do_fault},       {"broken", do_broken},
+        {"wants", do_wants},       {"found_failing", do_found_failing},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
