Boots by kind: late kinds are replaced by others and waited for, stuck machines returned early

Cause: a machine that booted for 1.4 times the announced time was counted as nothing and rented anew in full, again with each such time that passed; one that never came was paid for six times that. Change (fleet/boots.c): a kind is late if most of what was rented since its oldest overdue machine is not up; then other kinds come first, a few probes tell when it is well again, and what is wanted beyond the late machines is still rented. A single one that others have overtaken is returned after three boots. Refused kinds are asked again with growing, jittered pauses, sooner once we return some.

--- /dev/null
+++ b/src/fleet/boots.c
@@ -0,0 +1,125 @@
+/* Machines that come late, or never.
+ *
+ * A machine rented now comes no sooner than one of the same kind that was rented before it and is
+ * still booting. So where a whole kind is late, more of it is no replacement: another kind is, or
+ * patience. Only a few more are rented, to notice when boots are well again. A single machine that
+ * others have overtaken is replaced at once, and soon returned. */
+#include "fleet/internal.h"
+
+#include <math.h>
+
+#define PROBE_SHARE 0.15 /* of the overdue ones of a slow kind, rented while a boot takes */
+/* An overtaken machine is returned after so many times the announced boot time, and some seconds;
+ * one of a slow kind may still come, and is waited for for longer. */
+#define STUCK_BOOTS 3.0
+#define STUCK_S 10.0
+#define STUCK_LONGEST 2.0 /* nor before it has taken so many times the longest boot seen */
+#define LATE_BOOTS 15.0
+#define LATE_S 30.0
+
+static bool boots(const struct pm_machine *m)
+{
+    return m->state == PM_BOOTING && m->type >= 0 && m->zone >= 0;
+}
+
+static struct kind *kind_of(struct pm_fleet *f, const struct pm_machine *m)
+{
+    return &f->kind[m->type][m->zone][m->spot];
+}
+
+static bool is_up(const struct pm_machine *m)
+{
+    /* When a holder's machine was rented is not known here. */
+    return m->state == PM_UP && m->type >= 0 && m->zone >= 0 && !m->lent && m->rented > 0;
+}
+
+static void note_overdue(struct pm_fleet *f, const struct pm_machine *m, double now)
+{
+    struct kind *kind;
+
+    if (!boots(m) || pm_plan_boots_soon(f->tables, m, now))
+        return;
+    kind = kind_of(f, m);
+    kind->overdue++;
+    kind->oldest_overdue = MIN(kind->oldest_overdue, m->rented);
+}
+
+static void note_up(struct pm_fleet *f, const struct pm_machine *m)
+{
+    struct kind *kind;
+
+    if (!is_up(m))
+        return;
+    kind = kind_of(f, m);
+    kind->up_since += m->rented >= kind->oldest_overdue;
+    if (m->session == 1 && m->rented > f->took_at)
+        kind->longest_boot = MAX(kind->longest_boot, m->session_heard - m->rented);
+}
+
+void pm_fleet_note_boots(struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+
+    for (int type = 0; type < f->tables->ntypes; type++)
+        for (int zone = 0; zone < f->tables->settings->zones; zone++)
+            for (int spot = 0; spot < 2; spot++) {
+                struct kind *kind = &f->kind[type][zone][spot];
+                kind->overdue = kind->up_since = 0;
+                kind->oldest_overdue = INFINITY;
+                kind->longest_boot = 0;
+            }
+    for (guint i = 0; i < all->len; i++)
+        if (g_ptr_array_index(all, i))
+            note_overdue(f, g_ptr_array_index(all, i), now);
+    for (guint i = 0; i < all->len; i++)
+        if (g_ptr_array_index(all, i))
+            note_up(f, g_ptr_array_index(all, i));
+}
+
+bool pm_fleet_kind_slow(const struct kind *kind)
+{
+    return kind->overdue > kind->up_since;
+}
+
+enum boot pm_fleet_boot_of(const struct pm_fleet *f, const struct pm_machine *m, double now)
+{
+    if (pm_plan_boots_soon(f->tables, m, now))
+        return BOOT_EXPECTED;
+    return pm_fleet_kind_slow(&f->kind[m->type][m->zone][m->spot]) ? BOOT_LATE : BOOT_STUCK;
+}
+
+bool pm_fleet_boot_failed(const struct pm_fleet *f, const struct pm_machine *m, double now)
+{
+    /* One that the list calls running has come up; after a change of leader it has yet to report
+     * here. */
+    double age = now - (m->runs_since ? m->runs_since : m->rented);
+    double ready_s;
+    double longest;
+
+    if (!boots(m) || m->places->len)
+        return false;
+    ready_s = f->tables->type[m->type].ready_s;
+    longest = f->kind[m->type][m->zone][m->spot].longest_boot;
+    if (pm_fleet_boot_of(f, m, now) == BOOT_STUCK)
+        return age > MAX(STUCK_BOOTS * ready_s + STUCK_S, STUCK_LONGEST * longest);
+    return age > LATE_BOOTS * ready_s + LATE_S;
+}
+
+int pm_fleet_probes(const struct pm_fleet *f, int type, const struct kind *kind, double now)
+{
+    if (now - kind->probed_at < f->tables->type[type].ready_s)
+        return 0;
+    return 1 + (int)(PROBE_SHARE * kind->overdue);
+}
+
+void pm_fleet_note_probes(struct pm_fleet *f, double now)
+{
+    for (int type = 0; type < f->tables->ntypes; type++)
+        for (int zone = 0; zone < f->tables->settings->zones; zone++)
+            for (int spot = 0; spot < 2; spot++) {
+                struct kind *kind = &f->kind[type][zone][spot];
+                if (kind->probing)
+                    kind->probed_at = now;
+                kind->probing = false;
+            }
+}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,7 +8,11 @@
 
 enum { RENT_MAX = 64, RENT_COUNT_MAX = 50, RELEASE_MAX = 100, PAGE = 500 };
 #define CALL_S 5.0
-#define REFUSED_S 6.0 /* no room of a kind: not asked for again within this */
+#define REFUSED_S                                                                                  \
+    6.0                /* no room of a kind: not asked for again within this, then twice as long,  \
+                        */
+#define REFUSALS_MAX 2 /* doubled so often at most, */
+#define JITTER 0.25    /* give or take this share */
 
 struct call {
     struct pm_fleet *fleet;
@@ -60,7 +64,7 @@
     f->flow = f->flow_jobs = f->flow_since = 0;
     f->since[0] = 0;
     g_hash_table_remove_all(f->seen);
-    memset(f->refused_until, 0, sizeof f->refused_until);
+    memset(f->kind, 0, sizeof f->kind);
     memset(f->zone_heard, 0, sizeof f->zone_heard);
 }
 
@@ -327,6 +331,36 @@
     pm_buf_free(&body);
 }
 
+/* A kind of which the cloud has no more is asked for again later and later, and not at the same
+ * moment as the others. */
+static void note_answer(struct pm_fleet *f, const struct pm_rent *rent, int status, size_t got)
+{
+    struct kind *kind = &f->kind[rent->type][rent->zone][rent->spot];
+    double pause;
+
+    if (got > 0)
+        kind->refusals = 0;
+    if (status != 503 && !(status == 200 && got < (size_t)rent->count))
+        return;
+    if (kind->refused_until > f->filled)
+        return; /* of several requests sent together, one counts */
+    pause = REFUSED_S * (1 << MIN(kind->refusals, REFUSALS_MAX));
+    kind->refusals++;
+    kind->refused_until = f->filled + pause * g_random_double_range(1 - JITTER, 1 + JITTER);
+}
+
+/* What we return ourselves may be had again. */
+static void note_returned(struct pm_fleet *f, const struct pm_machine *m)
+{
+    struct kind *kind;
+
+    if (m->type < 0 || m->zone < 0)
+        return;
+    kind = &f->kind[m->type][m->zone][m->spot];
+    kind->refusals = 0;
+    kind->refused_until = MIN(kind->refused_until, f->filled + REFUSED_S);
+}
+
 static void on_rented(void *arg, int status, const unsigned char *body, size_t size)
 {
     struct call *call = arg;
@@ -361,8 +395,7 @@
     pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->booking, got, call->rent.count,
             pm_names_text(f->tables->types, call->rent.type), call->rent.spot ? " spot" : "",
             status);
-    if ((status == 200 && got < (size_t)call->rent.count) || status == 503)
-        f->refused_until[call->rent.type][call->rent.zone][call->rent.spot] = f->filled + REFUSED_S;
+    note_answer(f, &call->rent, status, got);
     /* No answer: it may have been carried out. The same name asks for the same machines, and rents
      * nothing twice. */
     if (status == PM_HTTP_LOST && ++call->tries < 4)
@@ -404,6 +437,7 @@
                 continue;
             if (status == 200) {
                 g_hash_table_add(f->gone, g_strdup(m->name));
+                note_returned(f, m);
                 f->hooks.gone(f->hooks.arg, m);
             } else {
                 m->release_retry = f->filled + 1; /* until it is confirmed */
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -7,6 +7,19 @@
 #define EPS 1e-6
 #define FLOW_S 60.0 /* over which the stream of array work is measured */
 
+/* What is known of one kind of machines: a type, in a zone, spot or not. */
+struct kind {
+    double refused_until; /* steady: the cloud had none, not asked for again before this */
+    unsigned refusals;    /* in a row */
+    /* Boots (boots.c), as of the last look. */
+    double oldest_overdue; /* steady: when the oldest overdue one was rented, INFINITY: none is */
+    int overdue;           /* that boot for longer than announced */
+    int up_since;          /* up, though rented no earlier than the oldest overdue one */
+    double longest_boot;   /* seconds, of those that this leader saw come up */
+    bool probing;          /* some are to be rented all the same, in the sizing under way */
+    double probed_at;      /* steady: so they were */
+};
+
 struct pm_fleet {
     struct pm_http_client *http;
     struct pm_name_tables *tables;
@@ -18,7 +31,7 @@
     uint64_t epoch, round, bookings;
     double tokens, filled;
     int in_flight;
-    double refused_until[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* per type, zone, and spot or not */
+    struct kind kind[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* per type, zone, and spot or not */
     bool types_busy, list_busy;
     double types_asked, listed, list_sent;
     char since[PM_NAME_MAX];
@@ -39,7 +52,26 @@
     double cpus, gpus, ram_gb;
     int type, zone;
     bool spot, up, fresh; /* fresh: to be rented now */
+    bool overdue;         /* boots for long, as all of its kind do */
+};
+
+/* boots.c: machines that come late, or never */
+enum boot {
+    BOOT_EXPECTED, /* most are up by that age, so it soon is */
+    BOOT_LATE,     /* overdue, like most of its kind that were rented with it or later */
+    BOOT_STUCK     /* overdue, while most others are up: it may never come */
 };
+/* Looks at all machines: which kinds are slow. */
+void pm_fleet_note_boots(struct pm_fleet *f, double now);
+enum boot pm_fleet_boot_of(const struct pm_fleet *f, const struct pm_machine *m, double now);
+/* Whether the machine has been booting for so long that it is given up. */
+bool pm_fleet_boot_failed(const struct pm_fleet *f, const struct pm_machine *m, double now);
+/* Whether machines of the kind are late, so that one rented now would not be up before them. */
+bool pm_fleet_kind_slow(const struct kind *kind);
+/* How many of a slow kind may be rented all the same, to find out when it is well again. */
+/* The sizing under way has ended: its probes count from now. */
+void pm_fleet_note_probes(struct pm_fleet *f, double now);
+int pm_fleet_probes(const struct pm_fleet *f, int type, const struct kind *kind, double now);
 
 /* size.c: processors that the stream of array work takes for certain */
 double pm_fleet_steady_flow(const struct pm_fleet *f, double now);
--- a/src/fleet/review.c
+++ b/src/fleet/review.c
@@ -108,18 +108,13 @@
 /* Why a machine is to be returned that is not there, or never was: NULL, it is to stay. */
 static const char *why_gone(const struct pm_fleet *f, const struct pm_machine *m, double now)
 {
-    const struct pm_type *type = m->type >= 0 ? &f->tables->type[m->type] : NULL;
-
     if (m->failed)
         return "failed";
     /* Taken or dead: the confirmed release proves it at once, sooner than its lease. */
     if (m->absent_since && m->state == PM_UP &&
         (m->lent || now - m->heard > 1.3 * f->tables->settings->report_s + 1))
         return "no longer listed, and silent";
-    /* One that the list calls running has come up; after a change of leader it has yet to report
-     * here. */
-    if (m->state == PM_BOOTING && type && m->places->len == 0 &&
-        now - (m->runs_since ? m->runs_since : m->rented) > 6 * type->ready_s + 30)
+    if (pm_fleet_boot_failed(f, m, now))
         return "does not come up";
     if (!m->lent && m->state == PM_UP && m->places->len == 0 &&
         now - m->heard > 2 * f->tables->settings->lease_s + 20)
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -15,6 +15,7 @@
     struct pm_rent *out;
     int n, max;
     double now, day;
+    enum slow_kinds { SLOW_NOT, SLOW_PROBES, SLOW_ANY } slow; /* see may_rent */
 };
 
 /* How many of so many tasks of the job the bin takes; their room is taken off. */
@@ -33,6 +34,29 @@
     return n;
 }
 
+static int asked_for(const struct sizing *s, int type, int zone, int spot)
+{
+    for (int i = 0; i < s->n; i++)
+        if (s->out[i].type == type && s->out[i].zone == zone && s->out[i].spot == spot)
+            return s->out[i].count;
+    return 0;
+}
+
+/* Whether one more machine of the kind may be asked for now. Of kinds whose boots are late, none is
+ * at first; then a few, to notice when boots are well again; and as many as are wanted once those
+ * that are late are counted on as well. */
+static bool may_rent(const struct sizing *s, int type, int zone, int spot)
+{
+    const struct kind *kind = &s->f->kind[type][zone][spot];
+
+    if (kind->refused_until > s->now)
+        return false;
+    if (!pm_fleet_kind_slow(kind) || s->slow == SLOW_ANY)
+        return true;
+    return s->slow == SLOW_PROBES &&
+           asked_for(s, type, zone, spot) < pm_fleet_probes(s->f, type, kind, s->now);
+}
+
 /* The kind that runs `left` such tasks at the least cost each; false when none is to be had. */
 static bool cheapest(const struct sizing *s, const struct pm_job *job, int left, int zone_wanted,
                      bool spot_only, struct pm_rent *out)
@@ -52,7 +76,7 @@
                     (spot ? t->spot_price : t->price) * (1 + t->ready_s / (service ? 60 : 300));
                 if (!(t->zones >> zone & 1) || (zone_wanted >= 0 && zone != zone_wanted) ||
                     !pm_plan_allows(s->f->tables, job, type, zone, spot) ||
-                    s->f->refused_until[type][zone][spot] > s->now)
+                    !may_rent(s, type, zone, spot))
                     continue;
                 if (price / fit < best) {
                     best = price / fit;
@@ -67,9 +91,18 @@
 static void add_rent(struct sizing *s, const struct pm_rent *rent)
 {
     const struct pm_type *t = &s->f->tables->type[rent->type];
-    struct bin bin = {t->cpus, t->gpus, t->ram_gb, rent->type, rent->zone, rent->spot, false, true};
+    struct bin bin = {.cpus = t->cpus,
+                      .gpus = t->gpus,
+                      .ram_gb = t->ram_gb,
+                      .type = rent->type,
+                      .zone = rent->zone,
+                      .spot = rent->spot,
+                      .fresh = true};
+    struct kind *kind = &s->f->kind[rent->type][rent->zone][rent->spot];
 
     g_array_append_val(s->bins, bin);
+    if (pm_fleet_kind_slow(kind))
+        kind->probing = true;
     for (int i = 0; i < s->n; i++) {
         if (s->out[i].type == rent->type && s->out[i].zone == rent->zone &&
             s->out[i].spot == rent->spot) {
@@ -205,39 +238,79 @@
            job->due - s->day < pm_plan_expected(s->f->plan, job);
 }
 
-/* Of the tasks, the first `dear` may have ordinary machines, the rest spot ones only. With
- * `used_up`, machines that are up are left out: the planner found no room on them. */
-static void fill(struct sizing *s, const struct pm_job *job, int tasks, int dear, bool used_up)
+/* Tasks of a job that are yet to find a machine. */
+struct filling {
+    const struct pm_job *job;
+    int tasks;
+    int dear;     /* the first so many may have ordinary machines, the rest spot ones only */
+    int zone;     /* the only one allowed, ANY_ZONE, or ONE_ZONE: any one, the same for all */
+    bool used_up; /* no room is left on machines that are up: the planner found none */
+};
+
+enum { ANY_ZONE = -1, ONE_ZONE = -2 };
+
+/* On the machines that there are: those that boot for long, as all of their kind do, or the others.
+ */
+static void fill_bins(struct sizing *s, struct filling *want, bool overdue)
 {
-    struct pm_rent rent = {0};
-    bool late = too_late(s, job);
-    int zone = job->spec->same_place && job->spec->form == PM_GANG ? -2 : -1;
+    bool late = too_late(s, want->job);
 
-    for (guint i = 0; i < s->bins->len && tasks > 0; i++) {
+    for (guint i = 0; i < s->bins->len && want->tasks > 0; i++) {
         struct bin *bin = &g_array_index(s->bins, struct bin, i);
         int n;
-        if ((used_up && bin->up) || (!bin->spot && (late || dear <= 0)) ||
-            (zone >= 0 && bin->zone != zone))
+        if (bin->overdue != overdue || (want->used_up && bin->up) ||
+            (!bin->spot && (late || want->dear <= 0)) ||
+            (want->zone >= 0 && bin->zone != want->zone))
             continue;
-        n = bin_takes(s, bin, job, bin->spot ? tasks : MIN(tasks, dear));
-        tasks -= n;
-        dear -= n;
+        n = bin_takes(s, bin, want->job, bin->spot ? want->tasks : MIN(want->tasks, want->dear));
+        want->tasks -= n;
+        want->dear -= n;
     }
-    while (tasks > 0) {
+}
+
+static void fill_rented(struct sizing *s, struct filling *want)
+{
+    bool late = too_late(s, want->job);
+    struct pm_rent rent = {0};
+
+    while (want->tasks > 0) {
         int n;
-        if (!cheapest(s, job, tasks, zone >= 0 ? zone : -1, late || dear <= 0, &rent))
+        if (!cheapest(s, want->job, want->tasks, want->zone >= 0 ? want->zone : ANY_ZONE,
+                      late || want->dear <= 0, &rent))
             return;
-        if (zone == -2)
-            zone = rent.zone;
+        if (want->zone == ONE_ZONE)
+            want->zone = rent.zone;
         add_rent(s, &rent);
-        n = bin_takes(s, &g_array_index(s->bins, struct bin, s->bins->len - 1), job, tasks);
+        n = bin_takes(s, &g_array_index(s->bins, struct bin, s->bins->len - 1), want->job,
+                      want->tasks);
         if (n < 1)
             return;
-        tasks -= n;
-        dear -= n;
+        want->tasks -= n;
+        want->dear -= n;
     }
 }
 
+/* Machines that are up or soon will be come first, then what can be rented of kinds that boot as
+ * they should, then those that are late, and only then more of these. */
+static void fill(struct sizing *s, const struct pm_job *job, int tasks, int dear, bool used_up)
+{
+    struct filling want = {.job = job,
+                           .tasks = tasks,
+                           .dear = dear,
+                           .zone = job->spec->same_place && job->spec->form == PM_GANG ? ONE_ZONE
+                                                                                       : ANY_ZONE,
+                           .used_up = used_up};
+
+    s->slow = SLOW_NOT;
+    fill_bins(s, &want, false);
+    fill_rented(s, &want);
+    s->slow = SLOW_PROBES;
+    fill_rented(s, &want);
+    s->slow = SLOW_ANY;
+    fill_bins(s, &want, true);
+    fill_rented(s, &want);
+}
+
 /* Array work comes as a stream of jobs, each too short for the boot of a machine to help it: what
  * the stream takes on the whole is rented ahead, and kept, on spot machines. */
 static void measure_flow(struct pm_fleet *f, double now, double day)
@@ -290,6 +363,7 @@
         if (bin->fresh && bin->spot)
             missing -= s->f->tables->type[bin->type].cpus;
     }
+    s->slow = SLOW_PROBES;
     while (typical && missing >= typical->spec->cpus &&
            cheapest(s, typical, (int)(missing / typical->spec->cpus), -1, true, &rent)) {
         add_rent(s, &rent);
@@ -316,12 +390,14 @@
     g_array_set_size(s->bins, 0);
     f->spot_cpus = 0;
     measure_flow(f, now, day);
+    pm_fleet_note_boots(f, now);
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
+        enum boot boot;
         if (!m || m->type < 0 || m->zone < 0)
             continue;
-        /* One that boots too long is not counted on. */
-        if (m->state == PM_BOOTING && !pm_plan_boots_soon(f->tables, m, now))
+        boot = m->state == PM_BOOTING ? pm_fleet_boot_of(f, m, now) : BOOT_EXPECTED;
+        if (boot == BOOT_STUCK) /* not counted on */
             continue;
         if (m->spot && m->state != PM_RELEASING && !m->recall_at)
             f->spot_cpus += f->tables->type[m->type].cpus;
@@ -330,8 +406,14 @@
             continue;
         if (m->cpus > EPS)
             g_array_append_vals(s->bins,
-                                &(struct bin){m->cpus, m->gpus, m->ram_gb, m->type, m->zone,
-                                              m->spot, m->state == PM_UP, false},
+                                &(struct bin){.cpus = m->cpus,
+                                              .gpus = m->gpus,
+                                              .ram_gb = m->ram_gb,
+                                              .type = m->type,
+                                              .zone = m->zone,
+                                              .spot = m->spot,
+                                              .up = m->state == PM_UP,
+                                              .overdue = boot == BOOT_LATE},
                                 1);
     }
     flow.work = running_work(f, now);
@@ -372,5 +454,6 @@
              true);
     }
     pm_plan_set_reserve(f->plan, f->spare_want);
+    pm_fleet_note_probes(f, now);
     return s->n;
 }
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -118,6 +118,93 @@
     assert_int_equal(all, 4);
 }
 
+/* Machines of the kind, rented that long ago; with `up`, they have come up. */
+static void rented(const char *prefix, int count, int type, bool spot, double ago, bool up)
+{
+    for (int i = 0; i < count; i++) {
+        char name[32];
+        struct pm_machine *m;
+        snprintf(name, sizeof name, "%s%03d", prefix, i);
+        m = pm_workers_add(workers, name);
+        pm_workers_set_type(workers, m, type);
+        m->zone = 0;
+        m->spot = spot;
+        m->rented = NOW - ago;
+        if (up) {
+            m->state = PM_UP;
+            m->recall_at = NOW + 1; /* and will be taken again: no room there */
+            m->heard = NOW;
+        }
+    }
+}
+
+/* All that were rented are late. More of the kind would be up no sooner: another kind is rented in
+ * their place. */
+static void a_kind_that_is_late_is_replaced_by_another(void **state)
+{
+    int all;
+
+    (void)state;
+    rented("i-a", 40, 0, true, 60, false);
+    wait_for("job-1", PM_ARRAY, 80, 4, 60, 120);
+    assert_true(asked(1, true, &all) >= 8);
+    assert_true(asked(0, true, &all) <= 1 + 0.15 * 40);
+}
+
+/* Where there is no other kind, the late ones are waited for; a few more tell when boots are well
+ * again. Rented anew with each boot time that passed, all came at once in the end. */
+static void a_late_kind_without_another_is_waited_for(void **state)
+{
+    int all;
+    int probes;
+
+    (void)state;
+    tables.ntypes = 1;
+    tables.type[0].spot_price = tables.type[0].price;
+    rented("i-a", 80, 0, true, 60, false);
+    rented("i-b", 1, 0, false, 60, false);
+    wait_for("job-1", PM_ARRAY, 150, 4, 60, 120);
+    asked(0, true, &probes);
+    assert_in_range(probes, 1, 2 + (int)(0.15 * 80));
+    asked(0, true, &all); /* not again before a boot's time has passed */
+    assert_int_equal(all, 0);
+}
+
+/* A single machine that others have overtaken is not counted on, and its kind is as good as any. */
+static void a_machine_that_is_stuck_is_replaced(void **state)
+{
+    struct pm_machine *stuck;
+    int all;
+
+    (void)state;
+    rented("i-a", 3, 0, true, 60, true);
+    rented("i-b", 1, 0, true, 60, false);
+    wait_for("job-1", PM_ARRAY, 2, 4, 60, 120);
+    assert_int_equal(asked(0, true, &all), 1);
+    /* It is paid for, and returned long before a slow kind would be. */
+    stuck = pm_workers_find(workers, "i-b000");
+    pm_fleet_review(fleet, NOW);
+    assert_int_equal(stuck->state, PM_BOOTING);
+    pm_fleet_review(fleet, NOW + 15);
+    assert_int_equal(stuck->state, PM_RELEASING);
+}
+
+static void a_late_machine_is_kept_for_longer_but_not_for_ever(void **state)
+{
+    int all;
+    const struct pm_machine *late;
+
+    (void)state;
+    rented("i-a", 10, 0, true, 60, false);
+    wait_for("job-1", PM_ARRAY, 20, 4, 60, 120);
+    asked(0, true, &all);
+    late = pm_workers_find(workers, "i-a000");
+    pm_fleet_review(fleet, NOW + 200);
+    assert_int_equal(late->state, PM_BOOTING);
+    pm_fleet_review(fleet, NOW + 300);
+    assert_int_equal(late->state, PM_RELEASING);
+}
+
 /* Best-effort jobs that wait for room, on one machine that is full. */
 static void wait_idly(const char *id, uint32_t entries)
 {
@@ -350,6 +437,13 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(what_can_follow_on_the_same_machines_rents_none, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(a_kind_that_is_late_is_replaced_by_another, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(a_late_kind_without_another_is_waited_for, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(a_machine_that_is_stuck_is_replaced, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_late_machine_is_kept_for_longer_but_not_for_ever, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(idle_time_work_rents_none, set_up, tear_down),
         cmocka_unit_test_setup_teardown(idle_time_work_gets_its_first_machine, set_up, tear_down),
         cmocka_unit_test_setup_teardown(the_reserve_counts_replicas_that_wait, set_up, tear_down),
