--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -352,6 +352,15 @@
     return pm_fault_job_failing(pm_jobs_find(leader.jobs, "job-1")) == *(bool *)arg;
 }
 
+static void allot_once(void)
+{
+    double now = pm_clock_steady();
+
+    pm_plan_begin(leader.plan, now, 1e6 + now);
+    pm_plan_place(leader.plan, now);
+    pm_blocks_allot(leader.blocks, now);
+}
+
 /* A holder that finds a job failing wherever it runs says so: the leader leases no machines for the
  * tasks that wait, though they were within the lease's parallelism, and rents none. */
 static void a_holder_tells_which_jobs_fail(void **arg)
@@ -364,14 +373,15 @@
     assert_true(fake_run_until(loop, is_granted, NULL));
     pm_fault_told(pm_jobs_find(holder.jobs, "job-1"), pm_clock_steady());
     assert_true(fake_run_until(loop, is_failing, &failing));
-    pm_plan_begin(leader.plan, pm_clock_steady(), 1e6);
-    pm_plan_place(leader.plan, pm_clock_steady());
-    pm_blocks_allot(leader.blocks, pm_clock_steady());
+    leader.tables.type[0].cpus = 2; /* the machine leased with it has room for none of its tasks */
+    allot_once();
     assert_int_equal(wants->len, 0);
     /* One of its tasks succeeds. */
     failing = false;
     pm_fault_untold(pm_jobs_find(holder.jobs, "job-1"));
     assert_true(fake_run_until(loop, is_failing, &failing));
+    allot_once();
+    assert_int_equal(wants->len, 1);
 }
 
 static bool is_put_off(void *arg)
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -181,6 +181,7 @@
     }
     ledger = pm_cbor_parse(n->ledger.data, n->ledger.size);
     pm_plan_read_images(n->plan, ledger);
+    pm_plan_read_failing(n->plan, ledger, now);
     pm_fleet_read_heard(n->fleet, ledger, now, pm_clock_day());
     pm_cbor_free(ledger);
     n->ruling = n->leading = true;
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -8,6 +8,7 @@
 
 #define FLOW_FIRST_S 30.0
 #define WARM_ROOT 2.0
+#define SILENT_S 12.0 /* a machine not heard of for longer is not counted on */
 
 struct sizing {
     struct pm_fleet *f;
@@ -371,89 +372,114 @@
     }
 }
 
-int pm_fleet_size(struct pm_fleet *f, double now, double day, struct pm_rent *out, int max)
+/* The machines that count as capacity, with the room left on them, and the spot ones' processors.
+ */
+static void collect_bins(struct sizing *s)
 {
-    struct sizing sizing = {
-        .f = f, .bins = f->bins, .out = out, .max = max, .now = now, .day = day};
-    struct sizing *s = &sizing;
-    const GArray *wants = pm_plan_wants(f->plan);
+    struct pm_fleet *f = s->f;
     GPtrArray *all = pm_workers_all(f->workers);
-    GPtrArray *active = pm_jobs_active(f->jobs);
-    double service_cpus = 0;
-    double spare = 0;
-    double share;
-    int services = 0;
-    struct pm_job *typical = NULL;
-    struct flow flow;
-    struct flow dear_flow;
 
     g_array_set_size(s->bins, 0);
     f->spot_cpus = 0;
-    measure_flow(f, now, day);
-    pm_fleet_note_boots(f, now);
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
         enum boot boot;
         if (!m || m->type < 0 || m->zone < 0)
             continue;
-        boot = m->state == PM_BOOTING ? pm_fleet_boot_of(f, m, now) : BOOT_EXPECTED;
-        if (boot == BOOT_STUCK) /* not counted on */
+        boot = m->state == PM_BOOTING ? pm_fleet_boot_of(f, m, s->now) : BOOT_EXPECTED;
+        if (boot == BOOT_STUCK)
             continue;
         if (m->spot && m->state != PM_RELEASING && !m->recall_at)
             f->spot_cpus += f->tables->type[m->type].cpus;
         if (m->state == PM_RELEASING || m->recall_at || pm_fault_machine_faulty(m) || m->lent ||
-            (m->state == PM_UP && now - m->heard > 12))
+            (m->state == PM_UP && s->now - m->heard > SILENT_S) || m->cpus <= EPS)
             continue;
-        if (m->cpus > EPS)
-            g_array_append_vals(s->bins,
-                                &(struct bin){.cpus = m->cpus,
-                                              .gpus = m->gpus,
-                                              .ram_gb = m->ram_gb,
-                                              .type = m->type,
-                                              .zone = m->zone,
-                                              .spot = m->spot,
-                                              .up = m->state == PM_UP,
-                                              .overdue = boot == BOOT_LATE},
-                                1);
+        g_array_append_vals(s->bins,
+                            &(struct bin){.cpus = m->cpus,
+                                          .gpus = m->gpus,
+                                          .ram_gb = m->ram_gb,
+                                          .type = m->type,
+                                          .zone = m->zone,
+                                          .spot = m->spot,
+                                          .up = m->state == PM_UP,
+                                          .overdue = boot == BOOT_LATE},
+                            1);
     }
-    flow.work = running_work(f, now);
-    flow.pool = pm_plan_pool(f->plan, now);
-    dear_flow = (struct flow){flow.work * DEAR, flow.pool};
+}
+
+static void rent_for_wants(struct sizing *s)
+{
+    const GArray *wants = pm_plan_wants(s->f->plan);
+    struct flow flow = {running_work(s->f, s->now), pm_plan_pool(s->f->plan, s->now)};
+    struct flow dear_flow = {flow.work * DEAR, flow.pool};
+
     for (guint i = 0; i < wants->len; i++) {
         const struct pm_want *want = &g_array_index(wants, struct pm_want, i);
         int cheap = more_tasks(s, &flow, want, 1);
         int dear = more_tasks(s, &dear_flow, want, DEAR);
         fill(s, want->job, MAX(cheap, dear), dear, true);
     }
-    rent_for_flow(s);
-    /* A reserve on ordinary machines, so that a new service finds room at once. */
+}
+
+/* What services use, or will once those that wait have room: on a cold start nothing runs yet, and
+ * what is rented late is up late. Returns one that may run nearly anywhere, NULL: there is none. */
+static struct pm_job *sum_services(const struct pm_fleet *f, double *cpus, int *services)
+{
+    GPtrArray *active = pm_jobs_active(f->jobs);
+    struct pm_job *typical = NULL;
+
+    *cpus = 0;
+    *services = 0;
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         if (!job->spec || job->spec->form != PM_SERVICE || job->state != PM_LIVE)
             continue;
-        /* What waits too: on a cold start nothing runs yet, and what is rented late is up late. */
-        service_cpus += (job->nplaced + pm_job_waiting(job)) * job->spec->cpus;
-        services++;
+        *cpus += (job->nplaced + pm_job_waiting(job)) * job->spec->cpus;
+        ++*services;
         if (!typical || (job->spec->zone < 0 && job->spec->types == ~(uint64_t)0))
             typical = job;
     }
-    /* Room for what comes, and for the replicas of any one machine that ends. */
-    share = service_cpus * f->op->warm_share;
-    /* Of many services, fewer come at once for their number: as the root of it. */
-    share = MIN(share, WARM_ROOT * service_cpus / sqrt(MAX(services, 1)));
-    f->spare_want = MAX(share, pm_plan_largest(f->plan, now));
-    if (typical && typical->spec->cpus > 0) {
-        /* What array tasks use on ordinary machines yields at once, so it counts as spare. */
-        spare = pm_plan_spare(f->plan, now);
-        for (guint i = 0; i < s->bins->len; i++) {
-            const struct bin *bin = &g_array_index(s->bins, struct bin, i);
-            if (!bin->spot && !bin->up && bin->cpus > 0)
-                spare += bin->cpus;
-        }
-        fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), INT_MAX,
-             true);
-    }
+    return typical;
+}
+
+/* A reserve on ordinary machines, so that a new service finds room at once: room for what comes,
+ * and for the replicas of any one machine that ends. Of many services, fewer come at once for their
+ * number: as the root of it. */
+static void rent_for_reserve(struct sizing *s)
+{
+    struct pm_fleet *f = s->f;
+    double cpus;
+    double spare;
+    double share;
+    int services;
+    const struct pm_job *typical = sum_services(f, &cpus, &services);
+
+    share = MIN(cpus * f->op->warm_share, WARM_ROOT * cpus / sqrt(MAX(services, 1)));
+    f->spare_want = MAX(share, pm_plan_largest(f->plan, s->now));
     pm_plan_set_reserve(f->plan, f->spare_want);
+    if (!typical || typical->spec->cpus <= 0)
+        return;
+    /* What array tasks use on ordinary machines yields at once, so it counts as spare. */
+    spare = pm_plan_spare(f->plan, s->now);
+    for (guint i = 0; i < s->bins->len; i++) {
+        const struct bin *bin = &g_array_index(s->bins, struct bin, i);
+        if (!bin->spot && !bin->up && bin->cpus > 0)
+            spare += bin->cpus;
+    }
+    fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), INT_MAX, true);
+}
+
+int pm_fleet_size(struct pm_fleet *f, double now, double day, struct pm_rent *out, int max)
+{
+    struct sizing sizing = {
+        .f = f, .bins = f->bins, .out = out, .max = max, .now = now, .day = day};
+
+    measure_flow(f, now, day);
+    pm_fleet_note_boots(f, now);
+    collect_bins(&sizing);
+    rent_for_wants(&sizing);
+    rent_for_flow(&sizing);
+    rent_for_reserve(&sizing);
     pm_fleet_note_probes(f, now);
-    return s->n;
+    return sizing.n;
 }
--- a/src/placement/ledger.c
+++ b/src/placement/ledger.c
@@ -5,7 +5,11 @@
 #include <math.h>
 #include <string.h>
 
-enum { HALF_WINDOW = BUCKETS / 2 }; /* buckets */
+enum {
+    HALF_WINDOW = BUCKETS / 2, /* buckets */
+    FAILING_MAX = 32,          /* jobs named as failing */
+    FAILING_SIZE = 6           /* bytes that a name takes beside itself */
+};
 
 /* Best-effort work declares a minimum runtime of zero: it is unallocated and free of charge, until
  * it has waited too long to begin: from then on it is charged, and does not yield at once. */
@@ -128,11 +132,11 @@
 
 /* As JSON, so far as it fits the value: a table of the images, and for each machine their places in
  * it, ordinary machines first, for those are the services'. */
-static void write_images(const struct pm_plan *p, struct pm_buf *out)
+static void write_images(const struct pm_plan *p, size_t others, struct pm_buf *out)
 {
     GPtrArray *all = pm_workers_all(p->workers);
     size_t most = (size_t)(p->tables->settings->value_kb * 1024 * 0.85);
-    size_t used = 100;
+    size_t used = 100 + others;
     int count = pm_names_count(p->tables->images);
     int known = 0;
     int *place = g_new(int, count + 1);
@@ -223,6 +227,45 @@
     pm_put_end(out);
 }
 
+/* The jobs that keep failing, so that a new leader need not learn it at the others' cost. Nothing
+ * is written where there are none. Returns about how many bytes of JSON that takes. */
+static size_t write_failing(const struct pm_plan *p, struct pm_buf *out)
+{
+    GPtrArray *active = pm_jobs_active(p->jobs);
+    size_t used = 0;
+    int n = 0;
+
+    for (guint i = 0; i < active->len && n < FAILING_MAX; i++) {
+        const struct pm_job *job = g_ptr_array_index(active, i);
+        if (job->state != PM_LIVE || !job->spec || !pm_fault_job_failing(job))
+            continue;
+        if (n++ == 0) {
+            pm_put_text(out, "failing");
+            pm_put_list(out);
+        }
+        pm_put_text(out, job->id);
+        used += strlen(job->id) + FAILING_SIZE;
+    }
+    if (n)
+        pm_put_end(out);
+    return used;
+}
+
+void pm_plan_read_failing(struct pm_plan *p, const cbor_item_t *value, double now)
+{
+    cbor_item_t *failing = pm_cbor_get(value, "failing");
+    char id[PM_ID_MAX];
+
+    for (size_t i = 0; i < pm_cbor_length(failing); i++) {
+        struct pm_job *job;
+        if (pm_cbor_text(pm_cbor_at(failing, i), id, sizeof id))
+            continue;
+        job = pm_jobs_find(p->jobs, id);
+        if (job && job->state == PM_LIVE && job->spec)
+            pm_fault_told(job, now);
+    }
+}
+
 void pm_plan_write_ledger(const struct pm_plan *p, double now, double day, struct pm_buf *out)
 {
     pm_put_map(out);
@@ -233,7 +276,7 @@
         pm_put_pair_number(out, p->tables->settings->team[t].name, p->ledger[t].sum);
     pm_put_end(out);
     write_heard(p, now, day, out);
-    write_images(p, out);
+    write_images(p, write_failing(p, out), out);
     pm_put_end(out);
 }
 
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -82,6 +82,8 @@
  * so that a new leader need not guess. */
 void pm_plan_write_ledger(const struct pm_plan *plan, double now, double day, struct pm_buf *out);
 void pm_plan_read_images(struct pm_plan *plan, const cbor_item_t *value);
+/* Which jobs the leader before found failing. */
+void pm_plan_read_failing(struct pm_plan *plan, const cbor_item_t *value, double now);
 void pm_plan_read_ledger(struct pm_plan *plan, const cbor_item_t *value);
 
 #endif
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -172,7 +172,7 @@
         candidate.room[k] = m->cpus;
     for (guint j = 0; j < m->places->len; j++) {
         const struct pm_place *place = g_ptr_array_index(m->places, j);
-        int from = place->stop ? PM_BEST_EFFORT : place->job->priority + 1;
+        int from = place->stop ? PM_BEST_EFFORT : (int)place->job->priority + 1;
         if (place->state == PM_ENDED)
             continue;
         any |= from <= PM_PRODUCTION;
--- a/src/placement/tests/test_ledger.c
+++ b/src/placement/tests/test_ledger.c
@@ -2,6 +2,7 @@
 #include "../../jobs/tests/books.h"
 #include "../../jobs/tests/earlier.h"
 #include "placement/plan.h"
+#include "workers/faults.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -65,10 +66,52 @@
     books_end(&tables);
 }
 
+/* A new leader reads which jobs keep failing; the versions before ignore that. */
+static void a_new_leader_knows_which_jobs_fail(void **state)
+{
+    struct pm_settings settings = {0};
+    struct pm_name_tables tables;
+    struct pm_operator op;
+    struct pm_spec spec = {.zone = -1, .types = 1, .entries = 9, .cpus = 1, .due_s = -1};
+    struct pm_jobs *jobs;
+    struct pm_workers *workers;
+    struct pm_plan *plan;
+    struct pm_job *broken;
+    const struct pm_job *sound;
+    struct pm_buf out = {0};
+    cbor_item_t *value;
+
+    (void)state;
+    pm_operator_defaults(&op);
+    books_begin(&tables, &settings);
+    jobs = pm_jobs_new(&tables);
+    workers = pm_workers_new(&tables, jobs, BOOKS_HOOKS);
+    plan = pm_plan_new(&tables, jobs, workers, &op);
+    broken = books_feed(&tables, jobs, "job-1", &spec, 1);
+    sound = books_feed(&tables, jobs, "job-2", &spec, 2);
+    pm_fault_told(broken, 100);
+    pm_plan_write_ledger(plan, 100, 1700000010, &out);
+    value = pm_cbor_parse(out.data, out.size);
+    broken->faults = (struct pm_job_faults){0}; /* another controller takes the lead */
+    pm_plan_read_failing(plan, value, 200);
+    assert_true(pm_fault_job_failing(broken));
+    assert_false(pm_fault_may_retry(broken, 200));
+    assert_true(pm_fault_may_retry(broken, 203)); /* and tries it soon */
+    assert_false(pm_fault_job_failing(sound));
+    pm_plan_read_ledger(plan, value);
+    pm_cbor_free(value);
+    pm_buf_free(&out);
+    pm_plan_free(plan);
+    pm_workers_free(workers);
+    pm_jobs_free(jobs);
+    books_end(&tables);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(reads_and_writes_as_the_version_before),
+        cmocka_unit_test(a_new_leader_knows_which_jobs_fail),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
