Lists by page as the cloud allows; any number of tasks may make room

Cause: the list of 6,000 machines takes 12 pages, and was begun anew when the cloud refused one of them; of a machine full of small tasks only 64 were looked at to make room. Tests: a_large_fleet_is_listed_page_by_page, a_machine_full_of_small_tasks_is_cleared (fails with the bound put back).

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,6 +8,8 @@
 
 enum { RENT_MAX = 64, RENT_COUNT_MAX = 50, RELEASE_MAX = 100, PAGE = 500 };
 #define CALL_S 5.0
+#define PAGE_TRIES 5     /* of one page of the list, before it is begun anew */
+#define PAGE_PAUSE_S 0.5 /* after a page that failed, and as much more after each further one */
 #define REFUSED_S                                                                                  \
     6.0                /* no room of a kind: not asked for again within this, then twice as long,  \
                         */
@@ -59,7 +61,7 @@
     f->round++;
     f->bookings = 0;
     f->in_flight = 0;
-    f->list_busy = false;
+    f->list_busy = f->page_due = false;
     f->listed = 0;
     f->flow = f->flow_jobs = f->flow_since = 0;
     f->since[0] = 0;
@@ -237,6 +239,27 @@
     }
 }
 
+/* The next page goes as the cloud's limit allows: of a large fleet, all at once would be refused,
+ * and a list that began anew with each refusal would never end. */
+static void list_on(struct pm_fleet *f, double now)
+{
+    if (!f->page_due || now < f->page_at || !may_call(f, now))
+        return;
+    f->page_due = false;
+    list_page(f);
+}
+
+/* The same page again, after a pause; a cloud that keeps failing is asked for a new list later. */
+static void retry_page(struct pm_fleet *f)
+{
+    if (++f->page_failures > PAGE_TRIES) {
+        f->list_busy = false;
+        return;
+    }
+    f->page_due = true;
+    f->page_at = pm_clock_steady() + PAGE_PAUSE_S * f->page_failures;
+}
+
 static void on_list(void *arg, int status, const unsigned char *body, size_t size)
 {
     struct call *call = arg;
@@ -253,15 +276,17 @@
     hosts = pm_cbor_get(answer, "hosts");
     if (!answer || !hosts || !cbor_isa_array(hosts)) {
         pm_cbor_free(answer);
-        f->list_busy = false;
+        retry_page(f);
         return;
     }
+    f->page_failures = 0;
     for (size_t i = 0; i < pm_cbor_length(hosts); i++)
         read_listed(f, pm_cbor_at(hosts, i), now);
     pm_cbor_flag(pm_cbor_get(answer, "has_next"), &more);
     pm_cbor_free(answer);
     if (more) {
-        list_page(f);
+        f->page_due = true;
+        list_on(f, pm_clock_steady());
         return;
     }
     f->list_busy = false;
@@ -307,6 +332,9 @@
     f->listed = f->list_sent = now;
     f->since[0] = 0;
     g_hash_table_remove_all(f->seen);
+    f->page_due = false;
+    f->page_failures = 0;
+    f->page_at = 0;
     list_page(f);
 }
 
@@ -521,6 +549,7 @@
                 rent(f, &rents[i], now);
             }
     }
+    list_on(f, now);
     list_start(f, now);
     if (now - f->types_asked > 60)
         pm_fleet_ask_types(f, now);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -33,6 +33,9 @@
     int in_flight;
     struct kind kind[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* per type, zone, and spot or not */
     bool types_busy, list_busy;
+    bool page_due; /* the next page of the list is yet to be asked for, not before `page_at` */
+    double page_at;
+    int page_failures; /* in a row */
     double types_asked, listed, list_sent;
     char since[PM_NAME_MAX];
     GHashTable *seen; /* names of the listing under way */
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -1,13 +1,17 @@
 /* What is rented for what waits: the cheapest that fits, enough to be in time, and no more than the
  * machines that there are leave undone. */
 #include "../../jobs/tests/books.h"
+#include "../../store/tests/fake_state.h"
+#include "base/clock.h"
 #include "fleet/fleet.h"
 
+#include <ev.h>
 #include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
 
@@ -429,6 +433,84 @@
     pm_buf_free(&buf);
 }
 
+enum { LISTED = 6000, PAGE = 500 };
+
+/* A cloud with a large fleet, which refuses every third request. */
+static void on_cloud(void *arg, struct pm_http_request *req)
+{
+    int *requests = arg;
+    struct pm_buf body = {0};
+    const char *since = strstr(req->query, "since=i-");
+    int first = since ? (int)strtol(since + strlen("since=i-"), NULL, 10) + 1 : 1;
+
+    if (strcmp(req->path, "/machines") || ++*requests % 3 == 0) {
+        pm_http_reply(req, 429, NULL, 0, 0);
+        return;
+    }
+    pm_put_map(&body);
+    pm_put_text(&body, "hosts");
+    pm_put_list(&body);
+    for (int i = first; i < first + PAGE && i <= LISTED; i++) {
+        char name[32];
+        snprintf(name, sizeof name, "i-%06d", i);
+        pm_put_map(&body);
+        pm_put_pair_text(&body, "name_id", name);
+        pm_put_pair_text(&body, "model", "g8");
+        pm_put_pair_text(&body, "room", "a");
+        pm_put_pair_text(&body, "status", "running");
+        pm_put_end(&body);
+    }
+    pm_put_end(&body);
+    pm_put_pair_flag(&body, "has_next", first + PAGE <= LISTED);
+    pm_put_end(&body);
+    pm_http_reply(req, 200, body.data, body.size, 0);
+    pm_buf_free(&body);
+}
+
+static bool is_all_listed(void *arg)
+{
+    pm_fleet_run(arg, pm_clock_steady(), 1e6);
+    return pm_workers_find(workers, "i-006000") != NULL;
+}
+
+static void on_changed(void *arg)
+{
+    (void)arg;
+}
+
+static void on_types(void *arg, const cbor_item_t *models)
+{
+    (void)arg;
+    (void)models;
+}
+
+/* The list of a large fleet takes more pages than the cloud answers at once: what is refused is
+ * asked for again, where the list had got to. */
+static void a_large_fleet_is_listed_page_by_page(void **state)
+{
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    struct pm_http_client *http = pm_http_client_new(loop, 8);
+    struct pm_http_server *cloud;
+    struct pm_fleet *listing;
+    int requests = 0;
+
+    (void)state;
+    snprintf(settings.cloud, sizeof settings.cloud, "127.0.0.1:%d", fake_free_port());
+    settings.cloud_rps = 50;
+    settings.list_lag_s = 4;
+    cloud = pm_http_server_new(loop, settings.cloud, 8, on_cloud, &requests);
+    assert_non_null(cloud);
+    listing = pm_fleet_new(http, &tables, jobs, workers, plan, &op,
+                           &(struct pm_fleet_hooks){.types = on_types, .changed = on_changed});
+    assert_true(fake_run_until(loop, is_all_listed, listing));
+    assert_true(pm_workers_find(workers, "i-000001")->listed);
+    assert_in_range(requests, LISTED / PAGE, 2 * LISTED / PAGE);
+    pm_http_client_free(http);
+    pm_http_server_free(cloud);
+    pm_fleet_free(listing);
+    ev_loop_destroy(loop);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -444,6 +526,7 @@
         cmocka_unit_test_setup_teardown(a_machine_that_is_stuck_is_replaced, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_late_machine_is_kept_for_longer_but_not_for_ever, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(a_large_fleet_is_listed_page_by_page, set_up, tear_down),
         cmocka_unit_test_setup_teardown(idle_time_work_rents_none, set_up, tear_down),
         cmocka_unit_test_setup_teardown(idle_time_work_gets_its_first_machine, set_up, tear_down),
         cmocka_unit_test_setup_teardown(the_reserve_counts_replicas_that_wait, set_up, tear_down),
--- a/src/placement/internal.h
+++ b/src/placement/internal.h
@@ -47,6 +47,7 @@
     } totals;
     GPtrArray *whole;   /* see pm_plan_find_whole */
     GArray *candidates; /* of struct candidate: machines where something may be stopped */
+    GArray *victims;    /* of struct victim: what may be stopped on the machine looked at */
 };
 
 /* What decides whether a task finds room, as far as jobs share it. */
@@ -104,7 +105,9 @@
                         double now);
 
 /* preempt.c */
-GArray *pm_plan_candidates_new(void);
+/* The arrays that preempting uses are made, and freed. */
+void pm_plan_preempt_begin(struct pm_plan *p);
+void pm_plan_preempt_end(struct pm_plan *p);
 /* Whether a task of the job, were it placed now, would be one that `other` may have stopped. */
 bool pm_plan_yields_to(const struct pm_plan *p, const struct pm_job *job,
                        const struct pm_job *other);
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -20,7 +20,7 @@
     p->queue = g_ptr_array_new();
     p->room = g_ptr_array_new();
     p->whole = g_ptr_array_new();
-    p->candidates = pm_plan_candidates_new();
+    pm_plan_preempt_begin(p);
     p->hopeless = g_array_new(FALSE, TRUE, sizeof(struct need));
     return p;
 }
@@ -31,7 +31,7 @@
     g_ptr_array_free(p->queue, TRUE);
     g_ptr_array_free(p->room, TRUE);
     g_ptr_array_free(p->whole, TRUE);
-    g_array_free(p->candidates, TRUE);
+    pm_plan_preempt_end(p);
     g_array_free(p->hopeless, TRUE);
     g_free(p);
 }
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -105,23 +105,25 @@
     return x->loss < y->loss ? -1 : x->loss > y->loss;
 }
 
-enum { VICTIMS_MAX = 64 };
+static const struct victim *victim_at(const struct pm_plan *p, guint i)
+{
+    return &g_array_index(p->victims, struct victim, i);
+}
 
-/* Whether one more task of the job finds room on the machine once the first `*n` of `victims` are
+/* Whether one more task of the job finds room on the machine once the first `*n` of p->victims are
  * stopped, besides what is being stopped already; `cost` is what that loses. */
 static bool can_clear(struct pm_plan *p, const struct pm_job *job, const struct pm_machine *m,
-                      const spoken *spoken_for, struct victim victims[VICTIMS_MAX], int *n,
-                      double *cost, double now)
+                      const spoken *spoken_for, guint *n, double *cost, double now)
 {
     const struct pm_spec *need = job->spec;
     double room[3] = {m->cpus, m->gpus, m->ram_gb};
-    int found = 0;
 
     *cost = 0;
+    g_array_set_size(p->victims, 0);
     if (!pm_plan_has_image(m, need->image))
         *cost = 1e4 * (1 + pm_plan_fetches_before(p, m, need) +
                        need->image_gb / MAX(p->tables->type[m->type].pull_gb_per_s, EPS));
-    for (guint j = 0; j < m->places->len && found < VICTIMS_MAX; j++) {
+    for (guint j = 0; j < m->places->len; j++) {
         struct pm_place *place = g_ptr_array_index(m->places, j);
         const struct pm_spec *spec = place->job->spec;
         if (place->stop && place->state != PM_ENDED) {
@@ -129,23 +131,23 @@
             room[1] += spec->gpus;
             room[2] += spec->ram_gb;
         } else if (may_preempt(p, job, place, now)) {
-            victims[found++] = (struct victim){place, loss(place, now)};
+            g_array_append_vals(p->victims, &(struct victim){place, loss(place, now)}, 1);
         }
     }
-    qsort(victims, (size_t)found, sizeof victims[0], by_loss);
+    g_array_sort(p->victims, by_loss);
     for (int k = 0; k < 3; k++)
         room[k] -= spoken_for[m->index][k];
     for (*n = 0;
          room[0] + EPS < need->cpus || room[1] + EPS < need->gpus || room[2] + EPS < need->ram_gb;
          (*n)++) {
         const struct pm_spec *spec;
-        if (*n == found)
+        if (*n == p->victims->len)
             return false;
-        spec = victims[*n].place->job->spec;
+        spec = victim_at(p, *n)->place->job->spec;
         room[0] += spec->cpus;
         room[1] += spec->gpus;
         room[2] += spec->ram_gb;
-        *cost += 1 + victims[*n].loss * spec->cpus;
+        *cost += 1 + victim_at(p, *n)->loss * spec->cpus;
     }
     return true;
 }
@@ -158,9 +160,16 @@
     double room[PM_PRODUCTION + 1];
 };
 
-GArray *pm_plan_candidates_new(void)
+void pm_plan_preempt_begin(struct pm_plan *p)
+{
+    p->candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+    p->victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
+}
+
+void pm_plan_preempt_end(struct pm_plan *p)
 {
-    return g_array_new(FALSE, FALSE, sizeof(struct candidate));
+    g_array_free(p->candidates, TRUE);
+    g_array_free(p->victims, TRUE);
 }
 
 static void add_candidate(struct pm_plan *p, struct pm_machine *m)
@@ -212,8 +221,7 @@
     enum pm_priority below = stops_below(p, job);
     double cost;
     double best_cost = INFINITY;
-    struct victim victims[VICTIMS_MAX];
-    int n;
+    guint n;
 
     for (guint i = 0; i < p->candidates->len; i++) {
         const struct candidate *candidate = &g_array_index(p->candidates, struct candidate, i);
@@ -222,7 +230,7 @@
             (only_zone >= 0 && m->zone != only_zone) ||
             !pm_plan_allows(p->tables, job, m->type, m->zone, m->spot) ||
             !pm_plan_zone_ok(job, at, m->zone) || pm_plan_claimed_by_other(m, job, now) ||
-            !can_clear(p, job, m, spoken_for, victims, &n, &cost, now) || cost >= best_cost)
+            !can_clear(p, job, m, spoken_for, &n, &cost, now) || cost >= best_cost)
             continue;
         best = m;
         best_cost = cost;
@@ -230,9 +238,9 @@
     if (!best)
         return NULL;
     if (!dry) {
-        can_clear(p, job, best, spoken_for, victims, &n, &cost, now);
-        for (int v = 0; v < n; v++) {
-            struct pm_place *place = victims[v].place;
+        can_clear(p, job, best, spoken_for, &n, &cost, now);
+        for (guint v = 0; v < n; v++) {
+            struct pm_place *place = victim_at(p, v)->place;
             pm_info("plan.preempt", "%s/%u on %s for %s", place->job->id, place->index, best->name,
                     job->id);
             pm_workers_stop(place, pm_plan_leave_for(place, job->priority == PM_PRODUCTION));
--- a/src/placement/tests/test_scale.c
+++ b/src/placement/tests/test_scale.c
@@ -195,11 +195,47 @@
     assert_in_range(draining, 4, HOMES / 20);
 }
 
+/* A machine full of small tasks is cleared whole for a large one, however many they are. */
+static void a_machine_full_of_small_tasks_is_cleared(void **state)
+{
+    enum { TASKS = 128 };
+    struct pm_spec spec = {.zone = -1,
+                           .types = ~(uint64_t)0,
+                           .priority = PM_BEST_EFFORT,
+                           .entries = TASKS,
+                           .cpus = 16. / TASKS,
+                           .ram_gb = 0.5,
+                           .spot = true,
+                           .expected_s = 100,
+                           .due_s = -1,
+                           .submitted = NOW};
+    struct pm_job *small = books_feed(&tables, jobs, "job-1", &spec, 1);
+    struct pm_machine *m = pm_workers_at(workers, 0);
+    uint32_t stopped = 0;
+
+    (void)state;
+    for (int i = 1; i < MACHINES; i++)
+        pm_workers_at(workers, i)->state = PM_BOOTING;
+    for (uint32_t i = 0; i < TASKS; i++)
+        pm_workers_place(workers, small, i, m, 1, 1, PM_RUNNING, NOW - 50)->ran_from = NOW - 50;
+    spec.priority = PM_NORMAL;
+    spec.entries = 1;
+    spec.cpus = 16;
+    spec.ram_gb = 64;
+    books_feed(&tables, jobs, "job-2", &spec, 2);
+    pm_plan_run(plan, NOW, NOW);
+    for (guint i = 0; i < m->places->len; i++)
+        stopped += ((const struct pm_place *)g_ptr_array_index(m->places, i))->stop;
+    assert_int_equal(stopped, TASKS);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(a_large_fleet_is_emptied_several_machines_at_a_time, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(a_machine_full_of_small_tasks_is_cleared, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(the_ledger_fits_its_value, set_up, tear_down),
         cmocka_unit_test_setup_teardown(the_largest_array_is_placed_in_bounded_steps, set_up,
                                         tear_down),
