A service's replica that runs for a while has succeeded

Cause: a service's tasks never complete, so nothing cleared it of two failures on faulty machines, however far apart; nothing would have been stopped or rented for it any more.

--- a/src/workers/faults.c
+++ b/src/workers/faults.c
@@ -14,7 +14,9 @@
     RETRY_DOUBLINGS_MAX = 4,
     REST_DOUBLINGS_MAX = 6
 };
-#define REST_S 0.5  /* a task that failed rests for twice this, then twice as long, and so on */
+#define REST_S 0.5 /* a task that failed rests for twice this, then twice as long, and so on */
+#define REPLICA_RUNS_S 20.0 /* a replica that runs for so long does not fail by the job's mistake  \
+                             */
 #define RETRY_S 2.0 /* after a failure of a failing job; twice as long after each further one */
 
 bool pm_fault_job_failing(const struct pm_job *job)
@@ -128,6 +130,14 @@
         g_array_set_size(m->fault_records, 0);
 }
 
+void pm_fault_note_running(const struct pm_place *place, double now)
+{
+    if (place->job->spec->form != PM_SERVICE || !place->job->faults.in_a_row ||
+        now - place->ran_from < REPLICA_RUNS_S)
+        return;
+    note_success(place->job, place->machine);
+}
+
 static void rest_after_failure(struct pm_place *place, enum pm_end end, double now)
 {
     struct pm_task *task = pm_job_task(place->job, place->index);
--- a/src/workers/faults.h
+++ b/src/workers/faults.h
@@ -14,6 +14,9 @@
 
 /* Takes note of how the place's task ended. A task that failed, or was refused, rests. */
 void pm_fault_note_end(struct pm_place *place, enum pm_end end, double now);
+/* The place's task is running. A replica that runs for a while has succeeded, as far as a service's
+ * task ever does. */
+void pm_fault_note_running(const struct pm_place *place, double now);
 /* Somebody else found the job failing: its holder, or the leader before. */
 void pm_fault_told(struct pm_job *job, double now);
 /* Its holder finds it failing no more. */
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -376,6 +376,8 @@
         place->ran_from = now;
         w->hooks.ran(w->hooks.arg, place, now);
     }
+    if (place->state == PM_RUNNING)
+        pm_fault_note_running(place, now);
 }
 
 /* What a fresh message does not list. Absence proves nothing while a copy of the launch may still
