--- a/src/workers/faults.c
+++ b/src/workers/faults.c
@@ -15,8 +15,7 @@
     REST_DOUBLINGS_MAX = 6
 };
 #define REST_S 0.5 /* a task that failed rests for twice this, then twice as long, and so on */
-#define REPLICA_RUNS_S 20.0 /* a replica that runs for so long does not fail by the job's mistake  \
-                             */
+#define REPLICA_RUNS_S 20.0 /* a replica that has run for so long is sound, and so is its job */
 #define RETRY_S 2.0 /* after a failure of a failing job; twice as long after each further one */
 
 bool pm_fault_job_failing(const struct pm_job *job)
