Fleet: one way to a kind and to what is asked of it; probes are read off the rentals

On reading the whole change again; no rule, bound or assertion changes. - Which kinds were probed was kept in a flag and cleared by a walk over all kinds; it follows from what the sizing asks for. - The entry of a kind in that list was looked for in two places (find_rent), its record in three (pm_fleet_kind_of). - A comment in fleet/internal.h stood over the wrong function. - hold.c calls pm_blocks_own; a store in pm_job_reset_work that is overwritten, an include and a word for traces that no trace uses are gone. One edge differs: of more than 64 kinds asked for in one round, what did not go into the list no longer counts as probed.

--- a/src/blocks/hold.c
+++ b/src/blocks/hold.c
@@ -101,9 +101,9 @@
 }
 
 /* The jobs of the block that keep failing. */
-static void tell_failing(const struct pm_blocks *b, Pm__BlockTell *tell)
+static void tell_failing(struct pm_blocks *b, Pm__BlockTell *tell)
 {
-    const GArray *jobs = b->block[b->n - 1].jobs;
+    const GArray *jobs = pm_blocks_own(b)->jobs;
 
     for (guint i = 0; i < jobs->len; i++) {
         const struct pm_job *job =
--- a/src/fleet/boots.c
+++ b/src/fleet/boots.c
@@ -22,11 +22,6 @@
     return m->state == PM_BOOTING && m->type >= 0 && m->zone >= 0;
 }
 
-static struct kind *kind_of(struct pm_fleet *f, const struct pm_machine *m)
-{
-    return &f->kind[m->type][m->zone][m->spot];
-}
-
 static bool is_up(const struct pm_machine *m)
 {
     /* When a holder's machine was rented is not known here. */
@@ -39,7 +34,7 @@
 
     if (!boots(m) || pm_plan_boots_soon(f->tables, m, now))
         return;
-    kind = kind_of(f, m);
+    kind = pm_fleet_kind_of(f, m);
     kind->overdue++;
     kind->oldest_overdue = MIN(kind->oldest_overdue, m->rented);
 }
@@ -50,7 +45,7 @@
 
     if (!is_up(m))
         return;
-    kind = kind_of(f, m);
+    kind = pm_fleet_kind_of(f, m);
     kind->up_since += m->rented >= kind->oldest_overdue;
     if (m->session == 1 && m->rented > f->took_at)
         kind->longest_boot = MAX(kind->longest_boot, m->session_heard - m->rented);
@@ -111,15 +106,3 @@
         return 0;
     return 1 + (int)(PROBE_SHARE * kind->overdue);
 }
-
-void pm_fleet_note_probes(struct pm_fleet *f, double now)
-{
-    for (int type = 0; type < f->tables->ntypes; type++)
-        for (int zone = 0; zone < f->tables->settings->zones; zone++)
-            for (int spot = 0; spot < 2; spot++) {
-                struct kind *kind = &f->kind[type][zone][spot];
-                if (kind->probing)
-                    kind->probed_at = now;
-                kind->probing = false;
-            }
-}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -384,7 +384,7 @@
 
     if (m->type < 0 || m->zone < 0)
         return;
-    kind = &f->kind[m->type][m->zone][m->spot];
+    kind = pm_fleet_kind_of(f, m);
     kind->refusals = 0;
     kind->refused_until = MIN(kind->refused_until, f->filled + REFUSED_S);
 }
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -16,8 +16,7 @@
     int overdue;           /* that boot for longer than announced */
     int up_since;          /* up, though rented no earlier than the oldest overdue one */
     double longest_boot;   /* seconds, of those that this leader saw come up */
-    bool probing;          /* some are to be rented all the same, in the sizing under way */
-    double probed_at;      /* steady: so they were */
+    double probed_at;      /* steady: some were asked for while it was slow */
 };
 
 struct pm_fleet {
@@ -58,6 +57,12 @@
     bool overdue;         /* boots for long, as all of its kind do */
 };
 
+/* The kind of a machine whose type and zone are known. */
+static inline struct kind *pm_fleet_kind_of(struct pm_fleet *f, const struct pm_machine *m)
+{
+    return &f->kind[m->type][m->zone][m->spot];
+}
+
 /* boots.c: machines that come late, or never */
 enum boot {
     BOOT_EXPECTED, /* most are up by that age, so it soon is */
@@ -72,8 +77,6 @@
 /* Whether machines of the kind are late, so that one rented now would not be up before them. */
 bool pm_fleet_kind_slow(const struct kind *kind);
 /* How many of a slow kind may be rented all the same, to find out when it is well again. */
-/* The sizing under way has ended: its probes count from now. */
-void pm_fleet_note_probes(struct pm_fleet *f, double now);
 int pm_fleet_probes(const struct pm_fleet *f, int type, const struct kind *kind, double now);
 
 /* size.c: processors that the stream of array work takes for certain */
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -35,12 +35,13 @@
     return n;
 }
 
-static int asked_for(const struct sizing *s, int type, int zone, int spot)
+/* What is asked for of the kind so far, NULL: nothing. */
+static struct pm_rent *find_rent(const struct sizing *s, int type, int zone, bool spot)
 {
     for (int i = 0; i < s->n; i++)
         if (s->out[i].type == type && s->out[i].zone == zone && s->out[i].spot == spot)
-            return s->out[i].count;
-    return 0;
+            return &s->out[i];
+    return NULL;
 }
 
 /* Whether one more machine of the kind may be asked for now. Of kinds whose boots are late, none is
@@ -49,13 +50,16 @@
 static bool may_rent(const struct sizing *s, int type, int zone, int spot)
 {
     const struct kind *kind = &s->f->kind[type][zone][spot];
+    const struct pm_rent *asked;
 
     if (kind->refused_until > s->now)
         return false;
     if (!pm_fleet_kind_slow(kind) || s->slow == SLOW_ANY)
         return true;
-    return s->slow == SLOW_PROBES &&
-           asked_for(s, type, zone, spot) < pm_fleet_probes(s->f, type, kind, s->now);
+    if (s->slow != SLOW_PROBES)
+        return false;
+    asked = find_rent(s, type, zone, spot);
+    return (asked ? asked->count : 0) < pm_fleet_probes(s->f, type, kind, s->now);
 }
 
 /* The kind that runs `left` such tasks at the least cost each; false when none is to be had. */
@@ -99,19 +103,12 @@
                       .zone = rent->zone,
                       .spot = rent->spot,
                       .fresh = true};
-    struct kind *kind = &s->f->kind[rent->type][rent->zone][rent->spot];
+    struct pm_rent *asked = find_rent(s, rent->type, rent->zone, rent->spot);
 
     g_array_append_val(s->bins, bin);
-    if (pm_fleet_kind_slow(kind))
-        kind->probing = true;
-    for (int i = 0; i < s->n; i++) {
-        if (s->out[i].type == rent->type && s->out[i].zone == rent->zone &&
-            s->out[i].spot == rent->spot) {
-            s->out[i].count++;
-            return;
-        }
-    }
-    if (s->n < s->max)
+    if (asked)
+        asked->count++;
+    else if (s->n < s->max)
         s->out[s->n++] = *rent;
 }
 
@@ -469,6 +466,16 @@
     fill(s, typical, (int)ceil(MAX(0, f->spare_want - spare) / typical->spec->cpus), INT_MAX, true);
 }
 
+/* What is asked for of slow kinds counts as their probes from now. */
+static void note_probes(const struct sizing *s)
+{
+    for (int i = 0; i < s->n; i++) {
+        struct kind *kind = &s->f->kind[s->out[i].type][s->out[i].zone][s->out[i].spot];
+        if (pm_fleet_kind_slow(kind))
+            kind->probed_at = s->now;
+    }
+}
+
 int pm_fleet_size(struct pm_fleet *f, double now, double day, struct pm_rent *out, int max)
 {
     struct sizing sizing = {
@@ -480,6 +487,6 @@
     rent_for_wants(&sizing);
     rent_for_flow(&sizing);
     rent_for_reserve(&sizing);
-    pm_fleet_note_probes(f, now);
+    note_probes(&sizing);
     return sizing.n;
 }
--- a/src/jobs/work.c
+++ b/src/jobs/work.c
@@ -77,7 +77,6 @@
     job->ndone = job->nplaced = job->last_try = job->hint = 0;
     job->final_in_flight = job->tried = job->sized = false;
     job->retry_at = job->rest_until = job->begun_at = 0;
-    job->begun = false;
     for (int k = 0; k < job->nchunks; k++) {
         struct pm_chunk *chunk = job->chunk[k];
         if (!chunk)
--- a/src/placement/preempt.c
+++ b/src/placement/preempt.c
@@ -3,7 +3,6 @@
 #include "base/log.h"
 
 #include <math.h>
-#include <stdlib.h>
 
 #define CLEARING_S 4.0    /* what is stopped is gone within this, for the most part */
 #define LEAVE_EXTRA_S 1.0 /* granted beyond filing_s, so that the save ends in time */
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -540,12 +540,6 @@
     g_string_append(w->said, failing ? "> failing\n" : "> sound\n");
 }
 
-/* found_failing JOB: the leader before, or its holder, says so */
-static void do_found_failing(struct world *w, char **words)
-{
-    pm_fault_told(pm_jobs_find(w->jobs, words[1]), w->now);
-}
-
 /* wants: what the last plan found no room for, which is what others are stopped and machines are
  * rented for */
 static void do_wants(struct world *w, char **words)
@@ -585,7 +579,7 @@
         {"speaks", do_speaks},     {"answer", do_answer},
         {"hears", do_hears},       {"lapsed", do_lapsed},
         {"fault", do_fault},       {"broken", do_broken},
-        {"wants", do_wants},       {"found_failing", do_found_failing},
+        {"wants", do_wants},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
