--- a/src/base/cbor.c
+++ b/src/base/cbor.c
@@ -184,7 +184,9 @@
 
 int pm_cbor_flag(const cbor_item_t *item, bool *out)
 {
-    if (!item || !cbor_isa_float_ctrl(item) || !cbor_is_bool(item))
+    /* Of a number, the library's own question ends the process. */
+    if (!item || !cbor_isa_float_ctrl(item) || !cbor_float_ctrl_is_ctrl(item) ||
+        !cbor_is_bool(item))
         return -1;
     *out = cbor_get_bool(item);
     return 0;
--- a/src/base/tests/test_base.c
+++ b/src/base/tests/test_base.c
@@ -34,6 +34,27 @@
     assert_null(parse("\xff", 1));
 }
 
+/* Asked whether a floating-point number is true or false, the library ended the process: one
+ * submission with 1.5 for `spread` was enough. */
+static void a_number_is_no_flag(void **state)
+{
+    static const char *const numbers[] = {"\xa1\x61"
+                                          "f\xfb\x3f\xf8\x01\x01\x01\x01\x01\x01",
+                                          "\xa1\x61"
+                                          "f\xf9\x3e\x01",
+                                          "\xa1\x61"
+                                          "f\x01"};
+
+    (void)state;
+    for (size_t i = 0; i < sizeof numbers / sizeof *numbers; i++) {
+        cbor_item_t *item = pm_cbor_parse(numbers[i], strlen(numbers[i]));
+        bool flag = false;
+        assert_non_null(item);
+        assert_int_equal(pm_cbor_flag(pm_cbor_get(item, "f"), &flag), -1);
+        pm_cbor_free(item);
+    }
+}
+
 static void reads_what_it_writes(void **state)
 {
     struct pm_buf buf = {0};
@@ -176,12 +197,45 @@
     unlink(path);
 }
 
+/* Of the links' settings too, the key and its path are named. */
+static void names_links_settings_at_fault(void **state)
+{
+    static const struct {
+        const char *text, *named;
+    } wrong[] = {
+        {"links:\n  prob_s: 1\n", "prob_s"},
+        {"links:\n  probe_s: soon\n", "links"},
+        {"links:\n  down_s: 0.01\n", "links.down_s"},
+        {"links:\n  half_life_s: .nan\n", "half_life_s"},
+        {"links:\n  decide: true\n", "links.decide"},
+        {"links:\n  probe_s: 5\n  expire_s: 6\n", "links.expire_s"},
+        {"links:\n  trace_mb: 0\n", "links.trace_mb"},
+    };
+    struct pm_operator op;
+    char err[512];
+    const char *path;
+
+    (void)state;
+    for (size_t i = 0; i < sizeof wrong / sizeof *wrong; i++) {
+        path = write_file(wrong[i].text);
+        assert_int_equal(pm_operator_load(&op, path, err, sizeof err), -1);
+        unlink(path);
+        if (!strstr(err, wrong[i].named))
+            fail_msg("%s: %s", wrong[i].text, err);
+    }
+    assert_int_equal(pm_operator_load(&op, "deploy/operators.yaml", err, sizeof err), 0);
+    assert_true(op.links.observe && op.links.decide);
+    pm_operator_defaults(&op);
+    assert_false(op.links.observe || op.links.decide);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(refuses_hostile_cbor),    cmocka_unit_test(reads_what_it_writes),
-        cmocka_unit_test(reads_platform_settings), cmocka_unit_test(names_the_field_at_fault),
-        cmocka_unit_test(reads_operator_settings), cmocka_unit_test(reads_limits_to_come),
+        cmocka_unit_test(refuses_hostile_cbor),          cmocka_unit_test(a_number_is_no_flag),
+        cmocka_unit_test(names_links_settings_at_fault), cmocka_unit_test(reads_what_it_writes),
+        cmocka_unit_test(reads_platform_settings),       cmocka_unit_test(names_the_field_at_fault),
+        cmocka_unit_test(reads_operator_settings),       cmocka_unit_test(reads_limits_to_come),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/cmd/pumicectl/main.c
+++ b/src/cmd/pumicectl/main.c
@@ -139,10 +139,30 @@
     return NULL;
 }
 
-int main(int argc, char **argv)
+static int run(struct options *options, int argc, char **argv)
 {
     static struct pm_settings settings;
-    struct options options = {.format = "text", .timeout_s = TIMEOUT_S};
+    const char *wrong = read_command(options, argc, argv);
+    char err[512];
+
+    if (!options->format)
+        options->format = g_strdup("text");
+    if (!wrong)
+        wrong = check_options(options);
+    if (wrong)
+        return fail_usage(wrong);
+    pm_log_setup("error", "pumicectl");
+    signal(SIGPIPE, SIG_IGN);
+    if (pm_settings_load(&settings, options->config, err, sizeof err)) {
+        fprintf(stderr, "pumicectl: %s: %s\n", options->config, err);
+        return PM_EXIT_USAGE;
+    }
+    return run_command(options, &settings);
+}
+
+int main(int argc, char **argv)
+{
+    struct options options = {.timeout_s = TIMEOUT_S};
     GOptionEntry entries[] = {
         {"config", 0, 0, G_OPTION_ARG_FILENAME, &options.config, "a controller's settings (TOML)",
          "FILE"},
@@ -152,24 +172,17 @@
         {0}};
     GOptionContext *context = g_option_context_new("COMMAND - look into a cluster");
     GError *error = NULL;
-    const char *wrong;
-    char err[512];
+    int code;
 
     g_option_context_add_main_entries(context, entries, NULL);
     g_option_context_set_description(context, summary);
-    if (!g_option_context_parse(context, &argc, &argv, &error))
-        return fail_usage(error->message);
+    if (g_option_context_parse(context, &argc, &argv, &error))
+        code = run(&options, argc, argv);
+    else
+        code = fail_usage(error->message);
+    g_clear_error(&error);
     g_option_context_free(context);
-    wrong = read_command(&options, argc, argv);
-    if (!wrong)
-        wrong = check_options(&options);
-    if (wrong)
-        return fail_usage(wrong);
-    pm_log_setup("error", "pumicectl");
-    signal(SIGPIPE, SIG_IGN);
-    if (pm_settings_load(&settings, options.config, err, sizeof err)) {
-        fprintf(stderr, "pumicectl: %s: %s\n", options.config, err);
-        return PM_EXIT_USAGE;
-    }
-    return run_command(&options, &settings);
+    g_free(options.config);
+    g_free(options.format);
+    return code;
 }
--- a/src/links/tests/cluster.c
+++ b/src/links/tests/cluster.c
@@ -261,11 +261,17 @@
     }
 }
 
+/* Stand-ins last as long as the test's process: what is under way in them outlives a cluster. */
+static GPtrArray *all_clusters;
+
 struct cluster *cluster_new(const struct cluster_settings *settings)
 {
     struct cluster *c = g_new0(struct cluster, 1);
     const char *target[RELAY_ORIGINS_MAX];
 
+    if (!all_clusters)
+        all_clusters = g_ptr_array_new();
+    g_ptr_array_add(all_clusters, c);
     c->settings = *settings;
     c->origins.count = settings->controllers;
     c->loop = ev_loop_new(EVFLAG_AUTO);
@@ -308,7 +314,6 @@
     }
     g_unlink(c->operator_file);
     g_rmdir(c->dir);
-    /* The stand-ins end with the test's process. */
 }
 
 struct history *cluster_history(struct cluster *c)
@@ -326,6 +331,16 @@
     return c->fleet;
 }
 
+struct ev_loop *cluster_loop(struct cluster *c)
+{
+    return c->loop;
+}
+
+const char *cluster_last_job(const struct cluster *c)
+{
+    return ((const struct user_job *)g_ptr_array_index(c->jobs, c->jobs->len - 1))->id;
+}
+
 const char *cluster_config(const struct cluster *c, int controller)
 {
     return c->config[controller];
--- a/src/links/tests/cluster.h
+++ b/src/links/tests/cluster.h
@@ -30,6 +30,9 @@
 struct history *cluster_history(struct cluster *cluster);
 struct fake_state *cluster_state(struct cluster *cluster);
 struct fleet *cluster_fleet(struct cluster *cluster);
+struct ev_loop *cluster_loop(struct cluster *cluster);
+/* The id of the job that was submitted last. */
+const char *cluster_last_job(const struct cluster *cluster);
 /* A controller's settings file. */
 const char *cluster_config(const struct cluster *cluster, int controller);
 
--- a/src/links/tests/history.c
+++ b/src/links/tests/history.c
@@ -26,6 +26,11 @@
     return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
+static GHashTable *new_set(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
 struct history *history_new(double cancel_s)
 {
     struct history *h = g_new0(struct history, 1);
@@ -33,14 +38,24 @@
     h->cancel_s = cancel_s;
     h->leader_of = new_table();
     h->holders = new_table();
-    h->attempts = new_table();
+    h->attempts = new_set();
     h->machine_of = new_table();
-    h->done = new_table();
+    h->done = new_set();
     h->jobs = new_table();
     h->violations = g_string_new("");
     return h;
 }
 
+void history_free(struct history *h)
+{
+    GHashTable *tables[] = {h->leader_of, h->holders, h->attempts, h->machine_of, h->done, h->jobs};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(tables); i++)
+        g_hash_table_destroy(tables[i]);
+    g_string_free(h->violations, TRUE);
+    g_free(h);
+}
+
 static char *epoch_key(uint64_t epoch)
 {
     return g_strdup_printf("%llu", (unsigned long long)epoch);
@@ -54,7 +69,7 @@
     if (before && strcmp(before, controller) != 0)
         g_string_append_printf(h->violations, "epoch %s was raised by %s and by %s\n", key, before,
                                controller);
-    g_hash_table_replace(h->leader_of, key, g_strdup(controller));
+    g_hash_table_replace(h->leader_of, key, g_strdup(controller)); /* takes the key */
 }
 
 void history_block(struct history *h, const char *controller)
--- a/src/links/tests/history.h
+++ b/src/links/tests/history.h
@@ -13,6 +13,7 @@
 struct history;
 
 struct history *history_new(double cancel_s);
+void history_free(struct history *history);
 /* A controller raised the epoch to this. */
 void history_epoch(struct history *history, uint64_t epoch, const char *controller);
 /* A controller was given a block. */
