--- a/src/cmd/pumicemount/toolbox.c
+++ b/src/cmd/pumicemount/toolbox.c
@@ -206,6 +206,7 @@
     pm_put_map(out);
     pm_put_pair_text(out, "controller", n->settings->name);
     pm_put_pair_flag(out, "leads", n->leading);
+    pm_put_pair_flag(out, "confirmed", pm_leader_confirmed(n->lead, now));
     pm_put_pair_text(out, "job", id);
     pm_put_pair_flag(out, "known", job != NULL);
     if (job) {
--- a/src/links/links.h
+++ b/src/links/links.h
@@ -24,7 +24,7 @@
 
 /* `trace` may be NULL. */
 struct pm_links *pm_links_new(const struct pm_settings *settings,
-                              const struct pm_links_setting *limits, struct pm_links_trace *trace);
+                              const struct pm_links_setting *setting, struct pm_links_trace *trace);
 void pm_links_free(struct pm_links *links);
 
 /* ---- evidence ---- */
--- a/src/links/tests/fleet.h
+++ b/src/links/tests/fleet.h
@@ -18,6 +18,8 @@
 
 struct fleet *fleet_new(struct ev_loop *loop, const struct fleet_settings *settings,
                         struct history *history);
+/* All machines and the cloud are gone: nobody is called any more. */
+void fleet_free(struct fleet *fleet);
 /* The cloud's address: a relay, which fleet_cut_cloud cuts. */
 const char *fleet_cloud_addr(const struct fleet *fleet);
 void fleet_cut_cloud(struct fleet *fleet, int controller, struct cut cut);
--- a/src/links/tests/test_cuts.c
+++ b/src/links/tests/test_cuts.c
@@ -13,7 +13,7 @@
 
 #define SOON_S 60.0 /* within this what is to come about does, on a busy machine too */
 #define SHORT_S 2.0 /* less than every lease */
-#define LONG_S 9.0  /* longer than every lease */
+#define LONG_S 6.0  /* longer than every lease */
 
 enum { CONTROLLERS = 4 };
 
