Links: a zone's only machine is probed; a new leader is given time for its workers

The zone's addresses were probed in turn by one counter for all zones, which with two zones always named the second address of the same one: of a zone with a single machine, none. And silent machines' addresses were not told, which others may reach. Then the next leader gave the lead away after five seconds, before its workers had come.

--- a/src/cmd/pumicemount/links.c
+++ b/src/cmd/pumicemount/links.c
@@ -54,6 +54,21 @@
         }
 }
 
+/* Addresses for the others' probes: of machines that are heard, and, where there are too few, of
+ * silent ones, which another controller may reach. */
+static void add_endpoints(struct pm_node *n, struct pm_links_zone_census *census, bool silent,
+                          double now)
+{
+    GPtrArray *all = pm_workers_all(n->workers);
+
+    for (guint i = 0; i < all->len; i++) {
+        const struct pm_machine *m = g_ptr_array_index(all, i);
+        if (is_ours(n, m) && m->zone >= 0 && m->endpoint[0] &&
+            pm_workers_silent(m, n->settings, now) == silent)
+            add_endpoint(&census[m->zone], m);
+    }
+}
+
 static void count_zones(struct pm_node *n, double now)
 {
     struct pm_links_zone_census census[PM_ZONES_MAX] = {0};
@@ -65,9 +80,9 @@
             continue;
         census[m->zone].up++;
         census[m->zone].deaf += pm_workers_deaf(m, now);
-        if (!pm_workers_silent(m, n->settings, now))
-            add_endpoint(&census[m->zone], m);
     }
+    add_endpoints(n, census, false, now);
+    add_endpoints(n, census, true, now);
     for (int zone = 0; zone < n->settings->zones; zone++)
         pm_links_count_zone(n->links, zone, &census[zone], now);
 }
--- a/src/links/fitness.c
+++ b/src/links/fitness.c
@@ -178,7 +178,10 @@
     bool urgently =
         lasts(&patience->urgently_better_since, difference >= PM_RANK_URGENT, times->urgent_s, now);
 
-    return urgently || (slightly && led_for >= times->least_s);
+    /* Workers need a while to come to a new leader; what it can't record it never will. */
+    if (led_for < times->least_s && pm_fitness_lead_rank(matrix, 0, 0) > 0)
+        return false;
+    return urgently || slightly;
 }
 
 double pm_fitness_candidate_wait_s(const struct pm_matrix *matrix,
--- a/src/links/fitness.h
+++ b/src/links/fitness.h
@@ -47,7 +47,7 @@
 struct pm_fitness_times {
     double urgent_s; /* another has to be much better for this long, */
     double slight_s; /* or a little better for this long, */
-    double least_s;  /* once the leader has led for this long */
+    double least_s;  /* once the leader has led for this long, unless it can record nothing */
 };
 
 /* To be called regularly by the leader, controller 0 of the matrix: true when it is to give way. */
--- a/src/links/links.c
+++ b/src/links/links.c
@@ -38,8 +38,8 @@
     struct pm_view written_view;
     double written_at, ticked_at, lagging_until;
     double zone_probed[PM_ZONES_MAX];
-    unsigned zone_turn; /* which of a zone's addresses is probed next */
-    bool ready;         /* the first tick is over */
+    unsigned zone_turn[PM_ZONES_MAX]; /* which of a zone's addresses is probed next */
+    bool ready;                       /* the first tick is over */
 };
 
 static void name_link(struct named_link *link, const char *kind, const char *name)
@@ -370,13 +370,15 @@
     if (!links->setting->observe || link->path[PM_LINK_INWARD].awaited ||
         now - MAX(last_evidence(link), links->zone_probed[zone]) < links->setting->probe_s)
         return NULL;
-    links->zone_turn++;
     for (int i = 1; i < links->matrix.controllers; i++) {
         const struct pm_view *view = &links->matrix.view[i];
-        const char *addr = view->endpoint[zone][links->zone_turn % PM_VIEW_ENDPOINTS];
+        const char *addr = view->endpoint[zone][links->zone_turn[zone] % PM_VIEW_ENDPOINTS];
+        if (!*addr) /* a zone with a single machine */
+            addr = view->endpoint[zone][0];
         if (!pm_matrix_is_fresh(&links->matrix, i, now) || !*addr)
             continue;
         links->zone_probed[zone] = now;
+        links->zone_turn[zone]++;
         return addr;
     }
     return NULL;
--- a/src/links/tests/test_fitness.c
+++ b/src/links/tests/test_fitness.c
@@ -128,6 +128,21 @@
     assert_true(pm_fitness_gives_way(&patience, &matrix, &times, 60, 116));
 }
 
+/* Workers come to a new leader one after the other: it keeps the lead meanwhile. */
+static void a_new_leader_is_given_time(void **arg)
+{
+    struct pm_fitness_patience patience = {0};
+    struct pm_settings settings = settings_of(0);
+    struct pm_matrix matrix;
+
+    (void)arg;
+    fill(&matrix, &settings);
+    matrix.view[0].zone[0] = matrix.view[0].zone[1] = PM_LINK_ONE_WAY;
+    assert_false(pm_fitness_gives_way(&patience, &matrix, &times, 5, 100));
+    assert_false(pm_fitness_gives_way(&patience, &matrix, &times, 9, 104));
+    assert_true(pm_fitness_gives_way(&patience, &matrix, &times, 10, 105));
+}
+
 /* An outage, a zone that is away for all: nobody gives way, nobody waits. */
 static void nobody_gives_way_where_nobody_is_better(void **arg)
 {
@@ -222,6 +237,34 @@
     pm_links_free(links);
 }
 
+/* Of a zone with a single machine that one is probed, again and again, with other zones between. */
+static void probes_the_machines_that_a_view_names(void **arg)
+{
+    struct pm_settings sender = settings_of(1);
+    struct pm_settings receiver = settings_of(0);
+    struct pm_links_setting setting = {
+        .observe = true, .expire_s = 100, .down_s = 1, .probe_s = 1, .half_life_s = 30};
+    struct pm_links *links = pm_links_new(&receiver, &setting, NULL);
+    struct pm_matrix theirs;
+    unsigned char *data;
+    size_t size;
+
+    (void)arg;
+    fill(&theirs, &sender);
+    g_strlcpy(theirs.view[0].endpoint[0][0], "10.0.0.1:9000", 64);
+    data = pm_views_pack(&theirs, 100, &size);
+    pm_links_unpack(links, 0, data, size, 100, 100);
+    for (int s = 0; s < 6; s++) {
+        const char *addr = pm_links_probe_zone_due(links, 0, 102 + 2 * s);
+        assert_non_null(addr);
+        assert_string_equal(addr, "10.0.0.1:9000");
+        assert_null(pm_links_probe_zone_due(links, 0, 102.5 + 2 * s)); /* not so soon again */
+        assert_null(pm_links_probe_zone_due(links, 1, 102 + 2 * s));   /* none is known there */
+    }
+    g_free(data);
+    pm_links_free(links);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -229,9 +272,11 @@
         cmocka_unit_test(not_knowing_is_neither_better_nor_worse),
         cmocka_unit_test(gives_way_to_who_is_better_for_a_while),
         cmocka_unit_test(a_little_better_is_no_hurry),
+        cmocka_unit_test(a_new_leader_is_given_time),
         cmocka_unit_test(nobody_gives_way_where_nobody_is_better),
         cmocka_unit_test(views_travel_with_their_age),
         cmocka_unit_test(a_stored_view_counts_once),
+        cmocka_unit_test(probes_the_machines_that_a_view_names),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
