--- a/src/links/trace.c
+++ b/src/links/trace.c
@@ -18,10 +18,11 @@
 #include <unistd.h>
 
 enum {
-    QUEUE_MOST = 4096, /* events that wait for the thread */
-    FLUSH_EVENTS = 64, /* a packet is closed after so many, */
+    QUEUE_MOST = 4096,  /* events that wait for the thread */
+    FLUSH_EVENTS = 256, /* a packet is closed after so many, */
     TRACES_KEPT = 2,
-    EVENT_OVERHEAD = 64, /* bytes of an event beyond its texts, at most */
+    EVENT_OVERHEAD = 64,      /* bytes of an event beyond its texts, at most */
+    PACKET_BYTES = 32 * 1024, /* a packet takes a multiple of this on disk */
     NAME_SIZE = 160
 };
 #define FLUSH_US G_USEC_PER_SEC /* or once nothing more has come for this long */
@@ -39,7 +40,7 @@
     struct bt_ctf_event_class *event_class;
     struct bt_ctf_stream *stream;
     struct bt_ctf_field_type *text;
-    size_t bytes;
+    size_t bytes, pending; /* on disk, and in the packet that is open */
     unsigned unflushed;
 };
 
@@ -116,8 +117,11 @@
 
 static void ctf_flush(struct ctf *ctf)
 {
-    if (ctf->stream && ctf->unflushed)
-        bt_ctf_stream_flush(ctf->stream);
+    if (!ctf->stream || !ctf->unflushed)
+        return;
+    bt_ctf_stream_flush(ctf->stream);
+    ctf->bytes += (ctf->pending / PACKET_BYTES + 1) * PACKET_BYTES;
+    ctf->pending = 0;
     ctf->unflushed = 0;
 }
 
@@ -133,7 +137,7 @@
     set_text(ctf, event, "reason", change->reason);
     bt_ctf_stream_append_event(ctf->stream, event);
     bt_ctf_event_put(event);
-    ctf->bytes += EVENT_OVERHEAD + strlen(change->name) + strlen(change->reason);
+    ctf->pending += EVENT_OVERHEAD + strlen(change->name) + strlen(change->reason);
     if (++ctf->unflushed >= FLUSH_EVENTS)
         ctf_flush(ctf);
 }
