--- a/src/links/tests/test_link.c
+++ b/src/links/tests/test_link.c
@@ -1,6 +1,7 @@
 /* The state machine of one link: evidence at set times, and what it is judged to be. */
 #include "links/link.h"
 
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -116,7 +117,7 @@
         struct pm_link link = {0};
         double now = go_on(&link, 100, 5, true);
         unsigned changes = 0;
-        int turns = (int)(60 / periods[i]) / 2;
+        int turns = (int)ceil(60 / (2 * periods[i])); /* a minute of it, at least */
         for (int turn = 0; turn < turns; turn++) { /* it learns what the link is like */
             now = go_on(&link, now, periods[i], false);
             now = go_on(&link, now, periods[i], true);
