--- a/src/links/tests/test_link.c
+++ b/src/links/tests/test_link.c
@@ -118,7 +118,7 @@
         double now = go_on(&link, 100, 5, true);
         unsigned changes = 0;
         int turns = (int)ceil(60 / (2 * periods[i])); /* a minute of it, at least */
-        for (int turn = 0; turn < turns; turn++) { /* it learns what the link is like */
+        for (int turn = 0; turn < turns; turn++) {    /* it learns what the link is like */
             now = go_on(&link, now, periods[i], false);
             now = go_on(&link, now, periods[i], true);
         }
