Fleet: work that only one zone may run gets a machine there

Its log: all machines in zone-1, nine jobs bound to zone-0 beside 64 idle processors. Sizing held their work against the whole pool, wherever it is, so none was rented for them. Change: of a job that no machine of the pool may run, at least one machine is rented. The ring test cancels the job that it is about.

--- a/src/cmd/pumicectl/tests/test_pumicectl.c
+++ b/src/cmd/pumicectl/tests/test_pumicectl.c
@@ -178,13 +178,13 @@
     const json_t *answer;
     const json_t *reasons;
     const char *reason;
+    const char *job;
 
     (void)arg;
     cluster_load(cluster, 0);
-    cluster_submit(cluster, 400,
-                   9.9); /* more than the machines hold, and the team's limit allows */
+    job = cluster_submit(cluster, 400, 9.9); /* more than the machines and the limit hold */
     cluster_run(cluster, 4);
-    document = run_json(0, "why", cluster_last_job(cluster), 0);
+    document = run_json(0, "why", job, 0);
     assert_true(json_is_true(json_object_get(document, "known")));
     answer = json_object_get(document, "answer");
     assert_int_equal(json_integer_value(json_object_get(answer, "tasks")), 400);
@@ -193,7 +193,7 @@
     reason = text_in(json_array_get(reasons, 0), "reason");
     assert_true(!strcmp(reason, "no-room") || !strcmp(reason, "team-limit"));
     json_decref(document);
-    cluster_abort_last(cluster);
+    cluster_abort(cluster, job);
     cluster_load(cluster, 0.5);
     document = run_json(0, "why", "job-999999", 1);
     assert_true(json_is_false(json_object_get(document, "known")));
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -11,6 +11,7 @@
 struct kind {
     double refused_until; /* steady: the cloud had none, not asked for again before this */
     unsigned refusals;    /* in a row */
+    double cpus;          /* of its machines that are up or soon will be, as of the last sizing */
     /* Boots (boots.c), as of the last look. */
     double oldest_overdue; /* steady: when the oldest overdue one was rented, INFINITY: none is */
     int overdue;           /* that boot for longer than announced */
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -106,6 +106,7 @@
     struct pm_rent *asked = find_rent(s, rent->type, rent->zone, rent->spot);
 
     g_array_append_val(s->bins, bin);
+    s->f->kind[rent->type][rent->zone][rent->spot].cpus += t->cpus;
     if (asked)
         asked->count++;
     else if (s->n < s->max)
@@ -192,6 +193,21 @@
  * several times as dear, for that share of it. */
 #define DEAR 0.7
 
+/* Whether a machine that is there, or soon will be, may run the job's tasks, its room aside. Of a
+ * job bound to one zone, the pool may well be in the others. */
+static bool pool_may_run(const struct sizing *s, const struct pm_job *job)
+{
+    const struct pm_name_tables *tables = s->f->tables;
+
+    for (int type = 0; type < tables->ntypes; type++)
+        for (int zone = 0; zone < tables->settings->zones; zone++)
+            for (int spot = 0; spot < 2; spot++)
+                if (s->f->kind[type][zone][spot].cpus >= job->spec->cpus &&
+                    pm_plan_allows(tables, job, type, zone, spot))
+                    return true;
+    return false;
+}
+
 /* How many more of a job's tasks ought to get machines of their own, so that it ends in time: the
  * rest follows on the machines that there are. A job whose time cannot be kept by renting counts as
  * backlog, to be worked off within a while. */
@@ -203,6 +219,7 @@
     double boot = INFINITY;
     double left;
     double need;
+    bool reachable;
 
     if (!in_flow(want->job))
         return (int)want->tasks;
@@ -213,14 +230,15 @@
         if (spec->types >> type & 1)
             boot = MIN(boot, s->f->tables->type[type].ready_s * 1.1 + 2);
     left = isinf(want->job->due) ? 0 : want->job->due - s->day - each * 0.6;
-    if (left > 0 && flow->work <= flow->pool * left)
+    reachable = pool_may_run(s, want->job);
+    if (reachable && left > 0 && flow->work <= flow->pool * left)
         return 0;
     if (left - boot > each * 0.3)
         need = (flow->work - flow->pool * boot) / (left - boot);
     else
         need = flow->work / backlog_s(s->f, want->job);
     need = MIN(ceil(MAX(0, need - flow->pool) / spec->cpus), want->tasks);
-    if (flow->pool < spec->cpus)
+    if (flow->pool < spec->cpus || !reachable)
         need = MAX(need, 1);
     flow->pool += need * spec->cpus;
     return (int)need;
@@ -377,6 +395,10 @@
     GPtrArray *all = pm_workers_all(f->workers);
 
     g_array_set_size(s->bins, 0);
+    for (int type = 0; type < f->tables->ntypes; type++)
+        for (int zone = 0; zone < f->tables->settings->zones; zone++)
+            for (int spot = 0; spot < 2; spot++)
+                f->kind[type][zone][spot].cpus = 0;
     f->spot_cpus = 0;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
@@ -388,6 +410,8 @@
             continue;
         if (m->spot && m->state != PM_RELEASING && !m->recall_at)
             f->spot_cpus += f->tables->type[m->type].cpus;
+        if (m->state != PM_RELEASING && !m->recall_at)
+            pm_fleet_kind_of(f, m)->cpus += f->tables->type[m->type].cpus;
         if (m->state == PM_RELEASING || m->recall_at || pm_fault_machine_faulty(m) || m->lent ||
             (m->state == PM_UP && s->now - m->heard > SILENT_S) || m->cpus <= EPS)
             continue;
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -285,6 +285,33 @@
     assert_true(relaxed < hurried);
 }
 
+/* The pool is large, and none of it may run the job: it waited until machines of the other zone had
+ * idled for a minute, or for ever where these were in use. */
+static void work_bound_to_a_zone_gets_a_machine_there(void **state)
+{
+    struct pm_job *job;
+    int all;
+
+    (void)state;
+    settings.zones = 2;
+    strcpy(settings.zone_name[0], "zone-0");
+    strcpy(settings.zone_name[1], "zone-1");
+    tables.type[0].zones = tables.type[1].zones = 3;
+    rented("i-a", 8, 0, true, 60, true);
+    rented("i-b", 8, 0, true, 5, false);
+    wait_for("job-1", PM_ARRAY, 2, 2, 1, -1);
+    job = pm_jobs_find(jobs, "job-1");
+    asked(0, true, &all);
+    assert_int_equal(all, 0); /* it may run in any zone */
+    ((struct pm_spec *)job->spec)->zone = 1;
+    assert_int_equal(asked(0, true, &all), 1);
+    assert_int_equal(all, 1);
+    for (guint i = 0; i < 8; i++) /* and where some of it is there, no more is rented */
+        ((struct pm_machine *)g_ptr_array_index(pm_workers_all(workers), 8 + i))->zone = 1;
+    asked(0, true, &all);
+    assert_int_equal(all, 0);
+}
+
 static void booting_machines_count(void **state)
 {
     int all;
@@ -530,6 +557,8 @@
         cmocka_unit_test_setup_teardown(idle_time_work_rents_none, set_up, tear_down),
         cmocka_unit_test_setup_teardown(idle_time_work_gets_its_first_machine, set_up, tear_down),
         cmocka_unit_test_setup_teardown(the_reserve_counts_replicas_that_wait, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(work_bound_to_a_zone_gets_a_machine_there, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(booting_machines_count, set_up, tear_down),
         cmocka_unit_test_setup_teardown(services_get_ordinary_machines, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_zone_silent_for_a_lease_is_given_up, set_up, tear_down),
--- a/src/links/tests/cluster.c
+++ b/src/links/tests/cluster.c
@@ -120,7 +120,7 @@
     pm_buf_free(&body);
 }
 
-void cluster_submit(struct cluster *c, unsigned tasks, double run_s)
+const char *cluster_submit(struct cluster *c, unsigned tasks, double run_s)
 {
     struct user_job *job = g_new0(struct user_job, 1);
 
@@ -129,11 +129,15 @@
     job->ask = (int)c->jobs->len % c->settings.controllers;
     snprintf(job->id, sizeof job->id, "job-%04u%02d", c->jobs->len + 1, (int)(run_s * 10));
     g_ptr_array_add(c->jobs, job);
+    return job->id;
 }
 
-void cluster_abort_last(struct cluster *c)
+void cluster_abort(struct cluster *c, const char *id)
 {
-    ((struct user_job *)g_ptr_array_index(c->jobs, c->jobs->len - 1))->abort = true;
+    for (guint i = 0; i < c->jobs->len; i++) {
+        struct user_job *job = g_ptr_array_index(c->jobs, i);
+        job->abort |= !strcmp(job->id, id);
+    }
 }
 
 void cluster_load(struct cluster *c, double every_s)
@@ -354,11 +358,6 @@
     return c->loop;
 }
 
-const char *cluster_last_job(const struct cluster *c)
-{
-    return ((const struct user_job *)g_ptr_array_index(c->jobs, c->jobs->len - 1))->id;
-}
-
 const char *cluster_config(const struct cluster *c, int controller)
 {
     return c->config[controller];
--- a/src/links/tests/cluster.h
+++ b/src/links/tests/cluster.h
@@ -31,8 +31,6 @@
 struct fake_state *cluster_state(struct cluster *cluster);
 struct fleet *cluster_fleet(struct cluster *cluster);
 struct ev_loop *cluster_loop(struct cluster *cluster);
-/* The id of the job that was submitted last. */
-const char *cluster_last_job(const struct cluster *cluster);
 /* A controller's settings file. */
 const char *cluster_config(const struct cluster *cluster, int controller);
 
@@ -45,10 +43,10 @@
 void cluster_start(struct cluster *cluster, int controller);
 void cluster_pause(struct cluster *cluster, int controller, bool paused);
 
-/* An array job, each of whose tasks runs for that long. */
-void cluster_submit(struct cluster *cluster, unsigned tasks, double run_s);
-/* Users cancel the job that was submitted last. */
-void cluster_abort_last(struct cluster *cluster);
+/* An array job, each of whose tasks runs for that long; its id. */
+const char *cluster_submit(struct cluster *cluster, unsigned tasks, double run_s);
+/* Users cancel the job, from now on until they hear that it is over. */
+void cluster_abort(struct cluster *cluster, const char *id);
 /* Users submit a small job every so often, from now on; 0: no more. */
 void cluster_load(struct cluster *cluster, double every_s);
 
--- a/src/links/tests/test_cuts.c
+++ b/src/links/tests/test_cuts.c
@@ -163,13 +163,14 @@
 static void peers_in_a_ring(void **arg)
 {
     struct cluster *c = begin();
+    const char *job;
 
     (void)arg;
     for (int i = 0; i < CONTROLLERS; i++)
         cluster_cut(c, i, CLUSTER_PEER, (i + 2) % CONTROLLERS, black_hole);
-    cluster_submit(c, 4, 9.9);
+    job = cluster_submit(c, 4, 9.9);
     cluster_run(c, SHORT_S);
-    cluster_abort_last(c);
+    cluster_abort(c, job);
     cluster_run(c, LONG_S);
     finish(c);
 }
