--- a/src/base/operator.c
+++ b/src/base/operator.c
@@ -26,6 +26,7 @@
                   .half_life_s = 30,
                   .expire_s = 5,
                   .trace_mb = 16},
+        .duties = {.ttl_s = 5, .record_period_s = 3600, .record_mb = 64},
     };
 }
 
@@ -37,11 +38,19 @@
     unsigned *trace_mb;
 };
 
+struct duties_form {
+    bool *fence;
+    double *ttl_s, *record_period_s;
+    char *record_dir;
+    unsigned *record_mb;
+};
+
 struct yaml_form {
     double *window_h, *min_runtime_s, *leader_ttl_s, *confirm_s, *idle_return_s, *warm_share,
         *replica_due_s, *backlog_s;
     unsigned *admit_min, *admit_max;
     struct links_form *links;
+    struct duties_form *duties;
 };
 
 #define OPTIONAL (CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL)
@@ -62,6 +71,14 @@
     CYAML_FIELD_UINT_PTR("trace_mb", OPTIONAL, struct links_form, trace_mb),
     CYAML_FIELD_END};
 
+static const cyaml_schema_field_t duties_fields[] = {
+    CYAML_FIELD_BOOL_PTR("fence", OPTIONAL, struct duties_form, fence),
+    CYAML_FIELD_FLOAT_PTR("ttl_s", OPTIONAL, struct duties_form, ttl_s),
+    CYAML_FIELD_STRING_PTR("record_dir", OPTIONAL, struct duties_form, record_dir, 0, 255),
+    CYAML_FIELD_FLOAT_PTR("record_period_s", OPTIONAL, struct duties_form, record_period_s),
+    CYAML_FIELD_UINT_PTR("record_mb", OPTIONAL, struct duties_form, record_mb),
+    CYAML_FIELD_END};
+
 static const cyaml_schema_field_t yaml_fields[] = {
     YAML_NUMBER(window_h),
     YAML_NUMBER(min_runtime_s),
@@ -74,6 +91,7 @@
     YAML_COUNT(admit_min),
     YAML_COUNT(admit_max),
     CYAML_FIELD_MAPPING_PTR("links", OPTIONAL, struct yaml_form, links, links_fields),
+    CYAML_FIELD_MAPPING_PTR("duties", OPTIONAL, struct yaml_form, duties, duties_fields),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t yaml_schema = {
@@ -148,6 +166,23 @@
     taker->failed = true;
 }
 
+static void take_duties(struct taker *taker, struct pm_duties_setting *out,
+                        const struct duties_form *form)
+{
+    if (form->fence)
+        out->fence = *form->fence;
+    take(taker, &out->ttl_s, form->ttl_s, "duties.ttl_s", 1, 600);
+    take(taker, &out->record_period_s, form->record_period_s, "duties.record_period_s", 1, 604800);
+    if (form->record_dir)
+        snprintf(out->record_dir, sizeof out->record_dir, "%s", form->record_dir);
+    if (form->record_mb)
+        out->record_mb = *form->record_mb;
+    if (!taker->failed && (out->record_mb < 1 || out->record_mb > 65536)) {
+        snprintf(taker->err, taker->err_size, "duties.record_mb: outside 1 to 65536");
+        taker->failed = true;
+    }
+}
+
 static void take_all(struct taker *taker, struct pm_operator *out, const struct yaml_form *form)
 {
     take(taker, &out->window_h, form->window_h, "window_h", 0.01, 8784);
@@ -169,6 +204,8 @@
     }
     if (form->links)
         take_links(taker, &out->links, form->links);
+    if (form->duties)
+        take_duties(taker, &out->duties, form->duties);
 }
 
 int pm_operator_load(struct pm_operator *out, const char *path, char *err, size_t err_size)
--- a/src/base/protocol.h
+++ b/src/base/protocol.h
@@ -9,10 +9,11 @@
 
 enum pm_protocol_version {
     PM_PROTOCOL_FIRST = 1,
-    PM_PROTOCOL_DEPENDENCIES = 2,           /* jobs that need others, chunks of tasks in halves */
-    PM_PROTOCOL_END_TIMES = 3,              /* a job that is done says when it ended */
-    PM_PROTOCOL_LINKS = 4,                  /* p/links values, views in the peers' answers */
-    PM_PROTOCOL_VERSION = PM_PROTOCOL_LINKS /* of this program */
+    PM_PROTOCOL_DEPENDENCIES = 2,            /* jobs that need others, chunks of tasks in halves */
+    PM_PROTOCOL_END_TIMES = 3,               /* a job that is done says when it ended */
+    PM_PROTOCOL_LINKS = 4,                   /* p/links values, views in the peers' answers */
+    PM_PROTOCOL_DUTIES = 5,                  /* p/duty, p/drain and p/intent values */
+    PM_PROTOCOL_VERSION = PM_PROTOCOL_DUTIES /* of this program */
 };
 
 #endif
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -69,6 +69,15 @@
     unsigned trace_mb;   /* how much of them is kept */
 };
 
+/* Duties that one controller holds (duties slice). */
+struct pm_duties_setting {
+    bool fence;             /* rent and return under a lease, a token and durable intents */
+    double ttl_s;           /* of the lease */
+    char record_dir[256];   /* where the record of actions is kept; "": nowhere */
+    double record_period_s; /* one file for each such period */
+    unsigned record_mb;     /* how much of it is kept */
+};
+
 /* The operators' settings; every value has a default (see docs/operations.md). */
 struct pm_operator {
     double window_h;      /* span over which a team's occupied time is summed */
@@ -82,6 +91,7 @@
     double backlog_s;     /* array work that is late anyway is worked off within this */
     double warm_share;    /* spare room kept for services, as a share of what they use */
     struct pm_links_setting links;
+    struct pm_duties_setting duties;
 };
 
 /* 0, or -1 with a message that names the field and its path. */
--- a/src/cmd/pumicemount/internal.h
+++ b/src/cmd/pumicemount/internal.h
@@ -4,6 +4,8 @@
 
 #include "base/http.h"
 #include "blocks/blocks.h"
+#include "duties/duties.h"
+#include "duties/record.h"
 #include "fleet/fleet.h"
 #include "api/api.h"
 #include "jobs/commit.h"
@@ -33,6 +35,8 @@
     struct pm_leader *lead;
     struct pm_cancels *cancels;
     struct pm_links *links;
+    struct pm_links_trace *trace; /* NULL: none is written */
+    struct pm_duties *duties;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_plan *plan;
@@ -87,6 +91,10 @@
 /* Steps down from the lead if another controller is better placed to have it. */
 void pm_node_give_way(struct pm_node *n, double now);
 
+/* duties.c: duties that one controller holds */
+void pm_node_make_duties(struct pm_node *n);
+void pm_node_tick_duties(struct pm_node *n, double now);
+
 /* toolbox.c: what operators' tools ask */
 /* GET /toolbox/... on the back address; false: no such path. */
 bool pm_node_toolbox(struct pm_node *n, struct pm_http_request *req);
--- a/src/cmd/pumicemount/links.c
+++ b/src/cmd/pumicemount/links.c
@@ -197,16 +197,15 @@
 void pm_node_make_links(struct pm_node *n)
 {
     const struct pm_links_setting *setting = &n->op->links;
-    struct pm_links_trace *trace = NULL;
     char err[512];
 
     if (setting->trace_dir[0]) {
-        trace = pm_links_trace_new(setting->trace_dir, n->settings->name, setting->trace_mb, err,
-                                   sizeof err);
-        if (!trace) /* the service goes on without */
+        n->trace = pm_links_trace_new(setting->trace_dir, n->settings->name, setting->trace_mb, err,
+                                      sizeof err);
+        if (!n->trace) /* the service goes on without */
             pm_error("links.trace", "%s", err);
     }
-    n->links = pm_links_new(n->settings, setting, trace);
+    n->links = pm_links_new(n->settings, setting, n->trace);
     if (setting->observe)
         pm_http_client_observe(n->http, on_call_ended, n);
 }
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -184,8 +184,10 @@
     pm_plan_read_failing(n->plan, ledger, now);
     pm_fleet_read_heard(n->fleet, ledger, now, pm_clock_day());
     pm_cbor_free(ledger);
+    pm_fleet_adopt_intents(n->fleet);
     n->ruling = n->leading = true;
     n->took_at = now;
+    pm_node_tick_duties(n, now);
     pm_store_set_share(n->store, 0.5, 0.9);
     pm_info("node.rules", "epoch %llu, %u jobs, %d places", (unsigned long long)epoch, active->len,
             places);
@@ -209,11 +211,13 @@
     pm_fleet_reset(n->fleet, 0);
     pm_blocks_lose(n->blocks);
     start_anew(n);
+    pm_node_tick_duties(n, pm_clock_steady());
 }
 
 static void on_raised(void *arg, uint64_t epoch)
 {
     (void)epoch;
+    pm_node_tick_duties(arg, pm_clock_steady());
     pm_node_plan_soon(arg);
 }
 
@@ -278,6 +282,8 @@
         n->tables.protocol_version = pm_leader_protocol_version(n->lead);
         pm_api_enable_dependencies(n->intake,
                                    n->tables.protocol_version >= PM_PROTOCOL_DEPENDENCIES);
+    } else if (pm_duties_put(n->duties, key, value, revision)) {
+        return;
     } else if (!strncmp(key, "p/b/", 4)) {
         n->blocks_changed |= n->ruling;
         pm_blocks_put(n->blocks, key, value, revision);
@@ -308,6 +314,7 @@
     struct pm_node *n = arg;
 
     pm_leader_drop(n->lead, key, revision);
+    pm_duties_drop(n->duties, key, revision);
     pm_blocks_drop(n->blocks, key, revision);
     pm_jobs_drop(n->jobs, key, revision);
 }
@@ -317,6 +324,7 @@
     struct pm_node *n = arg;
 
     pm_leader_relist(n->lead);
+    pm_duties_relist(n->duties);
     pm_blocks_relist(n->blocks);
     pm_jobs_sweep_begin(n->jobs);
 }
@@ -325,6 +333,7 @@
 {
     struct pm_node *n = arg;
 
+    pm_duties_listed(n->duties);
     pm_info("node.listed", "edition %llu", (unsigned long long)pm_store_revision(n->store));
 }
 
@@ -515,6 +524,7 @@
     make_planning(n);
     make_replication(n);
     pm_node_carry_links(n);
+    pm_node_make_duties(n);
     start_timers(n);
     if (!start_servers(n))
         return NULL;
--- a/src/cmd/pumicemount/round.c
+++ b/src/cmd/pumicemount/round.c
@@ -180,6 +180,7 @@
     (void)loop;
     (void)events;
     pm_node_tick_links(n, now);
+    pm_node_tick_duties(n, now);
     if (!n->tables.ntypes && pm_store_ready(n->store))
         pm_fleet_ask_types(n->fleet, now);
     if (n->ruling) {
--- a/src/cmd/pumicemount/toolbox.c
+++ b/src/cmd/pumicemount/toolbox.c
@@ -84,6 +84,8 @@
     put_state_service(n, out, now);
     put_counts(n, out, now);
     put_holders(n, out);
+    pm_put_text(out, "single_duties");
+    pm_duties_put_status(n->duties, out, now);
     pm_put_text(out, "links");
     pm_links_put_status(n->links, out, now);
     pm_put_end(out);
--- /dev/null
+++ b/src/duties/intent.c
@@ -0,0 +1,122 @@
+#include "duties/intent.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const duty_names[PM_SINGLE_DUTIES] = {"rent", "return", "clean"};
+
+const char *pm_single_duty_name(enum pm_single_duty duty)
+{
+    return duty_names[duty];
+}
+
+int pm_single_duty_find(const char *name)
+{
+    for (int duty = 0; duty < PM_SINGLE_DUTIES; duty++)
+        if (!strcmp(name, duty_names[duty]))
+            return duty;
+    return -1;
+}
+
+struct pm_intent *pm_intent_new(enum pm_single_duty duty)
+{
+    struct pm_intent *intent = g_new0(struct pm_intent, 1);
+
+    intent->duty = duty;
+    intent->machines = g_ptr_array_new_with_free_func(g_free);
+    return intent;
+}
+
+void pm_intent_free(struct pm_intent *intent)
+{
+    if (!intent)
+        return;
+    g_ptr_array_free(intent->machines, TRUE);
+    g_free(intent);
+}
+
+void pm_intent_set_name(struct pm_intent *intent, uint64_t token, uint64_t number)
+{
+    intent->token = token;
+    snprintf(intent->name, sizeof intent->name, "%s-%llu-%llu", duty_names[intent->duty],
+             (unsigned long long)token, (unsigned long long)number);
+}
+
+void pm_intent_write(const struct pm_intent *intent, struct pm_buf *out)
+{
+    pm_put_map(out);
+    pm_put_pair_text(out, "duty", duty_names[intent->duty]);
+    pm_put_pair_count(out, "token", intent->token);
+    if (intent->duty == PM_SINGLE_RENT) {
+        pm_put_pair_text(out, "type", intent->type);
+        pm_put_pair_text(out, "zone", intent->zone);
+        pm_put_pair_flag(out, "spot", intent->spot);
+        pm_put_pair_count(out, "count", intent->count);
+    } else {
+        pm_put_text(out, "machines");
+        pm_put_list(out);
+        for (guint i = 0; i < intent->machines->len; i++)
+            pm_put_text(out, g_ptr_array_index(intent->machines, i));
+        pm_put_end(out);
+    }
+    pm_put_end(out);
+}
+
+static bool read_rental(struct pm_intent *intent, const cbor_item_t *value)
+{
+    return !pm_cbor_text(pm_cbor_get(value, "type"), intent->type, sizeof intent->type) &&
+           !pm_cbor_text(pm_cbor_get(value, "zone"), intent->zone, sizeof intent->zone) &&
+           !pm_cbor_flag(pm_cbor_get(value, "spot"), &intent->spot) &&
+           !pm_cbor_count(pm_cbor_get(value, "count"), &intent->count) && intent->type[0] &&
+           intent->count > 0 && intent->count <= PM_INTENT_RENTED;
+}
+
+static bool read_machines(struct pm_intent *intent, const cbor_item_t *value)
+{
+    const cbor_item_t *machines = pm_cbor_get(value, "machines");
+    char name[PM_NAME_MAX];
+
+    for (size_t i = 0; i < pm_cbor_length(machines); i++) {
+        if (pm_cbor_text(pm_cbor_at(machines, i), name, sizeof name) || !name[0])
+            return false;
+        g_ptr_array_add(intent->machines, g_strdup(name));
+    }
+    return intent->machines->len > 0 && intent->machines->len <= PM_INTENT_MACHINES;
+}
+
+/* Whether the key is the one that its writer gave it. */
+static bool read_key(struct pm_intent *intent, const char *key)
+{
+    const char *name = key + strlen(PM_INTENT_PREFIX);
+    char start[PM_INTENT_NAME];
+
+    snprintf(start, sizeof start, "%s-%llu-", duty_names[intent->duty],
+             (unsigned long long)intent->token);
+    if (strlen(name) >= sizeof intent->name || !g_str_has_prefix(name, start))
+        return false;
+    g_strlcpy(intent->name, name, sizeof intent->name);
+    return true;
+}
+
+struct pm_intent *pm_intent_read(const char *key, const cbor_item_t *value, uint64_t revision)
+{
+    struct pm_intent *intent;
+    char duty_name[16];
+    int duty;
+    bool well;
+
+    if (pm_cbor_text(pm_cbor_get(value, "duty"), duty_name, sizeof duty_name))
+        return NULL;
+    duty = pm_single_duty_find(duty_name);
+    if (duty != PM_SINGLE_RENT && duty != PM_SINGLE_RETURN)
+        return NULL;
+    intent = pm_intent_new((enum pm_single_duty)duty);
+    intent->revision = revision;
+    well = !pm_cbor_count(pm_cbor_get(value, "token"), &intent->token) && read_key(intent, key) &&
+           (duty == PM_SINGLE_RENT ? read_rental(intent, value) : read_machines(intent, value));
+    if (well)
+        return intent;
+    pm_intent_free(intent);
+    return NULL;
+}
--- /dev/null
+++ b/src/duties/intent.h
@@ -0,0 +1,53 @@
+/* Intents: what a controller is about to ask of the cloud, durable before it is asked.
+ *
+ * An intent names its duty, the duty's fencing token, and either the machines that are to be
+ * returned or the rental that is to be requested. It is open from when it is written until the
+ * cloud has said what became of the request. */
+#ifndef PM_DUTIES_INTENT_H
+#define PM_DUTIES_INTENT_H
+
+#include "base/cbor.h"
+#include "base/settings.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define PM_INTENT_PREFIX "p/intent/"
+
+/* The duties that are held under a lease of their own. */
+enum pm_single_duty { PM_SINGLE_RENT, PM_SINGLE_RETURN, PM_SINGLE_CLEAN, PM_SINGLE_DUTIES };
+
+const char *pm_single_duty_name(enum pm_single_duty duty);
+/* -1: no such duty. */
+int pm_single_duty_find(const char *name);
+
+enum { PM_INTENT_NAME = 64, PM_INTENT_MACHINES = 100, PM_INTENT_RENTED = 50 };
+
+struct pm_intent {
+    char name[PM_INTENT_NAME]; /* DUTY-TOKEN-NUMBER; also the name of the rental's request */
+    enum pm_single_duty duty;
+    uint64_t token;    /* of the duty, as its writer held it */
+    uint64_t revision; /* of its key, 0: not known to be durable */
+    /* To rent. */
+    char type[PM_NAME_MAX], zone[PM_NAME_MAX];
+    bool spot;
+    uint64_t count;
+    GPtrArray *machines; /* to return: names, owned; empty for a rental */
+    /* This controller's own. */
+    bool busy;       /* a call for it is under way */
+    bool closing;    /* the cloud has said what became of it; its key is to go */
+    double retry_at; /* steady: not to be sent again before */
+};
+
+/* An empty one, for the caller to fill. */
+struct pm_intent *pm_intent_new(enum pm_single_duty duty);
+void pm_intent_free(struct pm_intent *intent);
+/* Names it, so that nobody ever names another one alike. */
+void pm_intent_set_name(struct pm_intent *intent, uint64_t token, uint64_t number);
+/* Its value in the state service. */
+void pm_intent_write(const struct pm_intent *intent, struct pm_buf *out);
+/* NULL: the value, or the key, is malformed. */
+struct pm_intent *pm_intent_read(const char *key, const cbor_item_t *value, uint64_t revision);
+
+#endif
--- /dev/null
+++ b/src/fleet/calls.c
@@ -0,0 +1,482 @@
+/* Renting and returning machines.
+ *
+ * Under fenced duties, each request to the cloud first becomes a durable intent, and what is open
+ * is finished, by whoever holds the duty, until the cloud has said what became of it. */
+#include "base/clock.h"
+#include "base/log.h"
+#include "fleet/internal.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define REFUSED_S 6.0   /* no room of a kind: not asked for again within this, then twice as long, \
+                         */
+#define REFUSALS_MAX 2  /* doubled so often at most, */
+#define JITTER 0.25     /* give or take this share */
+#define REPEAT_S 1.0    /* a return that was not confirmed is repeated after this */
+#define RENT_TRIES 4    /* without an answer, one after the other */
+#define UNWRITTEN_S 0.5 /* before an intent that was not written is tried again */
+
+enum { RENT_ANSWER_MAX = 64 * 1024 };
+
+/* A request to the cloud, or the intent that is written before it. */
+struct call {
+    struct pm_fleet *fleet;
+    uint64_t round;
+    struct pm_rent rent;
+    char name[PM_INTENT_NAME]; /* of the rental's request, and of the intent if there is one */
+    bool fenced;               /* there is an intent */
+    GPtrArray *machines;       /* to be returned, NULL for a rental */
+    double sent;
+    int tries;
+};
+
+static struct call *call_new(struct pm_fleet *f, double now)
+{
+    struct call *call = g_new0(struct call, 1);
+
+    call->fleet = f;
+    call->round = f->round;
+    call->sent = now;
+    return call;
+}
+
+static void call_free(struct call *call)
+{
+    if (call->machines)
+        g_ptr_array_free(call->machines, TRUE);
+    g_free(call);
+}
+
+/* The only way by which requests that rent or return machines leave: not after this controller's
+ * hold on the duty may have ended, however long the process stands still before the write. */
+static void send_to_cloud(struct call *call, enum pm_single_duty duty, const char *target,
+                          const struct pm_buf *body, pm_http_done *done)
+{
+    struct pm_fleet *f = call->fleet;
+    double valid_until = call->fenced ? pm_duties_valid_until(f->duties, duty) : 0;
+
+    f->in_flight++;
+    if (call->fenced)
+        pm_duties_note(f->duties, duty, "sent", call->name, "");
+    /* Not held any more: 0 would mean no limit, so a time that has passed. */
+    if (call->fenced && valid_until <= 0)
+        valid_until = call->sent;
+    pm_http_call_until(f->http, f->tables->settings->cloud, "POST", target, body->data, body->size,
+                       PM_FLEET_CALL_S, RENT_ANSWER_MAX, valid_until, done, call);
+}
+
+static bool is_fenced(const struct pm_fleet *f)
+{
+    return f->duties && pm_duties_active(f->duties);
+}
+
+/* The cloud has answered, or has not: an intent is closed by any answer that says what became of
+ * it, and else sent again. */
+static void settle_intent(struct call *call, enum pm_single_duty duty, int status, bool settled,
+                          double now)
+{
+    struct pm_fleet *f = call->fleet;
+    struct pm_intent *intent;
+    char text[32];
+
+    if (!call->fenced)
+        return;
+    snprintf(text, sizeof text, "status %d", status);
+    pm_duties_note(f->duties, duty, "answered", call->name, text);
+    intent = pm_duties_find(f->duties, call->name);
+    if (!intent)
+        return;
+    if (settled) {
+        pm_duties_close(f->duties, call->name, now);
+    } else {
+        intent->busy = false;
+        intent->retry_at = now + REPEAT_S;
+    }
+}
+
+/* ---- renting ---- */
+
+static void on_rented(void *arg, int status, const unsigned char *body, size_t size);
+
+static void rent_send(struct call *call)
+{
+    const struct pm_name_tables *tables = call->fleet->tables;
+    struct pm_buf body = {0};
+
+    pm_put_map(&body);
+    pm_put_pair_text(&body, "booking", call->name);
+    pm_put_pair_text(&body, "model", pm_names_text(tables->types, call->rent.type));
+    pm_put_pair_text(&body, "room", tables->settings->zone_name[call->rent.zone]);
+    pm_put_pair_flag(&body, "borrowed", call->rent.spot);
+    pm_put_pair_count(&body, "how_many", (uint64_t)call->rent.count);
+    pm_put_end(&body);
+    send_to_cloud(call, PM_SINGLE_RENT, "/machines", &body, on_rented);
+    pm_buf_free(&body);
+}
+
+/* A kind of which the cloud has no more is asked for again later and later, and not at the same
+ * moment as the others. */
+static void note_answer(struct pm_fleet *f, const struct pm_rent *rent, int status, size_t got)
+{
+    struct kind *kind = &f->kind[rent->type][rent->zone][rent->spot];
+    double pause;
+
+    if (got > 0)
+        kind->refusals = 0;
+    if (status != 503 && !(status == 200 && got < (size_t)rent->count))
+        return;
+    if (kind->refused_until > f->filled)
+        return; /* of several requests sent together, one counts */
+    pause = REFUSED_S * (1 << MIN(kind->refusals, REFUSALS_MAX));
+    kind->refusals++;
+    kind->refused_until = f->filled + pause * g_random_double_range(1 - JITTER, 1 + JITTER);
+}
+
+static void add_rented(struct call *call, const char *name)
+{
+    struct pm_fleet *f = call->fleet;
+    struct pm_machine *m = pm_workers_add(f->workers, name);
+
+    if (m->state == PM_RELEASING)
+        return; /* the answer to a request that was sent again */
+    m->rented = call->sent;
+    if (m->type >= 0)
+        return; /* reported already */
+    pm_workers_set_type(f->workers, m, call->rent.type);
+    m->zone = call->rent.zone;
+    m->spot = call->rent.spot;
+    pm_debug("fleet.machine", "%s is a %s%s", m->name,
+             pm_names_text(f->tables->types, call->rent.type), call->rent.spot ? " spot" : "");
+}
+
+static size_t read_rented(struct call *call, const unsigned char *body, size_t size)
+{
+    cbor_item_t *answer = pm_cbor_parse(body, size);
+    const cbor_item_t *hosts = pm_cbor_get(answer, "hosts");
+    char name[PM_NAME_MAX];
+    size_t got = 0;
+
+    for (size_t i = 0; i < pm_cbor_length(hosts); i++) {
+        if (pm_cbor_text(pm_cbor_at(hosts, i), name, sizeof name) || !name[0])
+            continue;
+        got++;
+        if (!pm_fleet_returned(call->fleet, name))
+            add_rented(call, name);
+    }
+    pm_cbor_free(answer);
+    return got;
+}
+
+static void on_rented(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct call *call = arg;
+    struct pm_fleet *f = call->fleet;
+    size_t got;
+
+    if (call->round != f->round) {
+        call_free(call); /* the list tells the next leader */
+        return;
+    }
+    f->in_flight--;
+    got = status == 200 ? read_rented(call, body, size) : 0;
+    pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->name, got, call->rent.count,
+            pm_names_text(f->tables->types, call->rent.type), call->rent.spot ? " spot" : "",
+            status);
+    note_answer(f, &call->rent, status, got);
+    /* No answer: it may have been carried out. The same name asks for the same machines, and rents
+     * nothing twice. */
+    if (status == PM_HTTP_LOST && ++call->tries < RENT_TRIES) {
+        rent_send(call);
+    } else {
+        settle_intent(call, PM_SINGLE_RENT, status, status > 0, pm_clock_steady());
+        call_free(call);
+    }
+    f->hooks.changed(f->hooks.arg);
+}
+
+static void on_rent_intended(void *arg, const char *name)
+{
+    struct call *call = arg;
+    struct pm_fleet *f = call->fleet;
+
+    if (call->round != f->round) {
+        call_free(call); /* whoever holds the duty finishes what was written */
+        return;
+    }
+    f->in_flight--;
+    if (!name) {
+        call_free(call); /* sized anew */
+        return;
+    }
+    g_strlcpy(call->name, name, sizeof call->name);
+    rent_send(call);
+}
+
+static void rent_fenced(struct call *call, double now)
+{
+    struct pm_fleet *f = call->fleet;
+    struct pm_intent *intent = pm_intent_new(PM_SINGLE_RENT);
+
+    call->fenced = true;
+    g_strlcpy(intent->type, pm_names_text(f->tables->types, call->rent.type), sizeof intent->type);
+    g_strlcpy(intent->zone, f->tables->settings->zone_name[call->rent.zone], sizeof intent->zone);
+    intent->spot = call->rent.spot;
+    intent->count = (uint64_t)call->rent.count;
+    f->in_flight++;
+    if (pm_duties_intend(f->duties, intent, on_rent_intended, call, now))
+        return;
+    f->in_flight--;
+    call_free(call);
+}
+
+void pm_fleet_rent(struct pm_fleet *f, const struct pm_rent *rent, double now)
+{
+    struct call *call = call_new(f, now);
+
+    call->rent = *rent;
+    if (is_fenced(f)) {
+        rent_fenced(call, now);
+        return;
+    }
+    /* The epoch is this term's alone, so the name is never used again by anybody. */
+    snprintf(call->name, sizeof call->name, "r-%llu-%llu", (unsigned long long)f->epoch,
+             (unsigned long long)++f->bookings);
+    rent_send(call);
+}
+
+/* ---- returning ---- */
+
+/* What we return ourselves may be had again. */
+static void note_returned(struct pm_fleet *f, const struct pm_machine *m)
+{
+    struct kind *kind;
+
+    if (m->type < 0 || m->zone < 0)
+        return;
+    kind = pm_fleet_kind_of(f, m);
+    kind->refusals = 0;
+    kind->refused_until = MIN(kind->refused_until, f->filled + REFUSED_S);
+}
+
+/* They are to be tried again; those of an intent are, with the intent. */
+static void retry_machines(struct call *call, double at)
+{
+    struct pm_fleet *f = call->fleet;
+
+    for (guint i = 0; i < call->machines->len; i++) {
+        struct pm_machine *m = pm_workers_find(f->workers, g_ptr_array_index(call->machines, i));
+        if (m)
+            m->release_retry = at;
+    }
+}
+
+static void confirm_returned(struct call *call)
+{
+    struct pm_fleet *f = call->fleet;
+
+    for (guint i = 0; i < call->machines->len; i++) {
+        struct pm_machine *m = pm_workers_find(f->workers, g_ptr_array_index(call->machines, i));
+        if (!m)
+            continue;
+        g_hash_table_add(f->gone, g_strdup(m->name));
+        note_returned(f, m);
+        f->hooks.gone(f->hooks.arg, m);
+    }
+}
+
+static void on_released(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct call *call = arg;
+    struct pm_fleet *f = call->fleet;
+
+    (void)body;
+    (void)size;
+    if (call->round != f->round) {
+        call_free(call);
+        return;
+    }
+    f->in_flight--;
+    if (status == 200)
+        confirm_returned(call);
+    else if (!call->fenced)
+        retry_machines(call, f->filled + REPEAT_S); /* until it is confirmed */
+    settle_intent(call, PM_SINGLE_RETURN, status, status == 200, pm_clock_steady());
+    pm_info("fleet.released", "%u machines, status %d", call->machines->len, status);
+    call_free(call);
+    f->hooks.changed(f->hooks.arg);
+}
+
+static void release_send(struct call *call)
+{
+    struct pm_buf body = {0};
+
+    pm_put_map(&body);
+    pm_put_text(&body, "hosts");
+    pm_put_list(&body);
+    for (guint i = 0; i < call->machines->len; i++)
+        pm_put_text(&body, g_ptr_array_index(call->machines, i));
+    pm_put_end(&body);
+    pm_put_end(&body);
+    send_to_cloud(call, PM_SINGLE_RETURN, "/machines/release", &body, on_released);
+    pm_buf_free(&body);
+}
+
+static void on_return_intended(void *arg, const char *name)
+{
+    struct call *call = arg;
+    struct pm_fleet *f = call->fleet;
+
+    if (call->round != f->round) {
+        call_free(call);
+        return;
+    }
+    f->in_flight--;
+    if (!name) {
+        retry_machines(call, pm_clock_steady() + UNWRITTEN_S);
+        call_free(call);
+        return;
+    }
+    g_strlcpy(call->name, name, sizeof call->name);
+    release_send(call);
+}
+
+static void release_fenced(struct call *call, double now)
+{
+    struct pm_fleet *f = call->fleet;
+    struct pm_intent *intent = pm_intent_new(PM_SINGLE_RETURN);
+
+    call->fenced = true;
+    for (guint i = 0; i < call->machines->len; i++)
+        g_ptr_array_add(intent->machines, g_strdup(g_ptr_array_index(call->machines, i)));
+    f->in_flight++;
+    if (pm_duties_intend(f->duties, intent, on_return_intended, call, now))
+        return;
+    f->in_flight--;
+    retry_machines(call, now + UNWRITTEN_S);
+    call_free(call);
+}
+
+bool pm_fleet_returned(const struct pm_fleet *f, const char *machine)
+{
+    return g_hash_table_contains(f->gone, machine);
+}
+
+void pm_fleet_release_due(struct pm_fleet *f, double now)
+{
+    GPtrArray *all = pm_workers_all(f->workers);
+    struct call *call = NULL;
+
+    for (guint i = 0; i < all->len; i++) {
+        struct pm_machine *m = g_ptr_array_index(all, i);
+        if (!m || m->state != PM_RELEASING || m->release_retry > now)
+            continue;
+        if (!call) {
+            if (!pm_fleet_may_call(f, now))
+                return;
+            call = call_new(f, now);
+            call->machines = g_ptr_array_new_with_free_func(g_free);
+        }
+        if (call->machines->len >= PM_INTENT_MACHINES)
+            break;
+        g_ptr_array_add(call->machines, g_strdup(m->name));
+        m->release_retry = INFINITY;
+    }
+    if (!call)
+        return;
+    if (is_fenced(f))
+        release_fenced(call, now);
+    else
+        release_send(call);
+}
+
+/* ---- finishing what is open ---- */
+
+static void mark_returned(struct pm_fleet *f, const struct pm_intent *intent)
+{
+    for (guint i = 0; i < intent->machines->len; i++) {
+        const char *name = g_ptr_array_index(intent->machines, i);
+        struct pm_machine *m;
+        if (pm_fleet_returned(f, name))
+            continue;
+        m = pm_workers_add(f->workers, name);
+        m->state = PM_RELEASING;
+        m->release_retry = INFINITY; /* with the intent */
+    }
+}
+
+void pm_fleet_adopt_intents(struct pm_fleet *f)
+{
+    GPtrArray *open;
+
+    if (!f->duties)
+        return;
+    pm_duties_forget_calls(f->duties);
+    open = pm_duties_open(f->duties, PM_SINGLE_RETURN);
+    for (guint i = 0; i < open->len; i++)
+        mark_returned(f, g_ptr_array_index(open, i));
+    g_ptr_array_free(open, TRUE);
+}
+
+/* NULL: of a machine type or zone that is not known here; it stays open. */
+static struct call *call_of_intent(struct pm_fleet *f, const struct pm_intent *intent, double now)
+{
+    struct call *call = call_new(f, now);
+
+    call->fenced = true;
+    g_strlcpy(call->name, intent->name, sizeof call->name);
+    if (intent->duty == PM_SINGLE_RETURN) {
+        call->machines = g_ptr_array_new_with_free_func(g_free);
+        for (guint i = 0; i < intent->machines->len; i++)
+            g_ptr_array_add(call->machines, g_strdup(g_ptr_array_index(intent->machines, i)));
+        return call;
+    }
+    call->rent = (struct pm_rent){pm_names_find(f->tables->types, intent->type),
+                                  pm_settings_zone(f->tables->settings, intent->zone), intent->spot,
+                                  (int)intent->count};
+    if (call->rent.type >= 0 && call->rent.type < f->tables->ntypes && call->rent.zone >= 0)
+        return call;
+    call_free(call);
+    return NULL;
+}
+
+static void finish_intent(struct pm_fleet *f, struct pm_intent *intent, double now)
+{
+    struct call *call = call_of_intent(f, intent, now);
+
+    if (!call) {
+        intent->retry_at = INFINITY; /* said once */
+        pm_error("fleet.intent", "%s: rents %s in %s, which are not known here; kept", intent->name,
+                 intent->type, intent->zone);
+        return;
+    }
+    intent->busy = true;
+    if (intent->duty == PM_SINGLE_RENT) {
+        rent_send(call);
+    } else {
+        mark_returned(f, intent);
+        release_send(call);
+    }
+}
+
+void pm_fleet_finish_intents(struct pm_fleet *f, int in_flight_max, double now)
+{
+    static const enum pm_single_duty duties[] = {PM_SINGLE_RETURN, PM_SINGLE_RENT};
+
+    if (!is_fenced(f))
+        return;
+    for (size_t k = 0; k < G_N_ELEMENTS(duties); k++) {
+        GPtrArray *open;
+        if (!pm_duties_holds(f->duties, duties[k], now))
+            continue;
+        open = pm_duties_open(f->duties, duties[k]);
+        for (guint i = 0; i < open->len && f->in_flight < in_flight_max; i++) {
+            struct pm_intent *intent = g_ptr_array_index(open, i);
+            if (!intent->busy && !intent->closing && intent->retry_at <= now &&
+                pm_fleet_may_call(f, now))
+                finish_intent(f, intent, now);
+        }
+        g_ptr_array_free(open, TRUE);
+    }
+}
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -6,6 +6,7 @@
 #include "placement/plan.h"
 
 struct ev_loop;
+struct pm_duties;
 struct pm_fleet;
 
 struct pm_fleet_hooks {
@@ -20,7 +21,11 @@
                               struct pm_plan *plan, const struct pm_operator *op,
                               const struct pm_fleet_hooks *hooks);
 void pm_fleet_free(struct pm_fleet *fleet);
-/* On taking or losing the lead; `epoch` makes the request names of this term its own. */
+/* From now on machines are rented and returned under duties, while these are active. */
+void pm_fleet_set_duties(struct pm_fleet *fleet, struct pm_duties *duties);
+/* On taking the lead, once all places are found again: machines in open intents are being returned,
+ * and get no work. */
+void pm_fleet_adopt_intents(struct pm_fleet *fleet);
 /* How long a machine may idle before it goes back, on a fleet of so many. */
 double pm_fleet_idle_s(const struct pm_operator *op, int machines);
 /* Marks the machines that are to go back: idle, silent, failed, taken. */
@@ -28,6 +33,7 @@
 /* On taking the lead, after the reset: reads from the ledger which zones were silent when the
  * leader before wrote it, and since when. */
 void pm_fleet_read_heard(struct pm_fleet *fleet, const cbor_item_t *ledger, double now, double day);
+/* On taking or losing the lead; `epoch` makes the request names of this term its own. */
 void pm_fleet_reset(struct pm_fleet *fleet, uint64_t epoch);
 /* Reads the machine types into the replica; false when malformed. */
 bool pm_fleet_read_types(struct pm_name_tables *tables, const cbor_item_t *models);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -2,10 +2,12 @@
 #ifndef PM_FLEET_PARTS_H
 #define PM_FLEET_PARTS_H
 
+#include "duties/duties.h"
 #include "fleet/fleet.h"
 
 #define EPS 1e-6
-#define FLOW_S 60.0 /* over which the stream of array work is measured */
+#define PM_FLEET_CALL_S 5.0 /* the cloud's answer counts only within this */
+#define FLOW_S 60.0         /* over which the stream of array work is measured */
 
 /* What is known of one kind of machines: a type, in a zone, spot or not. */
 struct kind {
@@ -27,6 +29,7 @@
     struct pm_workers *workers;
     struct pm_plan *plan;
     const struct pm_operator *op;
+    struct pm_duties *duties; /* NULL: the lead alone says who rents and returns */
     struct pm_fleet_hooks hooks;
     uint64_t epoch, round, bookings;
     double tokens, filled;
@@ -64,6 +67,20 @@
     return &f->kind[m->type][m->zone][m->spot];
 }
 
+/* fleet.c: whether the cloud's limit on requests has room for one more, which is taken off it */
+bool pm_fleet_may_call(struct pm_fleet *f, double now);
+
+/* list.c: the next page, and a new list, when they are due */
+void pm_fleet_list_on(struct pm_fleet *f, double now);
+void pm_fleet_list_start(struct pm_fleet *f, double now);
+
+/* calls.c */
+void pm_fleet_rent(struct pm_fleet *f, const struct pm_rent *rent, double now);
+/* Returns the machines that are marked for it, as many as go into one request. */
+void pm_fleet_release_due(struct pm_fleet *f, double now);
+/* Sends the open intents of the duties that are held. */
+void pm_fleet_finish_intents(struct pm_fleet *f, int in_flight_max, double now);
+
 /* boots.c: machines that come late, or never */
 enum boot {
     BOOT_EXPECTED, /* most are up by that age, so it soon is */
