pumicectl: duties with token and open intents, duty drain, record list and verify

Draining is a conditional write that names the holder's token; without the state service it refuses. The record's files are read to their last whole entry. main.c reads its commands from one table.

--- a/src/cmd/pumicectl/main.c
+++ b/src/cmd/pumicectl/main.c
@@ -1,7 +1,10 @@
-/* pumicectl: what operators ask of a cluster. Reads only. */
+/* pumicectl: what operators ask of a cluster. */
 #include "base/log.h"
 #include "base/settings.h"
+#include "drain.h"
+#include "duties/intent.h"
 #include "jobs/jobs.h"
+#include "record_files.h"
 #include "render.h"
 #include "report.h"
 #include "templates.h"
@@ -17,14 +20,22 @@
 
 static const char summary[] =
     "Commands:\n"
-    "  status      who leads, who answers, how much work there is\n"
-    "  links       who reaches whom, and since when that is known\n"
-    "  duties      who holds which duty, and how fit each controller is for it\n"
-    "  why JOB     why a job does not run\n"
+    "  status                    who leads, who answers, how much work there is\n"
+    "  links                     who reaches whom, and since when that is known\n"
+    "  duties                    who holds which duty, and how fit each controller is for it\n"
+    "  why JOB                   why a job does not run\n"
+    "  duty drain NAME           asks the holder of rent, return or clean to give it up; who\n"
+    "                            rents and returns leads, and leaves the lead\n"
+    "  record list FILE...       the entries of the record of duties\n"
+    "  record verify FILE...     whether its files are whole\n"
     "\n"
     "The settings file is that of any controller: its own address, its peers' and the state\n"
     "service's are asked at the same time. What a controller that does not answer would say is\n"
-    "taken from the others where they know it, marked with who told it and how old it is.\n"
+    "taken from the others where they know it, marked with who told it and how old it is. record\n"
+    "needs no settings.\n"
+    "\n"
+    "duty drain is the only command that changes something: on the condition that the duty is\n"
+    "still held as it was read. Without the state service it refuses; repeating it is harmless.\n"
     "\n"
     "Exit status:\n"
     "  0  all is well\n"
@@ -35,18 +46,94 @@
 struct options {
     char *config, *format;
     double timeout_s;
-    const char *command, *job;
+    const struct command *command;
+    char **words; /* that follow the command's own */
+    int count;
 };
 
+/* A command of one or two words, and what it takes after them. */
 struct command {
-    const char *name, *target, *template_text;
-    struct pm_report (*report)(const struct pm_gathered *gathered);
+    const char *name, *second; /* NULL: of one word */
+    int least, most;           /* words that follow */
+    const char *needs;         /* what these are */
+    bool offline;              /* needs no settings */
+    const char *template_text;
+    bool framed; /* the template stands between those of the begin and the end */
+    struct pm_report (*run)(const struct options *options, const struct pm_settings *settings);
 };
 
+static struct pm_report gather_report(const struct options *options,
+                                      const struct pm_settings *settings,
+                                      struct pm_report (*report)(const struct pm_gathered *))
+{
+    struct pm_gathered gathered;
+    struct pm_report out;
+
+    pm_gather(&gathered, settings, "/toolbox/status", options->timeout_s);
+    out = report(&gathered);
+    pm_gathered_free(&gathered);
+    return out;
+}
+
+static struct pm_report run_status(const struct options *options,
+                                   const struct pm_settings *settings)
+{
+    return gather_report(options, settings, pm_report_status);
+}
+
+static struct pm_report run_links(const struct options *options, const struct pm_settings *settings)
+{
+    return gather_report(options, settings, pm_report_links);
+}
+
+static struct pm_report run_duties(const struct options *options,
+                                   const struct pm_settings *settings)
+{
+    return gather_report(options, settings, pm_report_duties);
+}
+
+static struct pm_report run_why(const struct options *options, const struct pm_settings *settings)
+{
+    struct pm_gathered gathered;
+    struct pm_report out;
+    char target[64];
+
+    snprintf(target, sizeof target, "/toolbox/job/%s", options->words[0]);
+    pm_gather(&gathered, settings, target, options->timeout_s);
+    out = pm_report_why(&gathered, options->words[0]);
+    pm_gathered_free(&gathered);
+    return out;
+}
+
+static struct pm_report run_drain(const struct options *options, const struct pm_settings *settings)
+{
+    return pm_drain(settings, options->words[0], options->timeout_s);
+}
+
+static struct pm_report run_record_list(const struct options *options,
+                                        const struct pm_settings *settings)
+{
+    (void)settings;
+    return pm_record_files(options->words, options->count, true);
+}
+
+static struct pm_report run_record_verify(const struct options *options,
+                                          const struct pm_settings *settings)
+{
+    (void)settings;
+    return pm_record_files(options->words, options->count, false);
+}
+
+enum { FILES_MOST = 4096 };
+
 static const struct command commands[] = {
-    {"status", "/toolbox/status", template_status, pm_report_status},
-    {"links", "/toolbox/status", template_links, pm_report_links},
-    {"duties", "/toolbox/status", template_duties, pm_report_duties},
+    {"status", NULL, 0, 0, "", false, template_status, true, run_status},
+    {"links", NULL, 0, 0, "", false, template_links, true, run_links},
+    {"duties", NULL, 0, 0, "", false, template_duties, true, run_duties},
+    {"why", NULL, 1, 1, "one job", false, template_why, true, run_why},
+    {"duty", "drain", 1, 1, "one duty", false, template_drain, false, run_drain},
+    {"record", "list", 1, FILES_MOST, "files", true, template_record, false, run_record_list},
+    {"record", "verify", 1, FILES_MOST, "files", true, template_record, false, run_record_verify},
 };
 
 static int fail_usage(const char *what)
@@ -55,17 +142,10 @@
     return PM_EXIT_USAGE;
 }
 
-static const struct command *find_command(const char *name)
+static int print_text(const json_t *document, const struct command *command)
 {
-    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-        if (!strcmp(commands[i].name, name))
-            return &commands[i];
-    return NULL;
-}
-
-static int print_text(const json_t *document, const char *template_text)
-{
-    char *whole = g_strconcat(template_begin, template_text, template_end, NULL);
+    char *whole = g_strconcat(command->framed ? template_begin : "", command->template_text,
+                              command->framed ? template_end : "", NULL);
     char *text = pm_render(whole, document);
 
     g_free(whole);
@@ -76,8 +156,7 @@
     return 0;
 }
 
-static int print_report(const struct pm_report *report, const struct options *options,
-                        const char *template_text)
+static int print_report(const struct pm_report *report, const struct options *options)
 {
     int failed;
 
@@ -85,52 +164,61 @@
         failed = json_dumpf(report->document, stdout, JSON_INDENT(2) | JSON_SORT_KEYS);
         putchar('\n');
     } else {
-        failed = print_text(report->document, template_text);
+        failed = print_text(report->document, options->command);
     }
     return failed || fflush(stdout) ? PM_EXIT_WRONG : (int)report->exit;
 }
 
 static int run_command(const struct options *options, const struct pm_settings *settings)
 {
-    const struct command *command = find_command(options->command);
-    struct pm_gathered gathered;
-    struct pm_report report;
-    char target[64];
-    int code;
+    struct pm_report report = options->command->run(options, settings);
+    int code = print_report(&report, options);
 
-    if (command) {
-        pm_gather(&gathered, settings, command->target, options->timeout_s);
-        report = command->report(&gathered);
-    } else {
-        snprintf(target, sizeof target, "/toolbox/job/%s", options->job);
-        pm_gather(&gathered, settings, target, options->timeout_s);
-        report = pm_report_why(&gathered, options->job);
-    }
-    code = print_report(&report, options, command ? command->template_text : template_why);
     json_decref(report.document);
-    pm_gathered_free(&gathered);
     return code;
 }
 
+static const struct command *find_command(int argc, char **argv)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+        if (!strcmp(commands[i].name, argv[1]) &&
+            (!commands[i].second || (argc > 2 && !strcmp(commands[i].second, argv[2]))))
+            return &commands[i];
+    return NULL;
+}
+
 /* NULL, or what is wrong with the words after the options. */
 static const char *read_command(struct options *options, int argc, char **argv)
 {
+    static char wrong[96];
+    const struct command *command;
+    int own;
+
     if (argc < 2)
         return "a command is needed";
-    options->command = argv[1];
-    if (find_command(argv[1]))
-        return argc > 2 ? "unexpected argument" : NULL;
-    if (strcmp(argv[1], "why") != 0)
+    command = find_command(argc, argv);
+    if (!command)
         return "no such command";
-    if (argc != 3)
-        return "why: one job is needed";
-    options->job = argv[2];
-    return pm_jobs_id_valid(argv[2]) ? NULL : "why: not the id of a job";
+    own = command->second ? 3 : 2;
+    options->command = command;
+    options->words = argv + own;
+    options->count = argc - own;
+    if (options->count >= command->least && options->count <= command->most) {
+        if (!strcmp(command->name, "why") && !pm_jobs_id_valid(options->words[0]))
+            return "why: not the id of a job";
+        if (!strcmp(command->name, "duty") && pm_single_duty_find(options->words[0]) < 0)
+            return "duty drain: rent, return or clean";
+        return NULL;
+    }
+    if (!command->most)
+        return "unexpected argument";
+    snprintf(wrong, sizeof wrong, "%s: needs %s", command->name, command->needs);
+    return wrong;
 }
 
 static const char *check_options(const struct options *options)
 {
-    if (!options->config)
+    if (!options->config && !options->command->offline)
         return "--config FILE is needed";
     if (strcmp(options->format, "text") != 0 && strcmp(options->format, "json") != 0)
         return "--format: text or json";
@@ -153,7 +241,8 @@
         return fail_usage(wrong);
     pm_log_setup("error", "pumicectl");
     signal(SIGPIPE, SIG_IGN);
-    if (pm_settings_load(&settings, options->config, err, sizeof err)) {
+    if (!options->command->offline &&
+        pm_settings_load(&settings, options->config, err, sizeof err)) {
         fprintf(stderr, "pumicectl: %s: %s\n", options->config, err);
         return PM_EXIT_USAGE;
     }
--- a/src/cmd/pumicectl/tests/test_pumicectl.c
+++ b/src/cmd/pumicectl/tests/test_pumicectl.c
@@ -14,8 +14,17 @@
 
 #define SOON_S 60.0
 
-static const char operators[] = "links:\n  observe: true\n  decide: true\n  probe_s: 0.5\n"
-                                "  down_s: 1\n  expire_s: 30\n";
+static char record_dir[] = "/tmp/pumicectl-record-XXXXXX";
+
+/* Owned by the caller, for as long as the cluster lasts. */
+static char *make_operators(void)
+{
+    assert_non_null(g_mkdtemp(record_dir));
+    return g_strdup_printf("links:\n  observe: true\n  decide: true\n  probe_s: 0.5\n"
+                           "  down_s: 1\n  expire_s: 30\n"
+                           "duties:\n  fence: true\n  ttl_s: 2\n  record_dir: %s\n",
+                           record_dir);
+}
 
 static struct cluster *cluster;
 
@@ -26,18 +35,40 @@
 
 static int set_up(void **arg)
 {
+    static char *operators; /* a cluster restarts its controllers with it */
+
     (void)arg;
+    operators = make_operators();
     cluster = cluster_new(
         &(struct cluster_settings){3, PM_DAEMON, operators, NULL, !g_getenv("PM_TEST_LOG")});
     cluster_load(cluster, 0.5);
     return cluster_until(cluster, has_begun, SOON_S) ? 0 : -1;
 }
 
+/* The paths of the record's files, in order, and NULL. */
+static GPtrArray *list_records(void)
+{
+    GDir *dir = g_dir_open(record_dir, 0, NULL);
+    GPtrArray *paths = g_ptr_array_new_with_free_func(g_free);
+    const char *name;
+
+    while ((name = g_dir_read_name(dir)))
+        g_ptr_array_add(paths, g_build_filename(record_dir, name, NULL));
+    g_dir_close(dir);
+    return paths;
+}
+
 static int tear_down(void **arg)
 {
+    GPtrArray *paths;
+
     (void)arg;
     cluster_free(cluster);
-    return 0;
+    paths = list_records();
+    for (guint i = 0; i < paths->len; i++)
+        unlink(g_ptr_array_index(paths, i));
+    g_ptr_array_free(paths, TRUE);
+    return rmdir(record_dir);
 }
 
 /* Runs the tool with the settings of that controller. */
@@ -216,10 +247,157 @@
     wait_for_status("status", 0);
 }
 
+/* ---- duties ---- */
+
+/* Of that duty, as `duties` tells it; borrowed from the document. */
+static const json_t *find_single_duty(const json_t *document, const char *name)
+{
+    const json_t *duties = json_object_get(document, "single_duties");
+
+    for (size_t i = 0; i < json_array_size(duties); i++)
+        if (!strcmp(text_in(json_array_get(duties, i), "duty"), name))
+            return json_array_get(duties, i);
+    fail_msg("no duty %s", name);
+    return NULL;
+}
+
+static json_t *drain(const char *duty, int expected)
+{
+    const char *argv[] = {PM_TOOL,    "--config", cluster_config(cluster, 0),
+                          "--format", "json",     "--timeout",
+                          "8",        "duty",     "drain",
+                          duty,       NULL};
+    int status;
+    char *text = cluster_run_tool(cluster, argv, &status);
+    json_t *document = json_loads(text, 0, NULL);
+
+    if (status != expected)
+        fprintf(stderr, "%s\n", text);
+    assert_int_equal(status, expected);
+    assert_non_null(document);
+    g_free(text);
+    return document;
+}
+
+static bool clean_is_held(struct cluster *c)
+{
+    return fake_state_revision(cluster_state(c), "p/duty/clean") > 0;
+}
+
+static void tells_who_holds_each_duty(void **arg)
+{
+    char leader[16];
+    json_t *document;
+    const json_t *duty;
+
+    (void)arg;
+    assert_true(cluster_until(cluster, clean_is_held, SOON_S));
+    document = run_json(2, "duties", NULL, 0);
+    snprintf(leader, sizeof leader, "node-%d", cluster_leader(cluster));
+    duty = find_single_duty(document, "return");
+    assert_string_equal(text_in(duty, "holder"), leader);
+    assert_int_equal(json_integer_value(json_object_get(duty, "token")),
+                     fake_state_revision(cluster_state(cluster), "p/duty/return"));
+    duty = find_single_duty(document, "clean");
+    assert_string_not_equal(text_in(duty, "holder"), ""); /* not the leader's if others are there */
+    json_decref(document);
+}
+
+/* Who rents leads: the lead passes on with the duty, and the work goes on. */
+static void drains_the_duty_of_renting(void **arg)
+{
+    int before = cluster_leader(cluster);
+    uint64_t token = fake_state_revision(cluster_state(cluster), "p/duty/rent");
+    json_t *document;
+
+    (void)arg;
+    document = drain("rent", 0);
+    assert_int_not_equal(cluster_leader(cluster), before);
+    assert_true(fake_state_revision(cluster_state(cluster), "p/duty/rent") > token);
+    assert_string_equal(text_in(document, "outcome"), "its holder has given it up");
+    json_decref(document);
+    assert_int_equal(fake_state_revision(cluster_state(cluster), "p/drain/rent"), 0);
+}
+
+/* Two operators at the same moment: the duty passes on once, and each is told. */
+static void two_operators_drain_once(void **arg)
+{
+    char *command = g_strdup_printf("for i in 1 2; do %s --config %s --timeout 4 --format json "
+                                    "duty drain clean & done; wait",
+                                    PM_TOOL, cluster_config(cluster, 1));
+    const char *argv[] = {"/bin/sh", "-c", command, NULL};
+    uint64_t token = fake_state_revision(cluster_state(cluster), "p/duty/clean");
+    unsigned asked = 0;
+    unsigned refused = 0;
+    int status;
+    char *text;
+
+    (void)arg;
+    text = cluster_run_tool(cluster, argv, &status);
+    for (const char *at = text; (at = strstr(at, "\"outcome\"")); at++) {
+        asked += g_str_has_prefix(at, "\"outcome\": \"its holder has given it up") ||
+                 g_str_has_prefix(at, "\"outcome\": \"its holder is asked");
+        refused += g_str_has_prefix(at, "\"outcome\": \"its holder was asked before") ||
+                   g_str_has_prefix(at, "\"outcome\": \"it has passed on") ||
+                   g_str_has_prefix(at, "\"outcome\": \"nobody holds it");
+    }
+    assert_int_equal(asked, 1);
+    assert_int_equal(refused, 1);
+    assert_true(cluster_until(cluster, clean_is_held, SOON_S));
+    assert_true(fake_state_revision(cluster_state(cluster), "p/duty/clean") > token);
+    g_free(text);
+    g_free(command);
+}
+
+static void refuses_to_drain_without_the_state_service(void **arg)
+{
+    uint64_t token = fake_state_revision(cluster_state(cluster), "p/duty/rent");
+    json_t *document;
+
+    (void)arg;
+    fake_state_outage(cluster_state(cluster), true);
+    document = drain("rent", 1);
+    assert_non_null(strstr(text_in(document, "outcome"), "nothing was changed"));
+    json_decref(document);
+    fake_state_outage(cluster_state(cluster), false);
+    wait_for_status("status", 0);
+    assert_true(fake_state_revision(cluster_state(cluster), "p/duty/rent") >= token);
+}
+
+/* The files of the controllers that run are read to the last entry, and told to be open. */
+static void reads_the_record(void **arg)
+{
+    GPtrArray *paths = list_records();
+    bool rented = false;
+
+    (void)arg;
+    assert_true(paths->len >= 2);
+    for (guint i = 0; i < paths->len; i++) {
+        const char *list[] = {
+            PM_TOOL, "--format", "json", "record", "list", g_ptr_array_index(paths, i), NULL};
+        const char *verify[] = {PM_TOOL, "record", "verify", g_ptr_array_index(paths, i), NULL};
+        int status;
+        char *text = cluster_run_tool(cluster, list, &status);
+        if (status != 1)
+            fprintf(stderr, "%s\n", text);
+        assert_int_equal(status, 1);
+        assert_non_null(strstr(text, "it was never closed"));
+        rented |= strstr(text, "\"event\": \"sent\"") && strstr(text, "\"subject\": \"rent-");
+        g_free(text);
+        text = cluster_run_tool(cluster, verify, &status);
+        assert_int_equal(status, 1);
+        assert_non_null(strstr(text, "read to its last whole entry"));
+        g_free(text);
+    }
+    assert_true(rented);
+    g_ptr_array_free(paths, TRUE);
+}
+
 static void refuses_wrong_use(void **arg)
 {
     static const char *const wrong[][2] = {
-        {"nonsense", NULL}, {"why", NULL}, {"why", "not-a-job"}, {"status", "more"}};
+        {"nonsense", NULL}, {"why", NULL},        {"why", "not-a-job"}, {"status", "more"},
+        {"duty", "drain"},  {"duty", "nonsense"}, {"record", "verify"}, {"record", NULL}};
     int status;
 
     (void)arg;
@@ -307,6 +485,11 @@
         cmocka_unit_test(tells_what_others_know_of_a_dead_one),
         cmocka_unit_test(says_why_a_job_waits),
         cmocka_unit_test(tells_of_an_unreachable_state_service),
+        cmocka_unit_test(tells_who_holds_each_duty),
+        cmocka_unit_test(drains_the_duty_of_renting),
+        cmocka_unit_test(two_operators_drain_once),
+        cmocka_unit_test(refuses_to_drain_without_the_state_service),
+        cmocka_unit_test(reads_the_record),
         cmocka_unit_test(refuses_wrong_use),
         cmocka_unit_test(survives_hostile_answers),
         cmocka_unit_test(nobody_is_reached), /* ends all: the last */
--- a/src/duties/record.c
+++ b/src/duties/record.c
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,7 +24,7 @@
 };
 
 #define PART ".part"
-#define SEAL "closed" /* the event of the last entry of a whole file */
+#define SEAL "sealed" /* the event of the last entry of a whole file; no other entry has it */
 
 struct told {
     bool last; /* ends the thread */
@@ -186,8 +187,8 @@
 
 static void write_entry(struct pm_record *r, struct pm_record_entry *entry)
 {
-    if (r->archive && (entry->day >= r->opened + r->period_s || entry->day < r->opened ||
-                       r->bytes > r->bytes_most / FILES_KEPT))
+    if (r->archive &&
+        (fabs(entry->day - r->opened) >= r->period_s || r->bytes > r->bytes_most / FILES_KEPT))
         close_file(r);
     if (!r->archive && !open_file(r, entry->day))
         return;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -422,6 +422,20 @@
     t->nwrites++;
 }
 
+void pm_txn_write(const struct pm_txn *t, struct pm_buf *out)
+{
+    pm_put_map(out);
+    pm_put_text(out, "if");
+    pm_put_list(out);
+    pm_buf_add(out, t->conditions.data, t->conditions.size);
+    pm_put_end(out);
+    pm_put_text(out, "writes");
+    pm_put_list(out);
+    pm_buf_add(out, t->writes.data, t->writes.size);
+    pm_put_end(out);
+    pm_put_end(out);
+}
+
 void pm_txn_free(struct pm_txn *t)
 {
     pm_buf_free(&t->conditions);
@@ -465,16 +479,7 @@
     struct pm_buf body = {0};
 
     *commit = (struct commit){s, t->nwrites, pm_clock_steady(), done, arg};
-    pm_put_map(&body);
-    pm_put_text(&body, "if");
-    pm_put_list(&body);
-    pm_buf_add(&body, t->conditions.data, t->conditions.size);
-    pm_put_end(&body);
-    pm_put_text(&body, "writes");
-    pm_put_list(&body);
-    pm_buf_add(&body, t->writes.data, t->writes.size);
-    pm_put_end(&body);
-    pm_put_end(&body);
+    pm_txn_write(t, &body);
     s->tokens -= t->nwrites;
     pm_http_call(s->http, s->addr, "POST", "/txn", body.data, body.size, CALL_S, 64 * 1024,
                  on_commit, commit);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -53,6 +53,8 @@
 void pm_txn_put(struct pm_txn *txn, const char *key);
 void pm_txn_put_end(struct pm_txn *txn, uint64_t lease_id); /* 0: no lease */
 void pm_txn_drop(struct pm_txn *txn, const char *key);
+/* The body of its request. */
+void pm_txn_write(const struct pm_txn *txn, struct pm_buf *out);
 void pm_txn_free(struct pm_txn *txn);
 
 /* `status` as of HTTP or PM_HTTP_LOST / PM_HTTP_NOT_SENT; `store_revision` of a 200 or 409;
