--- a/src/base/operator.c
+++ b/src/base/operator.c
@@ -26,7 +26,7 @@
                   .half_life_s = 30,
                   .expire_s = 5,
                   .trace_mb = 16},
-        .duties = {.ttl_s = 5, .record_period_s = 3600, .record_mb = 64},
+        .duties = {.ttl_s = 5, .clean_after_s = 3600, .record_period_s = 3600, .record_mb = 64},
     };
 }
 
@@ -40,7 +40,7 @@
 
 struct duties_form {
     bool *fence;
-    double *ttl_s, *record_period_s;
+    double *ttl_s, *clean_after_s, *record_period_s;
     char *record_dir;
     unsigned *record_mb;
 };
@@ -74,6 +74,7 @@
 static const cyaml_schema_field_t duties_fields[] = {
     CYAML_FIELD_BOOL_PTR("fence", OPTIONAL, struct duties_form, fence),
     CYAML_FIELD_FLOAT_PTR("ttl_s", OPTIONAL, struct duties_form, ttl_s),
+    CYAML_FIELD_FLOAT_PTR("clean_after_s", OPTIONAL, struct duties_form, clean_after_s),
     CYAML_FIELD_STRING_PTR("record_dir", OPTIONAL, struct duties_form, record_dir, 0, 255),
     CYAML_FIELD_FLOAT_PTR("record_period_s", OPTIONAL, struct duties_form, record_period_s),
     CYAML_FIELD_UINT_PTR("record_mb", OPTIONAL, struct duties_form, record_mb),
@@ -172,6 +173,7 @@
     if (form->fence)
         out->fence = *form->fence;
     take(taker, &out->ttl_s, form->ttl_s, "duties.ttl_s", 1, 600);
+    take(taker, &out->clean_after_s, form->clean_after_s, "duties.clean_after_s", 1, 31536000);
     take(taker, &out->record_period_s, form->record_period_s, "duties.record_period_s", 1, 604800);
     if (form->record_dir)
         snprintf(out->record_dir, sizeof out->record_dir, "%s", form->record_dir);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -73,6 +73,7 @@
 struct pm_duties_setting {
     bool fence;             /* rent and return under a lease, a token and durable intents */
     double ttl_s;           /* of the lease */
+    double clean_after_s;   /* a stored key of no use goes after this long without a change */
     char record_dir[256];   /* where the record of actions is kept; "": nowhere */
     double record_period_s; /* one file for each such period */
     unsigned record_mb;     /* how much of it is kept */
--- a/src/cmd/pumicectl/main.c
+++ b/src/cmd/pumicectl/main.c
@@ -15,6 +15,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define STATUS_PATH "/toolbox/status"
+#define CLEANUP_PATH "/toolbox/cleanup"
 #define TIMEOUT_S 3.0
 #define TIMEOUT_MOST_S 60.0
 
@@ -26,6 +28,7 @@
     "  why JOB                   why a job does not run\n"
     "  duty drain NAME           asks the holder of rent, return or clean to give it up; who\n"
     "                            rents and returns leads, and leaves the lead\n"
+    "  cleanup --dry-run         which stored keys the holder of clean takes away, and when\n"
     "  record list FILE...       the entries of the record of duties\n"
     "  record verify FILE...     whether its files are whole\n"
     "\n"
@@ -46,6 +49,7 @@
 struct options {
     char *config, *format;
     double timeout_s;
+    gboolean dry_run;
     const struct command *command;
     char **words; /* that follow the command's own */
     int count;
@@ -63,13 +67,13 @@
 };
 
 static struct pm_report gather_report(const struct options *options,
-                                      const struct pm_settings *settings,
+                                      const struct pm_settings *settings, const char *target,
                                       struct pm_report (*report)(const struct pm_gathered *))
 {
     struct pm_gathered gathered;
     struct pm_report out;
 
-    pm_gather(&gathered, settings, "/toolbox/status", options->timeout_s);
+    pm_gather(&gathered, settings, target, options->timeout_s);
     out = report(&gathered);
     pm_gathered_free(&gathered);
     return out;
@@ -78,18 +82,18 @@
 static struct pm_report run_status(const struct options *options,
                                    const struct pm_settings *settings)
 {
-    return gather_report(options, settings, pm_report_status);
+    return gather_report(options, settings, STATUS_PATH, pm_report_status);
 }
 
 static struct pm_report run_links(const struct options *options, const struct pm_settings *settings)
 {
-    return gather_report(options, settings, pm_report_links);
+    return gather_report(options, settings, STATUS_PATH, pm_report_links);
 }
 
 static struct pm_report run_duties(const struct options *options,
                                    const struct pm_settings *settings)
 {
-    return gather_report(options, settings, pm_report_duties);
+    return gather_report(options, settings, STATUS_PATH, pm_report_duties);
 }
 
 static struct pm_report run_why(const struct options *options, const struct pm_settings *settings)
@@ -110,6 +114,12 @@
     return pm_drain(settings, options->words[0], options->timeout_s);
 }
 
+static struct pm_report run_cleanup(const struct options *options,
+                                    const struct pm_settings *settings)
+{
+    return gather_report(options, settings, CLEANUP_PATH, pm_report_cleanup);
+}
+
 static struct pm_report run_record_list(const struct options *options,
                                         const struct pm_settings *settings)
 {
@@ -132,6 +142,7 @@
     {"duties", NULL, 0, 0, "", false, template_duties, true, run_duties},
     {"why", NULL, 1, 1, "one job", false, template_why, true, run_why},
     {"duty", "drain", 1, 1, "one duty", false, template_drain, false, run_drain},
+    {"cleanup", NULL, 0, 0, "", false, template_cleanup, true, run_cleanup},
     {"record", "list", 1, FILES_MOST, "files", true, template_record, false, run_record_list},
     {"record", "verify", 1, FILES_MOST, "files", true, template_record, false, run_record_verify},
 };
@@ -208,6 +219,8 @@
             return "why: not the id of a job";
         if (!strcmp(command->name, "duty") && pm_single_duty_find(options->words[0]) < 0)
             return "duty drain: rent, return or clean";
+        if ((strcmp(command->name, "cleanup") == 0) != options->dry_run)
+            return "--dry-run goes with cleanup, which does nothing else";
         return NULL;
     }
     if (!command->most)
@@ -258,6 +271,7 @@
         {"format", 0, 0, G_OPTION_ARG_STRING, &options.format, "text (default) or json", "FORMAT"},
         {"timeout", 0, 0, G_OPTION_ARG_DOUBLE, &options.timeout_s,
          "how long to wait for answers, 3 by default", "SECONDS"},
+        {"dry-run", 0, 0, G_OPTION_ARG_NONE, &options.dry_run, "with cleanup: only tell", NULL},
         {0}};
     GOptionContext *context = g_option_context_new("COMMAND - look into a cluster");
     GError *error = NULL;
--- a/src/cmd/pumicectl/report.h
+++ b/src/cmd/pumicectl/report.h
@@ -14,6 +14,7 @@
 struct pm_report pm_report_status(const struct pm_gathered *gathered);
 struct pm_report pm_report_links(const struct pm_gathered *gathered);
 struct pm_report pm_report_duties(const struct pm_gathered *gathered);
+struct pm_report pm_report_cleanup(const struct pm_gathered *gathered);
 struct pm_report pm_report_why(const struct pm_gathered *gathered, const char *job);
 
 #endif
--- a/src/cmd/pumicectl/single_duties.c
+++ b/src/cmd/pumicectl/single_duties.c
@@ -62,3 +62,33 @@
     }
     return rows;
 }
+
+/* ---- cleaning ---- */
+
+/* Who cleans knows best what it would do; any other knows the same keys. */
+static const struct pm_answer *find_cleaner(const struct pm_gathered *gathered)
+{
+    const struct pm_answer *best = NULL;
+
+    for (int i = 0; i < gathered->controllers; i++) {
+        const struct pm_answer *answer = &gathered->controller[i];
+        if (answer->body && (!best || pm_flag_of(answer->body, "cleans")))
+            best = answer;
+    }
+    return best;
+}
+
+struct pm_report pm_report_cleanup(const struct pm_gathered *gathered)
+{
+    json_t *problems = json_array();
+    json_t *document = pm_begin_document(gathered, problems);
+    const struct pm_answer *teller = find_cleaner(gathered);
+    json_t *keys = teller ? json_object_get(teller->body, "keys") : NULL;
+
+    json_object_set_new(document, "told_by", json_string(teller ? teller->name : ""));
+    json_object_set_new(document, "held",
+                        json_boolean(teller && pm_flag_of(teller->body, "cleans")));
+    json_object_set(document, "keys", keys ? keys : json_null());
+    json_object_set_new(document, "any", json_boolean(json_array_size(keys) > 0));
+    return pm_end_document(gathered, document, problems);
+}
--- a/src/cmd/pumicectl/tests/test_pumicectl.c
+++ b/src/cmd/pumicectl/tests/test_pumicectl.c
@@ -22,7 +22,8 @@
     assert_non_null(g_mkdtemp(record_dir));
     return g_strdup_printf("links:\n  observe: true\n  decide: true\n  probe_s: 0.5\n"
                            "  down_s: 1\n  expire_s: 30\n"
-                           "duties:\n  fence: true\n  ttl_s: 2\n  record_dir: %s\n",
+                           "duties:\n  fence: true\n  ttl_s: 2\n  clean_after_s: 4\n"
+                           "  record_dir: %s\n",
                            record_dir);
 }
 
@@ -364,6 +365,36 @@
     assert_true(fake_state_revision(cluster_state(cluster), "p/duty/rent") >= token);
 }
 
+static bool ghost_is_gone(struct cluster *c)
+{
+    return !fake_state_revision(cluster_state(c), "p/links/ghost");
+}
+
+/* What the dry run tells is what the holder of the duty then does. */
+static void tells_what_is_cleaned(void **arg)
+{
+    const char *argv[] = {PM_TOOL,     "--config", cluster_config(cluster, 0),
+                          "--format",  "json",     "cleanup",
+                          "--dry-run", NULL};
+    json_t *document;
+    int status;
+    char *text;
+
+    (void)arg;
+    fake_state_put_number(cluster_state(cluster), "p/links/ghost", "nonsense", 1);
+    cluster_run(cluster, 0.5);
+    text = cluster_run_tool(cluster, argv, &status);
+    document = json_loads(text, 0, NULL);
+    assert_int_equal(status, 0);
+    assert_int_equal(json_array_size(json_object_get(document, "keys")), 1);
+    assert_string_equal(text_in(json_array_get(json_object_get(document, "keys"), 0), "key"),
+                        "p/links/ghost");
+    assert_false(ghost_is_gone(cluster));
+    assert_true(cluster_until(cluster, ghost_is_gone, SOON_S));
+    json_decref(document);
+    g_free(text);
+}
+
 /* The files of the controllers that run are read to the last entry, and told to be open. */
 static void reads_the_record(void **arg)
 {
@@ -396,8 +427,9 @@
 static void refuses_wrong_use(void **arg)
 {
     static const char *const wrong[][2] = {
-        {"nonsense", NULL}, {"why", NULL},        {"why", "not-a-job"}, {"status", "more"},
-        {"duty", "drain"},  {"duty", "nonsense"}, {"record", "verify"}, {"record", NULL}};
+        {"nonsense", NULL},   {"why", NULL},     {"why", "not-a-job"},
+        {"status", "more"},   {"duty", "drain"}, {"duty", "nonsense"},
+        {"record", "verify"}, {"record", NULL},  {"cleanup", NULL}};
     int status;
 
     (void)arg;
@@ -489,6 +521,7 @@
         cmocka_unit_test(drains_the_duty_of_renting),
         cmocka_unit_test(two_operators_drain_once),
         cmocka_unit_test(refuses_to_drain_without_the_state_service),
+        cmocka_unit_test(tells_what_is_cleaned),
         cmocka_unit_test(reads_the_record),
         cmocka_unit_test(refuses_wrong_use),
         cmocka_unit_test(survives_hostile_answers),
--- a/src/cmd/pumicemount/duties.c
+++ b/src/cmd/pumicemount/duties.c
@@ -4,6 +4,12 @@
 #include "base/protocol.h"
 #include "internal.h"
 
+#include <stdio.h>
+
+#define CLEAN_S 1.0 /* between two looks through the stored keys */
+
+enum { CLEAN_SPARE = 6 }; /* changes that stay free in the write budget */
+
 static void on_taken(void *arg)
 {
     pm_node_plan_soon(arg); /* the fleet finishes what is open */
@@ -18,6 +24,40 @@
         pm_leader_step_down(n->lead, "drained by an operator");
 }
 
+/* ---- cleaning ---- */
+
+static void on_cleaned(void *arg, int status, uint64_t store_revision, const cbor_item_t *failed)
+{
+    struct pm_node *n = arg;
+    char text[32];
+
+    (void)store_revision;
+    (void)failed;
+    n->clean_busy = false;
+    snprintf(text, sizeof text, "status %d", status);
+    pm_duties_note(n->duties, PM_SINGLE_CLEAN, "cleaned", "stored keys", text);
+}
+
+/* Takes away some keys that nobody needs; the transaction refuses a holder that was replaced. */
+static void clean(struct pm_node *n, double now)
+{
+    int most = MIN(pm_store_room(n->store, now) - CLEAN_SPARE, n->settings->txn_ops);
+    uint64_t token = pm_duties_token(n->duties, PM_SINGLE_CLEAN);
+    struct pm_txn txn = {0};
+
+    if (n->clean_busy || now - n->clean_at < CLEAN_S || most < 1 ||
+        !pm_duties_holds(n->duties, PM_SINGLE_CLEAN, now))
+        return;
+    n->clean_at = now;
+    pm_txn_if(&txn, PM_DUTY_PREFIX "clean", token);
+    if (!pm_clean_add_due(n->clean, &txn, most, now)) {
+        pm_txn_free(&txn);
+        return;
+    }
+    n->clean_busy = true;
+    pm_store_commit(n->store, &txn, on_cleaned, n);
+}
+
 void pm_node_tick_duties(struct pm_node *n, double now)
 {
     struct pm_duties_grounds grounds = {
@@ -27,6 +67,7 @@
     };
 
     pm_duties_tick(n->duties, &grounds, now);
+    clean(n, now);
 }
 
 void pm_node_make_duties(struct pm_node *n)
@@ -44,4 +85,5 @@
     n->duties = pm_duties_new(n->store, n->settings, setting, pm_leader_boot(n->lead), n->trace,
                               record, &(struct pm_duties_hooks){on_taken, on_drained, n});
     pm_fleet_set_duties(n->fleet, n->duties);
+    n->clean = pm_clean_new(n->settings, setting->clean_after_s);
 }
--- a/src/cmd/pumicemount/internal.h
+++ b/src/cmd/pumicemount/internal.h
@@ -4,6 +4,7 @@
 
 #include "base/http.h"
 #include "blocks/blocks.h"
+#include "duties/clean.h"
 #include "duties/duties.h"
 #include "duties/record.h"
 #include "fleet/fleet.h"
@@ -37,6 +38,9 @@
     struct pm_links *links;
     struct pm_links_trace *trace; /* NULL: none is written */
     struct pm_duties *duties;
+    struct pm_clean *clean;
+    double clean_at; /* stored keys were last looked through */
+    bool clean_busy;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_plan *plan;
--- a/src/cmd/pumicemount/links.c
+++ b/src/cmd/pumicemount/links.c
@@ -45,46 +45,39 @@
     return m && m->state == PM_UP && !m->lent && n->ruling;
 }
 
-static void add_endpoint(struct pm_links_zone_census *census, const struct pm_machine *m)
+static void add_endpoint(struct pm_links_zone_census *census, const char *endpoint)
 {
-    for (int i = 0; i < PM_VIEW_ENDPOINTS; i++)
+    for (int i = 0; i < PM_VIEW_ENDPOINTS && endpoint[0]; i++)
         if (!census->endpoint[i][0]) {
-            g_strlcpy(census->endpoint[i], m->endpoint, sizeof census->endpoint[i]);
+            g_strlcpy(census->endpoint[i], endpoint, sizeof census->endpoint[i]);
             return;
         }
 }
 
-/* Addresses for the others' probes: of machines that are heard, and, where there are too few, of
- * silent ones, which another controller may reach. */
-static void add_endpoints(struct pm_node *n, struct pm_links_zone_census *census, bool silent,
-                          double now)
-{
-    GPtrArray *all = pm_workers_all(n->workers);
-
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (is_ours(n, m) && m->zone >= 0 && m->endpoint[0] &&
-            pm_workers_silent(m, n->settings, now) == silent)
-            add_endpoint(&census[m->zone], m);
-    }
-}
-
+/* Addresses for the others' probes are those of machines that are heard, and, where there are too
+ * few, of silent ones, which another controller may reach. */
 static void count_zones(struct pm_node *n, double now)
 {
     struct pm_links_zone_census census[PM_ZONES_MAX] = {0};
+    struct pm_links_zone_census silent[PM_ZONES_MAX] = {0};
     GPtrArray *all = pm_workers_all(n->workers);
 
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!is_ours(n, m) || m->zone < 0 || !m->reported)
+        if (!is_ours(n, m) || m->zone < 0)
+            continue;
+        add_endpoint(pm_workers_silent(m, n->settings, now) ? &silent[m->zone] : &census[m->zone],
+                     m->endpoint);
+        if (!m->reported)
             continue;
         census[m->zone].up++;
         census[m->zone].deaf += pm_workers_deaf(m, now);
     }
-    add_endpoints(n, census, false, now);
-    add_endpoints(n, census, true, now);
-    for (int zone = 0; zone < n->settings->zones; zone++)
+    for (int zone = 0; zone < n->settings->zones; zone++) {
+        for (int i = 0; i < PM_VIEW_ENDPOINTS; i++)
+            add_endpoint(&census[zone], silent[zone].endpoint[i]);
         pm_links_count_zone(n->links, zone, &census[zone], now);
+    }
 }
 
 /* ---- probes ---- */
@@ -123,10 +116,12 @@
 static void on_view_written(void *arg, int status, uint64_t store_revision,
                             const cbor_item_t *failed)
 {
-    (void)status;
+    struct pm_node *n = arg;
+
     (void)store_revision;
     (void)failed;
-    ((struct pm_node *)arg)->links_busy = false;
+    n->links_busy = false;
+    pm_links_written(n->links, status == 200);
 }
 
 static void write_view(struct pm_node *n, double now)
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -277,6 +277,7 @@
     struct pm_node *n = arg;
     const struct pm_job *job;
 
+    pm_clean_put(n->clean, key, value, revision, pm_clock_steady());
     if (!strcmp(key, "p/epoch") || !strcmp(key, "p/lead") || !strncmp(key, "p/speaks", 8)) {
         pm_leader_put(n->lead, key, value, revision);
         n->tables.protocol_version = pm_leader_protocol_version(n->lead);
@@ -315,6 +316,7 @@
 
     pm_leader_drop(n->lead, key, revision);
     pm_duties_drop(n->duties, key, revision);
+    pm_clean_drop(n->clean, key, revision);
     pm_blocks_drop(n->blocks, key, revision);
     pm_jobs_drop(n->jobs, key, revision);
 }
@@ -325,6 +327,7 @@
 
     pm_leader_relist(n->lead);
     pm_duties_relist(n->duties);
+    pm_clean_relist(n->clean);
     pm_blocks_relist(n->blocks);
     pm_jobs_sweep_begin(n->jobs);
 }
@@ -334,6 +337,7 @@
     struct pm_node *n = arg;
 
     pm_duties_listed(n->duties);
+    pm_clean_listed(n->clean);
     pm_info("node.listed", "edition %llu", (unsigned long long)pm_store_revision(n->store));
 }
 
--- a/src/cmd/pumicemount/toolbox.c
+++ b/src/cmd/pumicemount/toolbox.c
@@ -1,6 +1,7 @@
 /* What operators' tools ask of a controller, on its back address:
  *
  * - GET /toolbox/status: who leads, what this controller sees of the others, counts
+ * - GET /toolbox/cleanup: which stored keys a cleaning run would take away, and why
  * - GET /toolbox/job/ID: why a job does not run, as far as this controller knows
  *
  * Reads only. Answers are CBOR maps; src/cmd/pumicectl reads them. */
@@ -91,6 +92,18 @@
     pm_put_end(out);
 }
 
+static void put_cleanup(struct pm_node *n, struct pm_buf *out, double now)
+{
+    pm_put_map(out);
+    pm_put_pair_text(out, "controller", n->settings->name);
+    pm_put_pair_flag(out, "leads", n->leading);
+    pm_put_pair_flag(out, "confirmed", pm_leader_confirmed(n->lead, now));
+    pm_put_pair_flag(out, "cleans", pm_duties_holds(n->duties, PM_SINGLE_CLEAN, now));
+    pm_put_text(out, "keys");
+    pm_clean_put_status(n->clean, out, now);
+    pm_put_end(out);
+}
+
 /* ---- why a job does not run ---- */
 
 static void put_reason(struct pm_buf *out, const char *reason, const char *detail)
@@ -240,6 +253,8 @@
     }
     if (!strcmp(req->path, TOOLBOX "status"))
         put_status(n, &body, now);
+    else if (!strcmp(req->path, TOOLBOX "cleanup"))
+        put_cleanup(n, &body, now);
     else if (!strncmp(req->path, TOOLBOX_JOB, strlen(TOOLBOX_JOB)) &&
              pm_jobs_id_valid(req->path + strlen(TOOLBOX_JOB)))
         put_job(n, req->path + strlen(TOOLBOX_JOB), &body, now);
--- a/src/duties/duties.c
+++ b/src/duties/duties.c
@@ -13,7 +13,11 @@
 #define LEADER_VACANT_S 4.0 /* by the leader, which has other work, later */
 #define RETRY_S 0.5
 
-enum { PROCESS_SIZE = 24, CLOSED_AT_ONCE = 8 };
+enum {
+    PROCESS_SIZE = 24,
+    CLOSED_AT_ONCE = 8, /* intents that are dropped together, unless the clock comes first */
+    CLOSING_MOST = 32   /* that wait for room in the write budget */
+};
 
 /* One duty: as the replica knows it, and what we have of it. */
 struct duty {
@@ -392,7 +396,7 @@
     struct pm_txn txn = {0};
     char key[sizeof PM_INTENT_PREFIX + PM_INTENT_NAME];
 
-    if (!pm_duties_holds(d, duty, now) || !d->grounds.leads || pm_store_room(d->store, now) < 1) {
+    if (!pm_duties_holds(d, duty, now) || !d->grounds.leads) {
         pm_intent_free(intent);
         return false;
     }
@@ -442,12 +446,15 @@
 void pm_duties_forget_calls(struct pm_duties *d)
 {
     GHashTableIter iter;
-    gpointer intent;
+    gpointer value;
 
     g_hash_table_iter_init(&iter, d->intents);
-    while (g_hash_table_iter_next(&iter, NULL, &intent)) {
-        ((struct pm_intent *)intent)->busy = false;
-        ((struct pm_intent *)intent)->retry_at = 0;
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct pm_intent *intent = value;
+        intent->busy = false;
+        intent->retry_at = 0;
+        for (guint i = 0; i < intent->rentals->len; i++)
+            g_array_index(intent->rentals, struct pm_intent_rental, i).busy = false;
     }
 }
 
@@ -476,16 +483,34 @@
     g_free(closing);
 }
 
-/* Drops what is closing, as many as one transaction takes. */
+/* How many of the duty's open intents are closing. */
+static unsigned count_closing(const struct pm_duties *d, enum pm_single_duty duty)
+{
+    GHashTableIter iter;
+    gpointer value;
+    unsigned closing = 0;
+
+    g_hash_table_iter_init(&iter, d->intents);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct pm_intent *intent = value;
+        closing += intent->closing && intent->duty == duty;
+    }
+    return closing;
+}
+
+/* Drops what is closing, as many as one transaction takes. It can wait for room in the write
+ * budget, though not for ever. */
 static void drop_closed(struct pm_duties *d, enum pm_single_duty duty, double now)
 {
     GPtrArray *open;
     struct closing *closing;
     struct pm_txn txn = {0};
     char key[sizeof PM_INTENT_PREFIX + PM_INTENT_NAME];
-    int most = MIN(pm_store_room(d->store, now), d->settings->txn_ops);
+    unsigned due = count_closing(d, duty);
+    int most = due >= CLOSING_MOST ? d->settings->txn_ops
+                                   : MIN(pm_store_room(d->store, now), d->settings->txn_ops);
 
-    if (d->closing_busy[duty] || !pm_duties_holds(d, duty, now) || most < 1)
+    if (!due || d->closing_busy[duty] || !pm_duties_holds(d, duty, now) || most < 1)
         return;
     open = pm_duties_open(d, duty);
     closing = g_new(struct closing, 1);
@@ -502,31 +527,19 @@
         g_ptr_array_add(closing->names, g_strdup(intent->name));
     }
     g_ptr_array_free(open, TRUE);
-    if (closing->names->len) {
-        d->closing_busy[duty] = true;
-        pm_store_commit(d->store, &txn, on_closed, closing);
-        return;
-    }
-    pm_txn_free(&txn);
-    g_ptr_array_free(closing->names, TRUE);
-    g_free(closing);
+    d->closing_busy[duty] = true;
+    pm_store_commit(d->store, &txn, on_closed, closing);
 }
 
 void pm_duties_close(struct pm_duties *d, const char *name, double now)
 {
     struct pm_intent *intent = pm_duties_find(d, name);
-    GPtrArray *open;
-    unsigned closing = 0;
 
     if (!intent)
         return;
     intent->busy = false;
     intent->closing = true;
-    open = pm_duties_open(d, intent->duty);
-    for (guint i = 0; i < open->len; i++)
-        closing += ((const struct pm_intent *)g_ptr_array_index(open, i))->closing;
-    g_ptr_array_free(open, TRUE);
-    if (closing >= CLOSED_AT_ONCE)
+    if (count_closing(d, intent->duty) >= CLOSED_AT_ONCE)
         drop_closed(d, intent->duty, now);
 }
 
--- a/src/duties/intent.c
+++ b/src/duties/intent.c
@@ -25,6 +25,7 @@
 
     intent->duty = duty;
     intent->machines = g_ptr_array_new_with_free_func(g_free);
+    intent->rentals = g_array_new(FALSE, TRUE, sizeof(struct pm_intent_rental));
     return intent;
 }
 
@@ -33,6 +34,7 @@
     if (!intent)
         return;
     g_ptr_array_free(intent->machines, TRUE);
+    g_array_free(intent->rentals, TRUE);
     g_free(intent);
 }
 
@@ -43,33 +45,69 @@
              (unsigned long long)token, (unsigned long long)number);
 }
 
+void pm_intent_booking(const struct pm_intent *intent, guint rental, char *out, size_t size)
+{
+    snprintf(out, size, "%s-%u", intent->name, rental);
+}
+
+static void write_rentals(const struct pm_intent *intent, struct pm_buf *out)
+{
+    pm_put_text(out, "rentals");
+    pm_put_list(out);
+    for (guint i = 0; i < intent->rentals->len; i++) {
+        const struct pm_intent_rental *rental =
+            &g_array_index(intent->rentals, struct pm_intent_rental, i);
+        pm_put_map(out);
+        pm_put_pair_text(out, "type", rental->type);
+        pm_put_pair_text(out, "zone", rental->zone);
+        pm_put_pair_flag(out, "spot", rental->spot);
+        pm_put_pair_count(out, "count", rental->count);
+        pm_put_end(out);
+    }
+    pm_put_end(out);
+}
+
+static void write_machines(const struct pm_intent *intent, struct pm_buf *out)
+{
+    pm_put_text(out, "machines");
+    pm_put_list(out);
+    for (guint i = 0; i < intent->machines->len; i++)
+        pm_put_text(out, g_ptr_array_index(intent->machines, i));
+    pm_put_end(out);
+}
+
 void pm_intent_write(const struct pm_intent *intent, struct pm_buf *out)
 {
     pm_put_map(out);
     pm_put_pair_text(out, "duty", duty_names[intent->duty]);
     pm_put_pair_count(out, "token", intent->token);
-    if (intent->duty == PM_SINGLE_RENT) {
-        pm_put_pair_text(out, "type", intent->type);
-        pm_put_pair_text(out, "zone", intent->zone);
-        pm_put_pair_flag(out, "spot", intent->spot);
-        pm_put_pair_count(out, "count", intent->count);
-    } else {
-        pm_put_text(out, "machines");
-        pm_put_list(out);
-        for (guint i = 0; i < intent->machines->len; i++)
-            pm_put_text(out, g_ptr_array_index(intent->machines, i));
-        pm_put_end(out);
-    }
+    if (intent->duty == PM_SINGLE_RENT)
+        write_rentals(intent, out);
+    else
+        write_machines(intent, out);
     pm_put_end(out);
 }
 
-static bool read_rental(struct pm_intent *intent, const cbor_item_t *value)
+static bool read_rental(struct pm_intent_rental *rental, const cbor_item_t *value)
+{
+    return !pm_cbor_text(pm_cbor_get(value, "type"), rental->type, sizeof rental->type) &&
+           !pm_cbor_text(pm_cbor_get(value, "zone"), rental->zone, sizeof rental->zone) &&
+           !pm_cbor_flag(pm_cbor_get(value, "spot"), &rental->spot) &&
+           !pm_cbor_count(pm_cbor_get(value, "count"), &rental->count) && rental->type[0] &&
+           rental->count > 0 && rental->count <= PM_INTENT_RENTED;
+}
+
+static bool read_rentals(struct pm_intent *intent, const cbor_item_t *value)
 {
-    return !pm_cbor_text(pm_cbor_get(value, "type"), intent->type, sizeof intent->type) &&
-           !pm_cbor_text(pm_cbor_get(value, "zone"), intent->zone, sizeof intent->zone) &&
-           !pm_cbor_flag(pm_cbor_get(value, "spot"), &intent->spot) &&
-           !pm_cbor_count(pm_cbor_get(value, "count"), &intent->count) && intent->type[0] &&
-           intent->count > 0 && intent->count <= PM_INTENT_RENTED;
+    const cbor_item_t *rentals = pm_cbor_get(value, "rentals");
+
+    for (size_t i = 0; i < pm_cbor_length(rentals); i++) {
+        struct pm_intent_rental rental = {0};
+        if (!read_rental(&rental, pm_cbor_at(rentals, i)))
+            return false;
+        g_array_append_val(intent->rentals, rental);
+    }
+    return intent->rentals->len > 0 && intent->rentals->len <= PM_INTENT_RENTALS;
 }
 
 static bool read_machines(struct pm_intent *intent, const cbor_item_t *value)
@@ -114,7 +152,7 @@
     intent = pm_intent_new((enum pm_single_duty)duty);
     intent->revision = revision;
     well = !pm_cbor_count(pm_cbor_get(value, "token"), &intent->token) && read_key(intent, key) &&
-           (duty == PM_SINGLE_RENT ? read_rental(intent, value) : read_machines(intent, value));
+           (duty == PM_SINGLE_RENT ? read_rentals(intent, value) : read_machines(intent, value));
     if (well)
         return intent;
     pm_intent_free(intent);
--- a/src/duties/intent.h
+++ b/src/duties/intent.h
@@ -1,8 +1,8 @@
 /* Intents: what a controller is about to ask of the cloud, durable before it is asked.
  *
  * An intent names its duty, the duty's fencing token, and either the machines that are to be
- * returned or the rental that is to be requested. It is open from when it is written until the
- * cloud has said what became of the request. */
+ * returned or the rentals that are to be requested: one intent is one write, however many these
+ * are. It is open from when it is written until the cloud has said what became of all of it. */
 #ifndef PM_DUTIES_INTENT_H
 #define PM_DUTIES_INTENT_H
 
@@ -22,20 +22,29 @@
 /* -1: no such duty. */
 int pm_single_duty_find(const char *name);
 
-enum { PM_INTENT_NAME = 64, PM_INTENT_MACHINES = 100, PM_INTENT_RENTED = 50 };
+enum {
+    PM_INTENT_NAME = 64,
+    PM_INTENT_MACHINES = 100, /* in one request to return, */
+    PM_INTENT_RENTED = 50,    /* in one to rent, as the cloud takes them */
+    PM_INTENT_RENTALS = 8     /* requests to rent in one intent */
+};
 
-struct pm_intent {
-    char name[PM_INTENT_NAME]; /* DUTY-TOKEN-NUMBER; also the name of the rental's request */
-    enum pm_single_duty duty;
-    uint64_t token;    /* of the duty, as its writer held it */
-    uint64_t revision; /* of its key, 0: not known to be durable */
-    /* To rent. */
+struct pm_intent_rental {
     char type[PM_NAME_MAX], zone[PM_NAME_MAX];
     bool spot;
     uint64_t count;
-    GPtrArray *machines; /* to return: names, owned; empty for a rental */
+    bool busy, settled; /* this controller's own: a call is under way; the cloud has answered */
+};
+
+struct pm_intent {
+    char name[PM_INTENT_NAME]; /* DUTY-TOKEN-NUMBER */
+    enum pm_single_duty duty;
+    uint64_t token;      /* of the duty, as its writer held it */
+    uint64_t revision;   /* of its key, 0: not known to be durable */
+    GArray *rentals;     /* of struct pm_intent_rental */
+    GPtrArray *machines; /* to be returned: names, owned */
     /* This controller's own. */
-    bool busy;       /* a call for it is under way */
+    bool busy;       /* a call to return is under way */
     bool closing;    /* the cloud has said what became of it; its key is to go */
     double retry_at; /* steady: not to be sent again before */
 };
@@ -45,6 +54,8 @@
 void pm_intent_free(struct pm_intent *intent);
 /* Names it, so that nobody ever names another one alike. */
 void pm_intent_set_name(struct pm_intent *intent, uint64_t token, uint64_t number);
+/* The name of a rental's request to the cloud: that of the intent, and its place in it. */
+void pm_intent_booking(const struct pm_intent *intent, guint rental, char *out, size_t size);
 /* Its value in the state service. */
 void pm_intent_write(const struct pm_intent *intent, struct pm_buf *out);
 /* NULL: the value, or the key, is malformed. */
--- a/src/duties/tests/calls.c
+++ b/src/duties/tests/calls.c
@@ -2,6 +2,7 @@
 #include "duties/duties.h"
 
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* An intent as it was written, and what was done for it. */
@@ -9,7 +10,7 @@
     struct pm_intent *intent;
     double written; /* steady */
     bool open;
-    uint64_t rented;
+    uint64_t rented[PM_INTENT_RENTALS]; /* for each rental */
 };
 
 struct calls {
@@ -78,7 +79,7 @@
     if (g_hash_table_contains(c->intents, intent->name))
         g_string_append_printf(c->violations, "%s is written again\n", key);
     known = g_new0(struct known_intent, 1);
-    *known = (struct known_intent){intent, now, true, 0};
+    *known = (struct known_intent){.intent = intent, .written = now, .open = true};
     g_hash_table_replace(c->intents, intent->name, known);
     for (guint i = 0; i < intent->machines->len; i++)
         g_hash_table_replace(c->return_names, g_strdup(g_ptr_array_index(intent->machines, i)),
@@ -102,12 +103,27 @@
     }
 }
 
+/* The intent of a request's name, and its place there; NULL: nobody intended it. */
+static struct known_intent *find_rental(const struct calls *c, const char *booking, guint *rental)
+{
+    const char *place = strrchr(booking, '-');
+    char *name = place ? g_strndup(booking, (gsize)(place - booking)) : g_strdup("");
+    struct known_intent *known = g_hash_table_lookup(c->intents, name);
+
+    g_free(name);
+    if (!known || known->intent->duty != PM_SINGLE_RENT)
+        return NULL;
+    *rental = (guint)strtoul(place + 1, NULL, 10);
+    return *rental < known->intent->rentals->len ? known : NULL;
+}
+
 static void check_rental(struct calls *c, const struct fleet_call *call)
 {
-    struct known_intent *known = g_hash_table_lookup(c->intents, call->booking);
+    guint rental = 0;
+    struct known_intent *known = find_rental(c, call->booking, &rental);
 
     c->rented++;
-    if (!known || known->intent->duty != PM_SINGLE_RENT) {
+    if (!known) {
         g_string_append_printf(c->violations, "%s is rented as %s, which nobody intended\n",
                                call->machine, call->booking);
         return;
@@ -115,7 +131,8 @@
     if (!known->open)
         g_string_append_printf(c->violations, "%s is rented as %s, which is closed\n",
                                call->machine, call->booking);
-    if (++known->rented > known->intent->count)
+    if (++known->rented[rental] >
+        g_array_index(known->intent->rentals, struct pm_intent_rental, rental).count)
         g_string_append_printf(c->violations, "%s is one more than %s says\n", call->machine,
                                call->booking);
 }
@@ -149,6 +166,11 @@
         check_return(c, call);
 }
 
+void calls_forget(struct calls *c)
+{
+    g_string_truncate(c->violations, 0);
+}
+
 unsigned calls_rented(const struct calls *c)
 {
     return c->rented;
--- a/src/duties/tests/calls.h
+++ b/src/duties/tests/calls.h
@@ -23,6 +23,8 @@
                          uint64_t revision, double now);
 /* The cloud carries a request out. */
 void calls_carried_out(struct calls *calls, const struct fleet_call *call);
+/* The violations found so far are no violations: duties have only just begun. */
+void calls_forget(struct calls *calls);
 unsigned calls_rented(const struct calls *calls);
 unsigned calls_returned(const struct calls *calls);
 /* How often the duty of renting was taken. */
--- a/src/duties/tests/test_calls.c
+++ b/src/duties/tests/test_calls.c
@@ -30,15 +30,15 @@
 static void put_intent(enum pm_single_duty duty, uint64_t token, uint64_t number,
                        const char *machine)
 {
+    struct pm_intent_rental rental = {.type = "m8", .zone = "zone-0", .count = 1};
     struct pm_intent *intent = pm_intent_new(duty);
     struct pm_buf buf = {0};
     cbor_item_t *value;
     char key[128];
 
     pm_intent_set_name(intent, token, number);
-    strcpy(intent->type, "m8");
-    strcpy(intent->zone, "zone-0");
-    intent->count = 1;
+    if (duty == PM_SINGLE_RENT)
+        g_array_append_val(intent->rentals, rental);
     if (machine)
         g_ptr_array_add(intent->machines, g_strdup(machine));
     pm_intent_write(intent, &buf);
@@ -93,7 +93,7 @@
 {
     (void)state;
     put_intent(PM_SINGLE_RENT, RENT_TOKEN, 1, NULL);
-    rent("rent-5-1", "i-1");
+    rent("rent-5-1-0", "i-1");
     drop(PM_INTENT_PREFIX "rent-5-1");
     put_intent(PM_SINGLE_RETURN, RETURN_TOKEN, 2, "i-1");
     return_machine("i-1", "job/0", 1, SILENT_S + 1); /* silent: its return proves it gone */
@@ -121,7 +121,7 @@
 static void finds_a_rental_without_an_intent(void **state)
 {
     (void)state;
-    rent("rent-5-1", "i-1");
+    rent("rent-5-1-0", "i-1");
     assert_found("which nobody intended");
 }
 
@@ -130,7 +130,7 @@
     (void)state;
     put_intent(PM_SINGLE_RENT, RENT_TOKEN, 1, NULL);
     drop(PM_INTENT_PREFIX "rent-5-1");
-    rent("rent-5-1", "i-1");
+    rent("rent-5-1-0", "i-1");
     assert_found("which is closed");
 }
 
@@ -138,9 +138,11 @@
 {
     (void)state;
     put_intent(PM_SINGLE_RENT, RENT_TOKEN, 1, NULL);
-    rent("rent-5-1", "i-1");
-    rent("rent-5-1", "i-2");
+    rent("rent-5-1-0", "i-1");
+    rent("rent-5-1-0", "i-2");
     assert_found("one more than");
+    rent("rent-5-1-1", "i-3"); /* the intent has one rental only */
+    assert_found("rent-5-1-1, which nobody intended");
 }
 
 static void finds_a_return_without_an_intent(void **state)
--- a/src/duties/tests/test_replacements.c
+++ b/src/duties/tests/test_replacements.c
@@ -152,16 +152,21 @@
     return cluster_is_idle(c) && !calls_open(current->calls);
 }
 
-static void begin(struct replacing *r, const char *operator)
+static void begin_with(struct replacing *r, const char *operator, const char * old_daemon)
 {
     *r = (struct replacing){.stopped = -1, .calls = calls_new(SILENT_S)};
     current = r;
-    r->cluster = cluster_new(&(struct cluster_settings){CONTROLLERS, PM_DAEMON, operator, NULL,
-                                                        !g_getenv("PM_TEST_LOG")});
+    r->cluster = cluster_new(&(struct cluster_settings){CONTROLLERS, PM_DAEMON, operator,
+                                                        old_daemon, !g_getenv("PM_TEST_LOG")});
     cluster_observe(r->cluster, on_state_change, r);
     fleet_observe(cluster_fleet(r->cluster), on_call, r);
 }
 
+static void begin(struct replacing *r, const char *operator)
+{
+    begin_with(r, operator, NULL);
+}
+
 static void finish(struct replacing *r)
 {
     cluster_load(r->cluster, 0);
@@ -253,13 +258,48 @@
     calls_free(r.calls);
 }
 
+static bool old_one_leads(struct cluster *c)
+{
+    return cluster_leader(c) == 0;
+}
+
+/* A controller of an earlier version beside new ones, PM_OLD_DAEMON: outside CI, which builds only
+ * one version. Nothing of duties is written until it is replaced as well, whoever leads. */
+static void an_earlier_version_runs_beside(void **arg)
+{
+    struct replacing r;
+
+    (void)arg;
+    begin_with(&r, fenced, g_getenv("PM_OLD_DAEMON"));
+    cluster_load(r.cluster, LOAD_S);
+    assert_true(cluster_until(r.cluster, is_begun, SOON_S));
+    for (int turn = 0; turn < CONTROLLERS && !old_one_leads(r.cluster); turn++) {
+        int leader = cluster_leader(r.cluster);
+        cluster_kill(r.cluster, leader);
+        cluster_until(r.cluster, old_one_leads, REACHED_S);
+        cluster_start(r.cluster, leader);
+    }
+    assert_int_equal(cluster_leader(r.cluster), 0);
+    cluster_run(r.cluster, REACHED_S / 2);
+    assert_int_equal(calls_holders(r.calls), 0);
+    cluster_upgrade(r.cluster);
+    assert_true(cluster_until(r.cluster, is_held, SOON_S));
+    calls_forget(r.calls); /* what was rented without intents is no violation */
+    for (int step = 0; step < STEPS; step++)
+        replace(&r, (enum step)step, PM_SINGLE_RETURN, step % 2 == 0);
+    finish(&r);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(holders_are_replaced_at_every_step),
         cmocka_unit_test(without_duties_nothing_is_intended),
     };
+    const struct CMUnitTest upgrades[] = {cmocka_unit_test(an_earlier_version_runs_beside)};
 
+    if (g_getenv("PM_OLD_DAEMON"))
+        return cmocka_run_group_tests(upgrades, NULL, NULL);
     cmocka_set_test_filter(g_getenv("PM_TEST_FILTER"));
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/fleet/calls.c
+++ b/src/fleet/calls.c
@@ -10,7 +10,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define REFUSED_S 6.0   /* no room of a kind: not asked for again within this, then twice as long, \
+#define REFUSED_S                                                                                  \
+    6.0                 /* no room of a kind: not asked for again within this, then twice as long, \
                          */
 #define REFUSALS_MAX 2  /* doubled so often at most, */
 #define JITTER 0.25     /* give or take this share */
@@ -18,6 +19,11 @@
 #define RENT_TRIES 4    /* without an answer, one after the other */
 #define UNWRITTEN_S 0.5 /* before an intent that was not written is tried again */
 
+/* Of the write budget, intents have this share; there are two duties, and each intent is put and
+ * dropped. */
+#define INTENT_SHARE 0.2
+#define INTENT_WRITES 4
+
 enum { RENT_ANSWER_MAX = 64 * 1024 };
 
 /* A request to the cloud, or the intent that is written before it. */
@@ -25,9 +31,10 @@
     struct pm_fleet *fleet;
     uint64_t round;
     struct pm_rent rent;
-    char name[PM_INTENT_NAME]; /* of the rental's request, and of the intent if there is one */
-    bool fenced;               /* there is an intent */
-    GPtrArray *machines;       /* to be returned, NULL for a rental */
+    char booking[PM_INTENT_NAME + 8]; /* the name of a rental's request */
+    char intent[PM_INTENT_NAME];      /* "": there is none */
+    guint rental;                     /* its place in the intent */
+    GPtrArray *machines;              /* to be returned, NULL for a rental */
     double sent;
     int tries;
 };
@@ -55,45 +62,66 @@
                           const struct pm_buf *body, pm_http_done *done)
 {
     struct pm_fleet *f = call->fleet;
-    double valid_until = call->fenced ? pm_duties_valid_until(f->duties, duty) : 0;
+    double valid_until = 0;
 
     f->in_flight++;
-    if (call->fenced)
-        pm_duties_note(f->duties, duty, "sent", call->name, "");
-    /* Not held any more: 0 would mean no limit, so a time that has passed. */
-    if (call->fenced && valid_until <= 0)
-        valid_until = call->sent;
+    if (call->intent[0]) {
+        pm_duties_note(f->duties, duty, "sent", call->intent, call->booking);
+        valid_until = pm_duties_valid_until(f->duties, duty);
+        if (valid_until <= 0) /* not held any more; 0 would mean no limit */
+            valid_until = call->sent;
+    }
     pm_http_call_until(f->http, f->tables->settings->cloud, "POST", target, body->data, body->size,
                        PM_FLEET_CALL_S, RENT_ANSWER_MAX, valid_until, done, call);
 }
 
+static bool is_settled(const struct pm_intent *intent)
+{
+    for (guint i = 0; i < intent->rentals->len; i++)
+        if (!g_array_index(intent->rentals, struct pm_intent_rental, i).settled)
+            return false;
+    return true;
+}
+
 static bool is_fenced(const struct pm_fleet *f)
 {
     return f->duties && pm_duties_active(f->duties);
 }
 
-/* The cloud has answered, or has not: an intent is closed by any answer that says what became of
+/* The cloud has answered, or has not: an intent is closed once it has said what became of all of
  * it, and else sent again. */
-static void settle_intent(struct call *call, enum pm_single_duty duty, int status, bool settled,
-                          double now)
+static void settle_intent(const struct call *call, enum pm_single_duty duty, int status,
+                          bool settled, double now)
 {
     struct pm_fleet *f = call->fleet;
     struct pm_intent *intent;
-    char text[32];
+    char text[PM_INTENT_NAME + 32];
 
-    if (!call->fenced)
+    if (!call->intent[0])
         return;
-    snprintf(text, sizeof text, "status %d", status);
-    pm_duties_note(f->duties, duty, "answered", call->name, text);
-    intent = pm_duties_find(f->duties, call->name);
+    snprintf(text, sizeof text, "%s status %d", call->booking, status);
+    pm_duties_note(f->duties, duty, "answered", call->intent, text);
+    intent = pm_duties_find(f->duties, call->intent);
     if (!intent)
         return;
-    if (settled) {
-        pm_duties_close(f->duties, call->name, now);
-    } else {
-        intent->busy = false;
+    if (!settled)
         intent->retry_at = now + REPEAT_S;
+    if (duty == PM_SINGLE_RENT) {
+        struct pm_intent_rental *rental =
+            &g_array_index(intent->rentals, struct pm_intent_rental, call->rental);
+        rental->busy = false;
+        rental->settled = settled;
+        settled = is_settled(intent);
     }
+    intent->busy = false;
+    if (settled)
+        pm_duties_close(f->duties, call->intent, now);
+}
+
+/* One intent for each duty at a time, so far apart that they leave the write budget to the jobs. */
+static double intent_pace(const struct pm_fleet *f)
+{
+    return INTENT_WRITES / (INTENT_SHARE * f->tables->settings->state_write_rps);
 }
 
 /* ---- renting ---- */
@@ -106,7 +134,7 @@
     struct pm_buf body = {0};
 
     pm_put_map(&body);
-    pm_put_pair_text(&body, "booking", call->name);
+    pm_put_pair_text(&body, "booking", call->booking);
     pm_put_pair_text(&body, "model", pm_names_text(tables->types, call->rent.type));
     pm_put_pair_text(&body, "room", tables->settings->zone_name[call->rent.zone]);
     pm_put_pair_flag(&body, "borrowed", call->rent.spot);
@@ -181,7 +209,7 @@
     }
     f->in_flight--;
     got = status == 200 ? read_rented(call, body, size) : 0;
-    pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->name, got, call->rent.count,
+    pm_info("fleet.rented", "%s: %zu of %d %s%s, status %d", call->booking, got, call->rent.count,
             pm_names_text(f->tables->types, call->rent.type), call->rent.spot ? " spot" : "",
             status);
     note_answer(f, &call->rent, status, got);
@@ -196,34 +224,74 @@
     f->hooks.changed(f->hooks.arg);
 }
 
+/* A rental of an intent as a request; NULL: of a machine type or zone that is not known here. */
+static struct call *call_of_rental(struct pm_fleet *f, const struct pm_intent *intent, guint index,
+                                   double now)
+{
+    const struct pm_intent_rental *rental =
+        &g_array_index(intent->rentals, struct pm_intent_rental, index);
+    struct pm_rent rent = {pm_names_find(f->tables->types, rental->type),
+                           pm_settings_zone(f->tables->settings, rental->zone), rental->spot,
+                           (int)rental->count};
+    struct call *call;
+
+    if (rent.type < 0 || rent.type >= f->tables->ntypes || rent.zone < 0)
+        return NULL;
+    call = call_new(f, now);
+    call->rent = rent;
+    call->rental = index;
+    g_strlcpy(call->intent, intent->name, sizeof call->intent);
+    pm_intent_booking(intent, index, call->booking, sizeof call->booking);
+    return call;
+}
+
+/* Sends what is neither settled nor under way, as far as there is room. */
+static void send_rentals(struct pm_fleet *f, struct pm_intent *intent, int in_flight_max,
+                         double now)
+{
+    for (guint i = 0; i < intent->rentals->len && f->in_flight < in_flight_max; i++) {
+        struct pm_intent_rental *rental =
+            &g_array_index(intent->rentals, struct pm_intent_rental, i);
+        struct call *call;
+        if (rental->busy || rental->settled || !pm_fleet_may_call(f, now))
+            continue;
+        call = call_of_rental(f, intent, i, now);
+        if (!call) {
+            intent->retry_at = INFINITY; /* said once */
+            pm_error("fleet.intent", "%s: rents %s in %s, which are not known here; kept",
+                     intent->name, rental->type, rental->zone);
+            return;
+        }
+        rental->busy = true;
+        rent_send(call);
+    }
+}
+
 static void on_rent_intended(void *arg, const char *name)
 {
     struct call *call = arg;
     struct pm_fleet *f = call->fleet;
 
-    if (call->round != f->round) {
-        call_free(call); /* whoever holds the duty finishes what was written */
-        return;
-    }
-    f->in_flight--;
-    if (!name) {
-        call_free(call); /* sized anew */
-        return;
+    if (call->round == f->round) { /* else whoever holds the duty finishes what was written */
+        f->in_flight--;
+        if (name)
+            send_rentals(f, pm_duties_find(f->duties, name), PM_INTENT_RENTALS, call->sent);
     }
-    g_strlcpy(call->name, name, sizeof call->name);
-    rent_send(call);
+    call_free(call);
 }
 
-static void rent_fenced(struct call *call, double now)
+static void rent_fenced(struct pm_fleet *f, const struct pm_rent *rents, int count, double now)
 {
-    struct pm_fleet *f = call->fleet;
     struct pm_intent *intent = pm_intent_new(PM_SINGLE_RENT);
+    struct call *call = call_new(f, now);
 
-    call->fenced = true;
-    g_strlcpy(intent->type, pm_names_text(f->tables->types, call->rent.type), sizeof intent->type);
-    g_strlcpy(intent->zone, f->tables->settings->zone_name[call->rent.zone], sizeof intent->zone);
-    intent->spot = call->rent.spot;
-    intent->count = (uint64_t)call->rent.count;
+    for (int i = 0; i < count; i++) {
+        struct pm_intent_rental rental = {.spot = rents[i].spot, .count = (uint64_t)rents[i].count};
+        g_strlcpy(rental.type, pm_names_text(f->tables->types, rents[i].type), sizeof rental.type);
+        g_strlcpy(rental.zone, f->tables->settings->zone_name[rents[i].zone], sizeof rental.zone);
+        g_array_append_val(intent->rentals, rental);
+    }
+    f->rent_intent_at = now;
     f->in_flight++;
     if (pm_duties_intend(f->duties, intent, on_rent_intended, call, now))
         return;
@@ -231,19 +299,26 @@
     call_free(call);
 }
 
-void pm_fleet_rent(struct pm_fleet *f, const struct pm_rent *rent, double now)
+bool pm_fleet_may_rent(const struct pm_fleet *f, double now)
 {
-    struct call *call = call_new(f, now);
+    return !is_fenced(f) || (now - f->rent_intent_at >= intent_pace(f) &&
+                             pm_duties_holds(f->duties, PM_SINGLE_RENT, now));
+}
 
-    call->rent = *rent;
+void pm_fleet_rent(struct pm_fleet *f, const struct pm_rent *rents, int count, double now)
+{
     if (is_fenced(f)) {
-        rent_fenced(call, now);
+        rent_fenced(f, rents, MIN(count, PM_INTENT_RENTALS), now);
         return;
     }
-    /* The epoch is this term's alone, so the name is never used again by anybody. */
-    snprintf(call->name, sizeof call->name, "r-%llu-%llu", (unsigned long long)f->epoch,
-             (unsigned long long)++f->bookings);
-    rent_send(call);
+    for (int i = 0; i < count && pm_fleet_may_call(f, now); i++) {
+        struct call *call = call_new(f, now);
+        call->rent = rents[i];
+        /* The epoch is this term's alone, so the name is never used again by anybody. */
+        snprintf(call->booking, sizeof call->booking, "r-%llu-%llu", (unsigned long long)f->epoch,
+                 (unsigned long long)++f->bookings);
+        rent_send(call);
+    }
 }
 
 /* ---- returning ---- */
@@ -300,7 +375,7 @@
     f->in_flight--;
     if (status == 200)
         confirm_returned(call);
-    else if (!call->fenced)
+    else if (!call->intent[0])
         retry_machines(call, f->filled + REPEAT_S); /* until it is confirmed */
     settle_intent(call, PM_SINGLE_RETURN, status, status == 200, pm_clock_steady());
     pm_info("fleet.released", "%u machines, status %d", call->machines->len, status);
@@ -338,7 +413,8 @@
         call_free(call);
         return;
     }
-    g_strlcpy(call->name, name, sizeof call->name);
+    g_strlcpy(call->intent, name, sizeof call->intent);
+    pm_duties_find(f->duties, name)->busy = true;
     release_send(call);
 }
 
@@ -347,7 +423,7 @@
     struct pm_fleet *f = call->fleet;
     struct pm_intent *intent = pm_intent_new(PM_SINGLE_RETURN);
 
-    call->fenced = true;
+    f->return_intent_at = now;
     for (guint i = 0; i < call->machines->len; i++)
         g_ptr_array_add(intent->machines, g_strdup(g_ptr_array_index(call->machines, i)));
     f->in_flight++;
@@ -368,6 +444,9 @@
     GPtrArray *all = pm_workers_all(f->workers);
     struct call *call = NULL;
 
+    if (is_fenced(f) && (now - f->return_intent_at < intent_pace(f) ||
+                         !pm_duties_holds(f->duties, PM_SINGLE_RETURN, now)))
+        return;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         if (!m || m->state != PM_RELEASING || m->release_retry > now)
@@ -419,45 +498,17 @@
     g_ptr_array_free(open, TRUE);
 }
 
-/* NULL: of a machine type or zone that is not known here; it stays open. */
-static struct call *call_of_intent(struct pm_fleet *f, const struct pm_intent *intent, double now)
+static void send_return(struct pm_fleet *f, struct pm_intent *intent, double now)
 {
     struct call *call = call_new(f, now);
 
-    call->fenced = true;
-    g_strlcpy(call->name, intent->name, sizeof call->name);
-    if (intent->duty == PM_SINGLE_RETURN) {
-        call->machines = g_ptr_array_new_with_free_func(g_free);
-        for (guint i = 0; i < intent->machines->len; i++)
-            g_ptr_array_add(call->machines, g_strdup(g_ptr_array_index(intent->machines, i)));
-        return call;
-    }
-    call->rent = (struct pm_rent){pm_names_find(f->tables->types, intent->type),
-                                  pm_settings_zone(f->tables->settings, intent->zone), intent->spot,
-                                  (int)intent->count};
-    if (call->rent.type >= 0 && call->rent.type < f->tables->ntypes && call->rent.zone >= 0)
-        return call;
-    call_free(call);
-    return NULL;
-}
-
-static void finish_intent(struct pm_fleet *f, struct pm_intent *intent, double now)
-{
-    struct call *call = call_of_intent(f, intent, now);
-
-    if (!call) {
-        intent->retry_at = INFINITY; /* said once */
-        pm_error("fleet.intent", "%s: rents %s in %s, which are not known here; kept", intent->name,
-                 intent->type, intent->zone);
-        return;
-    }
+    call->machines = g_ptr_array_new_with_free_func(g_free);
+    g_strlcpy(call->intent, intent->name, sizeof call->intent);
+    for (guint i = 0; i < intent->machines->len; i++)
+        g_ptr_array_add(call->machines, g_strdup(g_ptr_array_index(intent->machines, i)));
     intent->busy = true;
-    if (intent->duty == PM_SINGLE_RENT) {
-        rent_send(call);
-    } else {
-        mark_returned(f, intent);
-        release_send(call);
-    }
+    mark_returned(f, intent);
+    release_send(call);
 }
 
 void pm_fleet_finish_intents(struct pm_fleet *f, int in_flight_max, double now)
@@ -473,9 +524,12 @@
         open = pm_duties_open(f->duties, duties[k]);
         for (guint i = 0; i < open->len && f->in_flight < in_flight_max; i++) {
             struct pm_intent *intent = g_ptr_array_index(open, i);
-            if (!intent->busy && !intent->closing && intent->retry_at <= now &&
-                pm_fleet_may_call(f, now))
-                finish_intent(f, intent, now);
+            if (intent->busy || intent->closing || intent->retry_at > now)
+                continue;
+            if (duties[k] == PM_SINGLE_RENT)
+                send_rentals(f, intent, in_flight_max, now);
+            else if (pm_fleet_may_call(f, now))
+                send_return(f, intent, now);
         }
         g_ptr_array_free(open, TRUE);
     }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
-enum { RENT_MAX = 64, TYPES_PACE_S = 60 };
+#define LIST_AWAITED_S 5.0 /* after taking the lead, unless the list comes sooner */
+
+enum { RENT_MAX = 64, TYPES_PACE_S = 60, IN_FLIGHT_LEAST = 3 };
 
 struct pm_fleet *pm_fleet_new(struct pm_http_client *http, struct pm_name_tables *tables,
                               struct pm_jobs *jobs, struct pm_workers *workers,
@@ -44,7 +46,7 @@
     f->round++;
     f->bookings = 0;
     f->in_flight = 0;
-    f->list_busy = f->page_due = false;
+    f->list_busy = f->page_due = f->list_known = false;
     f->listed = 0;
     f->flow = f->flow_jobs = f->flow_since = 0;
     f->since[0] = 0;
@@ -89,11 +91,41 @@
     f->writable = writable;
 }
 
-void pm_fleet_run(struct pm_fleet *f, double now, double day)
+/* Whether the machines that there are were told, if the cloud tells them at all. Before that a new
+ * leader, to which no worker has reported yet, would rent for all that runs and waits. */
+static bool knows_machines(const struct pm_fleet *f, double now)
+{
+    return f->list_known || now - f->took_at > LIST_AWAITED_S;
+}
+
+/* Requests for what is to be rented, of so many machines as the cloud takes in one. */
+static int split_rents(const struct pm_rent *rents, int count, struct pm_rent *out, int most)
+{
+    int n = 0;
+
+    for (int i = 0; i < count; i++)
+        for (int left = rents[i].count; left > 0 && n < most; left -= PM_INTENT_RENTED) {
+            out[n] = rents[i];
+            out[n++].count = MIN(left, PM_INTENT_RENTED);
+        }
+    return n;
+}
+
+static void rent_due(struct pm_fleet *f, int in_flight_max, double now, double day)
 {
     struct pm_rent rents[RENT_MAX];
-    int n;
-    int in_flight_max = (int)CLAMP(f->tables->settings->cloud_rps * 0.6, 3, 8);
+    struct pm_rent requests[PM_INTENT_RENTALS];
+    int count = pm_fleet_size(f, now, day, rents, RENT_MAX);
+
+    count = split_rents(rents, count, requests, in_flight_max);
+    if (count)
+        pm_fleet_rent(f, requests, count, now);
+}
+
+void pm_fleet_run(struct pm_fleet *f, double now, double day)
+{
+    int in_flight_max =
+        (int)CLAMP(f->tables->settings->cloud_rps * 0.6, IN_FLIGHT_LEAST, PM_INTENT_RENTALS);
 
     if (!f->tables->ntypes)
         return;
@@ -102,16 +134,8 @@
     if (f->in_flight < in_flight_max)
         pm_fleet_release_due(f, now);
     /* Sized only with no request under way: its machines are not in the tables yet. */
-    if (f->in_flight == 0) {
-        n = pm_fleet_size(f, now, day, rents, RENT_MAX);
-        for (int i = 0; i < n; i++)
-            for (int left = rents[i].count;
-                 left > 0 && f->in_flight < in_flight_max && pm_fleet_may_call(f, now);
-                 left -= PM_INTENT_RENTED) {
-                rents[i].count = MIN(left, PM_INTENT_RENTED);
-                pm_fleet_rent(f, &rents[i], now);
-            }
-    }
+    if (f->in_flight == 0 && knows_machines(f, now) && pm_fleet_may_rent(f, now))
+        rent_due(f, in_flight_max, now, day);
     pm_fleet_list_on(f, now);
     pm_fleet_list_start(f, now);
     if (now - f->types_asked > TYPES_PACE_S)
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -36,7 +36,8 @@
     int in_flight;
     struct kind kind[PM_TYPES_MAX][PM_ZONES_MAX][2]; /* per type, zone, and spot or not */
     bool types_busy, list_busy;
-    bool page_due; /* the next page of the list is yet to be asked for, not before `page_at` */
+    bool list_known; /* a whole list was read since the lead was taken */
+    bool page_due;   /* the next page of the list is yet to be asked for, not before `page_at` */
     double page_at;
     int page_failures; /* in a row */
     double types_asked, listed, list_sent;
@@ -47,7 +48,8 @@
     GArray *bins; /* of struct bin, of the sizing under way */
     /* How much array work comes a second, in processors: fading, and since when it is measured. */
     double flow, flow_jobs, flow_at, flow_since;
-    double spot_cpus; /* on spot machines, up or soon */
+    double spot_cpus;                        /* on spot machines, up or soon */
+    double rent_intent_at, return_intent_at; /* steady: the last intent of each duty */
     bool writable;
     double wrote_at;                 /* steady: placements could be written then */
     double zone_heard[PM_ZONES_MAX]; /* steady: by the leader before, 0: not silent then */
@@ -75,7 +77,9 @@
 void pm_fleet_list_start(struct pm_fleet *f, double now);
 
 /* calls.c */
-void pm_fleet_rent(struct pm_fleet *f, const struct pm_rent *rent, double now);
+bool pm_fleet_may_rent(const struct pm_fleet *f, double now);
+/* Sends these requests, of PM_INTENT_RENTED machines each at most, as far as the limits allow. */
+void pm_fleet_rent(struct pm_fleet *f, const struct pm_rent *rents, int count, double now);
 /* Returns the machines that are marked for it, as many as go into one request. */
 void pm_fleet_release_due(struct pm_fleet *f, double now);
 /* Sends the open intents of the duties that are held. */
--- a/src/fleet/list.c
+++ b/src/fleet/list.c
@@ -138,6 +138,7 @@
         return;
     }
     f->list_busy = false;
+    f->list_known = true;
     read_absent(f, now);
     f->hooks.changed(f->hooks.arg);
 }
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -538,6 +538,76 @@
     ev_loop_destroy(loop);
 }
 
+/* A cloud that has one large machine, unknown to the leader that has just come. */
+static void on_small_cloud(void *arg, struct pm_http_request *req)
+{
+    int *rentals = arg;
+    struct pm_buf body = {0};
+
+    *rentals += req->method == PM_HTTP_POST;
+    pm_put_map(&body);
+    pm_put_text(&body, "hosts");
+    pm_put_list(&body);
+    if (req->method == PM_HTTP_GET) {
+        pm_put_map(&body);
+        pm_put_pair_text(&body, "name_id", "i-000001");
+        pm_put_pair_text(&body, "model", "large");
+        pm_put_pair_text(&body, "room", "a");
+        pm_put_pair_flag(&body, "borrowed", true);
+        pm_put_pair_text(&body, "status", "starting");
+        pm_put_end(&body);
+    }
+    pm_put_end(&body);
+    pm_put_pair_flag(&body, "has_next", false);
+    pm_put_end(&body);
+    pm_http_reply(req, 200, body.data, body.size, 0);
+    pm_buf_free(&body);
+}
+
+struct turns {
+    struct pm_fleet *fleet;
+    int left;
+};
+
+static bool has_run_often(void *arg)
+{
+    struct turns *turns = arg;
+    double now = pm_clock_steady();
+
+    pm_plan_run(plan, now, now);
+    pm_fleet_run(turns->fleet, now, now);
+    return --turns->left <= 0;
+}
+
+/* What the leader before has rented is known once it is listed: until then nothing is rented. */
+static void a_new_leader_reads_the_list_before_it_rents(void **state)
+{
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    struct pm_http_client *http = pm_http_client_new(loop, 8);
+    struct pm_http_server *cloud;
+    struct turns turns = {.left = 200};
+    int rentals = 0;
+
+    (void)state;
+    snprintf(settings.cloud, sizeof settings.cloud, "127.0.0.1:%d", fake_free_port());
+    strcpy(settings.zone_name[0], "a");
+    settings.cloud_rps = 50;
+    settings.list_lag_s = 4;
+    cloud = pm_http_server_new(loop, settings.cloud, 8, on_small_cloud, &rentals);
+    assert_non_null(cloud);
+    turns.fleet = pm_fleet_new(http, &tables, jobs, workers, plan, &op,
+                               &(struct pm_fleet_hooks){.types = on_types, .changed = on_changed});
+    pm_fleet_read_heard(turns.fleet, NULL, pm_clock_steady(), 0); /* takes the lead */
+    wait_for("job-1", PM_ARRAY, 8, 4, 60, 120); /* as much as that machine holds */
+    assert_true(fake_run_until(loop, has_run_often, &turns));
+    assert_true(pm_workers_find(workers, "i-000001")->listed);
+    assert_int_equal(rentals, 0);
+    pm_http_client_free(http);
+    pm_http_server_free(cloud);
+    pm_fleet_free(turns.fleet);
+    ev_loop_destroy(loop);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -554,6 +624,8 @@
         cmocka_unit_test_setup_teardown(a_late_machine_is_kept_for_longer_but_not_for_ever, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(a_large_fleet_is_listed_page_by_page, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_new_leader_reads_the_list_before_it_rents, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(idle_time_work_rents_none, set_up, tear_down),
         cmocka_unit_test_setup_teardown(idle_time_work_gets_its_first_machine, set_up, tear_down),
         cmocka_unit_test_setup_teardown(the_reserve_counts_replicas_that_wait, set_up, tear_down),
--- a/src/links/links.c
+++ b/src/links/links.c
@@ -35,7 +35,7 @@
     struct named_link state, cloud, peer[PM_PEERS_MAX], zone[PM_ZONES_MAX];
     struct pm_fitness_verdict verdict[PM_DUTIES];
     uint64_t stored_revision[PM_CONTROLLERS_MAX]; /* of p/links, as taken */
-    struct pm_view written_view;
+    struct pm_view written_view, writing_view;    /* in the state service; on its way there */
     double written_at, ticked_at, lagging_until;
     double zone_probed[PM_ZONES_MAX];
     unsigned zone_turn[PM_ZONES_MAX]; /* which of a zone's addresses is probed next */
@@ -255,11 +255,6 @@
     return now < links->lagging_until;
 }
 
-double pm_links_lagging_until(const struct pm_links *links)
-{
-    return links->lagging_until;
-}
-
 /* ---- the others' views ---- */
 
 const struct pm_matrix *pm_links_matrix(const struct pm_links *links)
@@ -330,10 +325,18 @@
 void pm_links_write(struct pm_links *links, struct pm_buf *out, double now)
 {
     pm_view_put(&links->matrix, out);
-    links->written_view = links->matrix.view[0];
+    links->writing_view = links->matrix.view[0];
     links->written_at = now;
 }
 
+void pm_links_written(struct pm_links *links, bool written)
+{
+    if (written)
+        links->written_view = links->writing_view;
+    else
+        links->written_at = 0; /* due again at once */
+}
+
 /* ---- probes ---- */
 
 static double last_evidence(const struct pm_link *link)
@@ -386,11 +389,6 @@
 
 /* ---- what follows ---- */
 
-struct pm_fitness_verdict pm_links_verdict(const struct pm_links *links, enum pm_duty duty)
-{
-    return links->verdict[duty];
-}
-
 bool pm_links_is_cut_off(const struct pm_links *links)
 {
     uint8_t state = links->matrix.view[0].state;
--- a/src/links/links.h
+++ b/src/links/links.h
@@ -54,8 +54,6 @@
 void pm_links_tick(struct pm_links *links, bool leads, uint64_t epoch, double now);
 /* This process lags, or stood still a moment ago: answers that it missed say nothing. */
 bool pm_links_lagging(const struct pm_links *links, double now);
-/* Steady time until which that holds. */
-double pm_links_lagging_until(const struct pm_links *links);
 
 /* ---- the others' views ---- */
 
@@ -71,8 +69,9 @@
 /* Whether this controller's value ought to be written: it says something new, or has to be kept
  * fresh for a peer that is not reached. */
 bool pm_links_write_due(const struct pm_links *links, double now);
-/* Writes the value, and counts it as written. */
+/* The value to be written, and what became of that. */
 void pm_links_write(struct pm_links *links, struct pm_buf *out, double now);
+void pm_links_written(struct pm_links *links, bool written);
 
 /* ---- probes: which links have no traffic that tells of them ---- */
 
@@ -84,7 +83,6 @@
 
 /* ---- what follows ---- */
 
-struct pm_fitness_verdict pm_links_verdict(const struct pm_links *links, enum pm_duty duty);
 /* Whether users' requests that need the state service have to be turned away: it is out of this
  * controller's reach. A refusal by the state service itself is not meant. */
 bool pm_links_is_cut_off(const struct pm_links *links);
--- a/src/links/tests/cluster.c
+++ b/src/links/tests/cluster.c
@@ -238,6 +238,13 @@
     c->origins.pid[controller] = 0;
 }
 
+void cluster_upgrade(struct cluster *c)
+{
+    c->settings.old_daemon = NULL;
+    cluster_kill(c, 0);
+    cluster_start(c, 0);
+}
+
 void cluster_pause(struct cluster *c, int controller, bool paused)
 {
     kill(c->origins.pid[controller], paused ? SIGSTOP : SIGCONT);
--- a/src/links/tests/cluster.h
+++ b/src/links/tests/cluster.h
@@ -41,6 +41,8 @@
 void cluster_heal(struct cluster *cluster);
 void cluster_kill(struct cluster *cluster, int controller);
 void cluster_start(struct cluster *cluster, int controller);
+/* Controller 0, which ran the old program, is ended and started with the new one. */
+void cluster_upgrade(struct cluster *cluster);
 void cluster_pause(struct cluster *cluster, int controller, bool paused);
 
 /* Tells of every key that is put or dropped in the state service, before that is answered. */
--- a/src/store/tests/fake_state.c
+++ b/src/store/tests/fake_state.c
@@ -606,6 +606,19 @@
     tell(s);
 }
 
+void fake_state_put_number(struct fake_state *s, const char *key, const char *name, uint64_t number)
+{
+    struct value *value = g_new0(struct value, 1);
+
+    pm_put_map(&value->data);
+    pm_put_pair_count(&value->data, name, number);
+    pm_put_end(&value->data);
+    value->revision = ++s->store_revision;
+    g_tree_replace(s->keys, g_strdup(key), value);
+    note(s, key, true);
+    tell(s);
+}
+
 void fake_state_lapse(struct fake_state *s)
 {
     drop_keys(s, 0);
--- a/src/store/tests/fake_state.h
+++ b/src/store/tests/fake_state.h
@@ -50,6 +50,10 @@
 char *fake_state_hex(const struct fake_state *state, const char *key);
 int fake_state_txns(const struct fake_state *state);
 
+/* Puts a map of one number under the key, as somebody unknown would. */
+void fake_state_put_number(struct fake_state *state, const char *key, const char *name,
+                           uint64_t number);
+
 /* A free loopback port, and running the loop until `done` says so (false: never within a minute).
  */
 int fake_free_port(void);
