--- a/src/cmd/pumicectl/drain.c
+++ b/src/cmd/pumicectl/drain.c
@@ -99,11 +99,10 @@
                                double timeout_s)
 {
     double until = pm_clock_steady() + timeout_s;
-    struct known next = {0};
 
     while (pm_clock_steady() < until) {
+        struct known next = read_key(client, PM_DUTY_PREFIX, duty);
         ev_timer poll;
-        next = read_key(client, PM_DUTY_PREFIX, duty);
         if (next.stamp && next.stamp != token)
             return next;
         ev_timer_init(&poll, on_poll, POLL_S, 0.);
--- a/src/duties/tests/calls.c
+++ b/src/duties/tests/calls.c
@@ -107,9 +107,13 @@
 static struct known_intent *find_rental(const struct calls *c, const char *booking, guint *rental)
 {
     const char *place = strrchr(booking, '-');
-    char *name = place ? g_strndup(booking, (gsize)(place - booking)) : g_strdup("");
-    struct known_intent *known = g_hash_table_lookup(c->intents, name);
+    char *name;
+    struct known_intent *known;
 
+    if (!place)
+        return NULL;
+    name = g_strndup(booking, (gsize)(place - booking));
+    known = g_hash_table_lookup(c->intents, name);
     g_free(name);
     if (!known || known->intent->duty != PM_SINGLE_RENT)
         return NULL;
