--- /dev/null
+++ b/src/duties/internal.h
@@ -0,0 +1,75 @@
+/* What the parts of the duties slice share; nobody else includes it. */
+#ifndef PM_DUTIES_PARTS_H
+#define PM_DUTIES_PARTS_H
+
+#include "duties/duties.h"
+
+enum {
+    PROCESS_SIZE = 24,
+    CLOSED_AT_ONCE = 8, /* intents that are dropped together, unless the clock comes first */
+    CLOSING_MOST = 32   /* that wait for room in the write budget */
+};
+
+/* One duty: as the replica knows it, and what we have of it. */
+struct duty {
+    uint64_t revision; /* 0: nobody holds it */
+    char holder[PM_NAME_MAX], boot[PROCESS_SIZE];
+    uint64_t drain_revision, drain_token;
+    uint64_t token; /* ours, 0: not held */
+    bool taking, draining, unreadable;
+    double vacant_since, stand_back_until; /* steady */
+    double held_since;                     /* steady: since when the holder is as it is */
+};
+
+struct pm_duties {
+    struct pm_store *store;
+    const struct pm_settings *settings;
+    const struct pm_duties_setting *setting;
+    const char *boot;
+    struct pm_links_trace *trace;
+    struct pm_record *record;
+    struct pm_duties_hooks hooks;
+    struct pm_duties_grounds grounds;
+    struct duty duty[PM_SINGLE_DUTIES];
+    bool others_began; /* another controller has written duties or intents */
+    uint64_t lease_id; /* 0: none */
+    double lease_sent, renew_at, valid_until;
+    bool hold_busy, renew_busy;
+    GHashTable *intents; /* name to struct pm_intent: open */
+    GHashTable *writing; /* name to struct writing */
+    GHashTable *listed;  /* names that the listing under way has told, NULL: none is */
+    uint64_t last_number;
+    bool closing_busy[PM_SINGLE_DUTIES];
+};
+
+/* duties.c */
+/* For the log, the record and the trace: a duty was taken or lost. */
+void pm_duties_note_duty(struct pm_duties *d, enum pm_single_duty duty, const char *event,
+                         uint64_t token, const char *why);
+
+/* holding.c: the lease, and who holds what */
+void pm_duty_key(enum pm_single_duty duty, char *out, size_t size);
+void pm_drain_key(enum pm_single_duty duty, char *out, size_t size);
+/* Whether the duty is the leader's, and can't be anybody else's. */
+bool pm_duties_follows_lead(enum pm_single_duty duty);
+/* Whether the key, as the replica has it, was written by this process. */
+bool pm_duties_is_ours(const struct pm_duties *d, const struct duty *duty);
+void pm_duties_gain(struct pm_duties *d, enum pm_single_duty duty, uint64_t token);
+void pm_duties_lose(struct pm_duties *d, enum pm_single_duty duty, const char *why);
+/* An operator asked for the duty, and its key has gone. */
+void pm_duties_given_up(struct pm_duties *d, enum pm_single_duty duty);
+void pm_duties_keep_lease(struct pm_duties *d, double now);
+/* The leader takes what follows the lead from whoever has it: the epoch says that it may. */
+void pm_duties_take_as_leader(struct pm_duties *d);
+void pm_duties_take_if_vacant(struct pm_duties *d, enum pm_single_duty duty, double now);
+/* The duty and the request for it go in one transaction. */
+void pm_duties_drain_if_asked(struct pm_duties *d, enum pm_single_duty duty);
+
+/* intents.c */
+void pm_duties_put_intent(struct pm_duties *d, const char *key, const cbor_item_t *value,
+                          uint64_t revision);
+/* Drops what is closing, as many as one transaction takes. It can wait for room in the write
+ * budget, though not for ever. */
+void pm_duties_drop_closed(struct pm_duties *d, enum pm_single_duty duty, double now);
+
+#endif
