--- a/src/duties/tests/test_replacements.c
+++ b/src/duties/tests/test_replacements.c
@@ -2,7 +2,8 @@
  * deciding, intending, sending, being answered and recording, replaced, and back.
  *
  * What the cloud carried out is checked against what the state service held. PM_REPLACEMENTS and
- * PM_SEED make longer runs, outside CI. */
+ * PM_SEED make longer runs, outside CI; PM_FIRST_DAEMON is run in place of controller 0, say with a
+ * wall clock that jumps. */
 #include "../../links/tests/cluster.h"
 #include "base/clock.h"
 #include "calls.h"
@@ -22,6 +23,8 @@
 #define ACTS_S 0.7     /* for which the next holder acts before the one before is back */
 #define SILENT_S 2.0
 #define LOAD_S 0.5 /* between two jobs */
+#define LATE_S 7.0 /* longer than the cloud's answer is awaited */
+#define BACK_S 0.3
 
 enum { CONTROLLERS = 3, REPLACEMENTS = 20, SEED = 1 };
 
@@ -44,7 +47,9 @@
     enum step step;
     enum pm_single_duty duty;
     bool armed, killed;
-    int stopped; /* the controller, -1: none */
+    int stopped;       /* the controller, -1: none */
+    double stopped_at; /* steady, 0: another one has taken the duty since */
+    GArray *gaps[2];   /* seconds without a holder: after pauses, after ends */
 };
 
 /* ---- stopping the holder ---- */
@@ -57,6 +62,7 @@
         return;
     r->armed = false;
     r->stopped = leader;
+    r->stopped_at = pm_clock_steady();
     cluster_pause(r->cluster, leader, true); /* at once: nothing more of it gets out */
 }
 
@@ -68,11 +74,22 @@
            g_str_has_prefix(name, pm_single_duty_name(r->duty));
 }
 
+static void note_holder(struct replacing *r)
+{
+    double gap = pm_clock_steady() - r->stopped_at;
+
+    if (r->stopped_at > 0)
+        g_array_append_val(r->gaps[r->killed], gap);
+    r->stopped_at = 0;
+}
+
 static void on_state_change(void *arg, const char *key, const cbor_item_t *data, uint64_t revision)
 {
     struct replacing *r = arg;
 
     calls_state_changed(r->calls, key, data, revision, pm_clock_steady());
+    if (data && !strcmp(key, PM_DUTY_PREFIX "rent"))
+        note_holder(r);
     if (is_of_duty(r, key) &&
         ((r->step == STEP_INTENDED && data) || (r->step == STEP_RECORDED && !data)))
         stop_holder(r);
@@ -123,8 +140,27 @@
     r->stopped = -1;
 }
 
+static int next_holder; /* for a_third_holds */
+
+static bool a_third_holds(struct cluster *c)
+{
+    int leader = cluster_leader(c);
+
+    return leader >= 0 && leader != current->stopped && leader != next_holder;
+}
+
+/* The next holder ends too, so that the first one wakes after two changes. */
+static void replace_again(struct replacing *r)
+{
+    next_holder = cluster_leader(r->cluster);
+    cluster_kill(r->cluster, next_holder);
+    assert_true(cluster_until(r->cluster, a_third_holds, SOON_S));
+    cluster_start(r->cluster, next_holder);
+}
+
 /* False: the step was not reached. */
-static bool replace(struct replacing *r, enum step step, enum pm_single_duty duty, bool killed)
+static bool replace(struct replacing *r, enum step step, enum pm_single_duty duty, bool killed,
+                    bool twice)
 {
     char key[64];
 
@@ -143,6 +179,8 @@
     }
     assert_true(cluster_until(r->cluster, another_holds, SOON_S));
     cluster_run(r->cluster, ACTS_S);
+    if (twice)
+        replace_again(r);
     resume(r);
     return true;
 }
@@ -155,6 +193,8 @@
 static void begin_with(struct replacing *r, const char *operator, const char * old_daemon)
 {
     *r = (struct replacing){.stopped = -1, .calls = calls_new(SILENT_S)};
+    for (int killed = 0; killed < 2; killed++)
+        r->gaps[killed] = g_array_new(FALSE, FALSE, sizeof(double));
     current = r;
     r->cluster = cluster_new(&(struct cluster_settings){CONTROLLERS, PM_DAEMON, operator,
                                                         old_daemon, !g_getenv("PM_TEST_LOG")});
@@ -167,6 +207,14 @@
     begin_with(r, operator, NULL);
 }
 
+static void end(struct replacing *r)
+{
+    cluster_free(r->cluster);
+    calls_free(r->calls);
+    for (int killed = 0; killed < 2; killed++)
+        g_array_free(r->gaps[killed], TRUE);
+}
+
 static void finish(struct replacing *r)
 {
     cluster_load(r->cluster, 0);
@@ -176,8 +224,7 @@
     assert_string_equal(calls_violations(r->calls), "");
     assert_string_equal(history_violations(cluster_history(r->cluster)), "");
     assert_int_equal(calls_open(r->calls), 0); /* whoever holds the duties finishes what is open */
-    cluster_free(r->cluster);
-    calls_free(r->calls);
+    end(r);
 }
 
 static bool has_returned(struct cluster *c)
@@ -200,7 +247,7 @@
 /* Nothing is rented before all controllers are known to know duties. */
 static void begin_fenced(struct replacing *r)
 {
-    begin(r, fenced);
+    begin_with(r, fenced, g_getenv("PM_FIRST_DAEMON"));
     assert_true(cluster_until(r->cluster, is_held, SOON_S));
     cluster_load(r->cluster, LOAD_S);
     assert_true(cluster_until(r->cluster, is_begun, SOON_S));
@@ -213,6 +260,28 @@
     return text ? strtol(text, NULL, 10) : otherwise;
 }
 
+static gint by_size(gconstpointer a, gconstpointer b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+
+    return x < y ? -1 : x > y;
+}
+
+static void print_gaps(const struct replacing *r)
+{
+    static const char *const names[] = {"paused", "ended"};
+
+    for (int killed = 0; killed < 2; killed++) {
+        GArray *gaps = r->gaps[killed];
+        g_array_sort(gaps, by_size);
+        if (gaps->len)
+            printf("without a holder, %s: median %.2f s, most %.2f s of %u\n", names[killed],
+                   g_array_index(gaps, double, gaps->len / 2),
+                   g_array_index(gaps, double, gaps->len - 1), gaps->len);
+    }
+}
+
 /* Every step, of both duties, paused and killed in turn; the seed says in what order. */
 static void holders_are_replaced_at_every_step(void **arg)
 {
@@ -227,7 +296,8 @@
     for (long i = 0; done < wanted && missed < wanted; i++) {
         enum step step = (enum step)(i % STEPS);
         enum pm_single_duty duty = g_rand_boolean(random) ? PM_SINGLE_RENT : PM_SINGLE_RETURN;
-        bool reached = replace(&r, step, duty, g_rand_int_range(random, 0, 3) == 0);
+        bool killed = g_rand_int_range(random, 0, 3) == 0;
+        bool reached = replace(&r, step, duty, killed, g_rand_int_range(random, 0, 5) == 0);
         done += reached;
         missed += !reached;
         if (*calls_violations(r.calls))
@@ -235,6 +305,7 @@
     }
     printf("%ld replacements, %ld steps not reached; %u machines rented, %u returned, %u holders\n",
            done, missed, calls_rented(r.calls), calls_returned(r.calls), calls_holders(r.calls));
+    print_gaps(&r);
     assert_true(done >= wanted || *calls_violations(r.calls));
     assert_true(calls_holders(r.calls) > (unsigned)done / 2);
     finish(&r);
@@ -254,8 +325,86 @@
     assert_true(cluster_until(r.cluster, has_returned, SOON_S));
     assert_non_null(strstr(calls_violations(r.calls), "which nobody intended"));
     assert_non_null(strstr(calls_violations(r.calls), "no open intent says so"));
-    cluster_free(r.cluster);
-    calls_free(r.calls);
+    end(&r);
+}
+
+/* Requests that are refused, not answered, or carried out after they were given up. */
+static void the_cloud_refuses_and_is_late(void **arg)
+{
+    struct replacing r;
+    struct fleet *fleet;
+
+    (void)arg;
+    begin_fenced(&r);
+    fleet = cluster_fleet(r.cluster);
+    fleet_refuse(fleet, 429, 3);
+    fleet_fail_machine(fleet);
+    cluster_run(r.cluster, REACHED_S / 3);
+    fleet_refuse(fleet, 503, 3);
+    fleet_fail_machine(fleet);
+    cluster_run(r.cluster, REACHED_S / 3);
+    fleet_delay_return(fleet, LATE_S);
+    fleet_fail_machine(fleet);
+    assert_true(cluster_until(r.cluster, has_returned, SOON_S));
+    cluster_run(r.cluster, LATE_S);
+    finish(&r);
+}
+
+/* All controllers end while a request is under way, and are back within a fraction of a second. */
+static void all_end_at_once(void **arg)
+{
+    struct replacing r;
+
+    (void)arg;
+    begin_fenced(&r);
+    for (int step = STEP_INTENDED; step < STEPS; step++) {
+        r.step = (enum step)step;
+        r.duty = PM_SINGLE_RETURN;
+        r.armed = true;
+        fleet_fail_machine(cluster_fleet(r.cluster));
+        assert_true(cluster_until(r.cluster, is_stopped, SOON_S));
+        for (int i = 0; i < CONTROLLERS; i++)
+            cluster_kill(r.cluster, i);
+        cluster_run(r.cluster, BACK_S);
+        for (int i = 0; i < CONTROLLERS; i++)
+            cluster_start(r.cluster, i);
+        r.stopped = -1;
+        assert_true(cluster_until(r.cluster, another_holds, SOON_S));
+        cluster_run(r.cluster, ACTS_S);
+    }
+    finish(&r);
+}
+
+/* An operator asks the holder to give up a duty, and it ends at that moment; then one that is well
+ * is asked, twice. */
+static void a_holder_is_drained_and_ends(void **arg)
+{
+    static const char drain[] = PM_DRAIN_PREFIX "return";
+    static const char duty[] = PM_DUTY_PREFIX "return";
+    struct replacing r;
+    struct fake_state *state;
+    uint64_t token;
+
+    (void)arg;
+    begin_fenced(&r);
+    state = cluster_state(r.cluster);
+    token = fake_state_revision(state, duty);
+    r.stopped = cluster_leader(r.cluster);
+    fake_state_put_number(state, drain, "token", token);
+    cluster_kill(r.cluster, r.stopped);
+    assert_true(cluster_until(r.cluster, another_holds, SOON_S));
+    cluster_start(r.cluster, r.stopped);
+    cluster_run(r.cluster, ACTS_S);
+    assert_true(fake_state_revision(state, duty) > token);
+    assert_int_equal(fake_state_revision(state, drain), 0); /* the next holder took it away */
+    token = fake_state_revision(state, duty);
+    r.stopped = cluster_leader(r.cluster);
+    fake_state_put_number(state, drain, "token", token);
+    fake_state_put_number(state, drain, "token", token);
+    assert_true(cluster_until(r.cluster, another_holds, SOON_S));
+    cluster_run(r.cluster, ACTS_S);
+    assert_true(fake_state_revision(state, duty) > token);
+    finish(&r);
 }
 
 static bool old_one_leads(struct cluster *c)
@@ -286,7 +435,7 @@
     assert_true(cluster_until(r.cluster, is_held, SOON_S));
     calls_forget(r.calls); /* what was rented without intents is no violation */
     for (int step = 0; step < STEPS; step++)
-        replace(&r, (enum step)step, PM_SINGLE_RETURN, step % 2 == 0);
+        replace(&r, (enum step)step, PM_SINGLE_RETURN, step % 2 == 0, false);
     finish(&r);
 }
 
@@ -294,6 +443,9 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(holders_are_replaced_at_every_step),
+        cmocka_unit_test(the_cloud_refuses_and_is_late),
+        cmocka_unit_test(all_end_at_once),
+        cmocka_unit_test(a_holder_is_drained_and_ends),
         cmocka_unit_test(without_duties_nothing_is_intended),
     };
     const struct CMUnitTest upgrades[] = {cmocka_unit_test(an_earlier_version_runs_beside)};
--- a/src/links/tests/fleet.c
+++ b/src/links/tests/fleet.c
@@ -71,6 +71,10 @@
     void *observer_arg;
     bool lose_rental, lose_return; /* the next answer to such a request */
     GPtrArray *unanswered;         /* requests that stay so */
+    int refused_status, refusals;  /* of the next requests */
+    double return_delay_s;         /* of the next return, 0: none */
+    cbor_item_t *late_return;      /* carried out at `late_at` */
+    double late_at;
 };
 
 double fleet_run_s(const char *job)
@@ -328,6 +332,8 @@
         send_report(m, now);
 }
 
+static void release(struct fleet *f, const cbor_item_t *body);
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
     struct fleet *f = w->data;
@@ -341,6 +347,11 @@
             live(m, now);
     }
     history_check_cancelled(f->history, now);
+    if (f->late_return && now >= f->late_at) {
+        release(f, f->late_return);
+        pm_cbor_free(f->late_return);
+        f->late_return = NULL;
+    }
 }
 
 /* ---- the cloud ---- */
@@ -550,8 +561,16 @@
     struct fleet *f = arg;
     cbor_item_t *body = pm_cbor_parse(req->body, req->body_size);
 
-    if (!strcmp(req->path, "/machine_types")) {
+    if (req->method == PM_HTTP_POST && f->refusals > 0) {
+        f->refusals--;
+        pm_http_reply(req, f->refused_status, NULL, 0, 0);
+    } else if (!strcmp(req->path, "/machine_types")) {
         list_types(f, req);
+    } else if (!strcmp(req->path, "/machines/release") && f->return_delay_s > 0) {
+        g_ptr_array_add(f->unanswered, req);
+        f->late_return = cbor_incref(body);
+        f->late_at = pm_clock_steady() + f->return_delay_s;
+        f->return_delay_s = 0;
     } else if (!strcmp(req->path, "/machines/release")) {
         release(f, body);
         if (f->lose_return)
@@ -586,6 +605,17 @@
     return false;
 }
 
+void fleet_refuse(struct fleet *f, int status, int requests)
+{
+    f->refused_status = status;
+    f->refusals = requests;
+}
+
+void fleet_delay_return(struct fleet *f, double seconds)
+{
+    f->return_delay_s = seconds;
+}
+
 void fleet_lose_answer(struct fleet *f, bool rental)
 {
     f->lose_rental = rental;
--- a/src/links/tests/fleet.h
+++ b/src/links/tests/fleet.h
@@ -32,6 +32,11 @@
 /* The next request to rent, or to return, is carried out and never answered. */
 void fleet_lose_answer(struct fleet *fleet, bool rental);
 
+/* The next so many requests to rent or return get that status, and are not carried out. */
+void fleet_refuse(struct fleet *fleet, int status, int requests);
+/* The next request to return is carried out that much later, and never answered. */
+void fleet_delay_return(struct fleet *fleet, double seconds);
+
 struct fleet *fleet_new(struct ev_loop *loop, const struct fleet_settings *settings,
                         struct history *history);
 /* All machines and the cloud are gone: nobody is called any more. */
--- a/src/links/tests/test_cuts.c
+++ b/src/links/tests/test_cuts.c
@@ -18,7 +18,8 @@
 enum { CONTROLLERS = 4 };
 
 static const char deciding[] = "links:\n  observe: true\n  decide: true\n  probe_s: 0.5\n"
-                               "  down_s: 1\n  expire_s: 4\n";
+                               "  down_s: 1\n  expire_s: 4\n"
+                               "duties:\n  fence: true\n  ttl_s: 2\n"; /* as in deploy/ */
 
 static const struct cut black_hole = {.from_controller = true, .to_controller = true};
 static const struct cut refused = {.reset = true};
