--- a/src/duties/duties.c
+++ b/src/duties/duties.c
@@ -78,7 +78,6 @@
                  pm_single_duty_name(name));
         duty->holder[0] = duty->boot[0] = 0;
     }
-    d->others_began |= strcmp(duty->holder, d->settings->name) != 0;
     if (!pm_duties_is_ours(d, duty)) {
         if (revision > duty->token)
             pm_duties_lose(d, name, "another controller holds it");
--- a/src/duties/holding.c
+++ b/src/duties/holding.c
@@ -13,7 +13,7 @@
 
 bool pm_duties_active(const struct pm_duties *d)
 {
-    return d->grounds.supported && (d->setting->fence || d->others_began);
+    return d->grounds.supported && (d->setting->fence || g_hash_table_size(d->intents) > 0);
 }
 
 uint64_t pm_duties_token(const struct pm_duties *d, enum pm_single_duty duty)
--- a/src/duties/intents.c
+++ b/src/duties/intents.c
@@ -202,7 +202,6 @@
     struct pm_intent *known = g_hash_table_lookup(d->intents, name);
     struct pm_intent *intent;
 
-    d->others_began = true;
     if (d->listed)
         g_hash_table_add(d->listed, g_strdup(name));
     if (writing) {
--- a/src/duties/internal.h
+++ b/src/duties/internal.h
@@ -31,7 +31,6 @@
     struct pm_duties_hooks hooks;
     struct pm_duties_grounds grounds;
     struct duty duty[PM_SINGLE_DUTIES];
-    bool others_began; /* another controller has written duties or intents */
     uint64_t lease_id; /* 0: none */
     double lease_sent, renew_at, valid_until;
     bool hold_busy, renew_busy;
