--- a/src/duties/tests/test_duties.c
+++ b/src/duties/tests/test_duties.c
@@ -309,9 +309,6 @@
     assert_true(pm_duties_active(first.duties));
 }
 
-static bool intend(struct controller *c, const char *machine);
-static bool is_settled(void *arg);
-
 /* Where duties are switched off, open intents of others are finished all the same; with the last of
  * them it is as if there had been none. */
 static void what_others_began_is_kept_to(void **arg)
