Review: one writer thread, one search for a peer, one way to send a return

Behaviour stays as it was; tests keep their assertions. - The trace and the record each had a bounded queue, a thread and a last message: base/writer. - A peer by its name was searched for in five places: pm_settings_peer. - HTTP server and client sent the rest of a buffer, and ended a message, alike: http_socket.c. - A return was sent from a new intent in one way and from an open one in another: send_return. - The sums by kind of machine were cleared in a loop beside the one that clears kinds already. - Open and closing intents were counted by two loops, one of which sorted them first. - pumicectl's commands that only gather say what they ask in the table, without a function each. - Every stored key, jobs too, went through the cleaner and read a clock for it; now those of its own do. Ruled out: constructors and lists of tests, which are alike by shape alone.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -126,10 +126,7 @@
 {
     struct call *c = p->data;
 
-    c->complete = true;
-    c->keep = http_should_keep_alive(p);
-    http_parser_pause(p, 1);
-    return 0;
+    return pm_http_end_message(p, &c->complete, &c->keep);
 }
 
 static const http_parser_settings client_rules = {
@@ -169,21 +166,16 @@
 
 static void call_send(struct ev_loop *loop, struct call *c)
 {
-    ssize_t n;
-
     if (!c->sent && pm_http_is_too_late(c->valid_until)) {
         c->keep = false;
         c->failed_here = true;
         call_end(c, PM_HTTP_NOT_SENT);
         return;
     }
-    n = send(c->fd, c->send.data + c->sent, c->send.size - c->sent, MSG_NOSIGNAL);
-
-    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+    if (!pm_http_send_rest(c->fd, &c->send, &c->sent)) {
         call_fail(c);
         return;
     }
-    c->sent += n > 0 ? (size_t)n : 0;
     if (c->sent == c->send.size)
         ev_io_stop(loop, &c->out);
     else
--- a/src/base/http_server.c
+++ b/src/base/http_server.c
@@ -219,10 +219,7 @@
 {
     struct conn *c = p->data;
 
-    c->complete = true;
-    c->keep = http_should_keep_alive(p);
-    http_parser_pause(p, 1); /* one request at a time */
-    return 0;
+    return pm_http_end_message(p, &c->complete, &c->keep); /* one request at a time */
 }
 
 static const http_parser_settings server_rules = {
@@ -285,13 +282,10 @@
 
 static void conn_send(struct ev_loop *loop, struct conn *c)
 {
-    ssize_t n = send(c->fd, c->send.data + c->sent, c->send.size - c->sent, MSG_NOSIGNAL);
-
-    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+    if (!pm_http_send_rest(c->fd, &c->send, &c->sent)) {
         conn_close(c);
         return;
     }
-    c->sent += n > 0 ? (size_t)n : 0;
     if (c->sent < c->send.size) {
         ev_io_start(loop, &c->out);
         return;
--- a/src/base/http_socket.c
+++ b/src/base/http_socket.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <stdint.h>
 #include <stdlib.h>
@@ -38,6 +39,24 @@
     return fd;
 }
 
+bool pm_http_send_rest(int fd, const struct pm_buf *buf, size_t *sent)
+{
+    ssize_t n = send(fd, buf->data + *sent, buf->size - *sent, MSG_NOSIGNAL);
+
+    if (n < 0)
+        return errno == EAGAIN || errno == EINTR;
+    *sent += (size_t)n;
+    return true;
+}
+
+int pm_http_end_message(http_parser *parser, bool *complete, bool *keep)
+{
+    *complete = true;
+    *keep = http_should_keep_alive(parser);
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
 bool pm_http_is_too_late(double valid_until)
 {
     return valid_until > 0 && pm_clock_steady() > valid_until;
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -167,6 +167,14 @@
     return r->failed ? -1 : 0;
 }
 
+int pm_settings_peer(const struct pm_settings *settings, const char *name)
+{
+    for (int i = 0; i < settings->peers; i++)
+        if (!strcmp(settings->peer[i].name, name))
+            return i;
+    return -1;
+}
+
 int pm_settings_zone(const struct pm_settings *settings, const char *name)
 {
     for (int i = 0; i < settings->zones; i++)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -97,6 +97,8 @@
 
 /* 0, or -1 with a message that names the field and its path. */
 int pm_settings_load(struct pm_settings *out, const char *path, char *err, size_t err_size);
+/* The index of a peer, -1: none of that name. */
+int pm_settings_peer(const struct pm_settings *settings, const char *name);
 /* The index of a zone, -1: none of that name. */
 int pm_settings_zone(const struct pm_settings *settings, const char *name);
 void pm_operator_defaults(struct pm_operator *out);
--- a/src/cmd/pumicectl/main.c
+++ b/src/cmd/pumicectl/main.c
@@ -63,39 +63,12 @@
     bool offline;              /* needs no settings */
     const char *template_text;
     bool framed; /* the template stands between those of the begin and the end */
+    /* What all controllers are asked, and what is made of their answers; NULL: `run` is called. */
+    const char *target;
+    struct pm_report (*report)(const struct pm_gathered *gathered);
     struct pm_report (*run)(const struct options *options, const struct pm_settings *settings);
 };
 
-static struct pm_report gather_report(const struct options *options,
-                                      const struct pm_settings *settings, const char *target,
-                                      struct pm_report (*report)(const struct pm_gathered *))
-{
-    struct pm_gathered gathered;
-    struct pm_report out;
-
-    pm_gather(&gathered, settings, target, options->timeout_s);
-    out = report(&gathered);
-    pm_gathered_free(&gathered);
-    return out;
-}
-
-static struct pm_report run_status(const struct options *options,
-                                   const struct pm_settings *settings)
-{
-    return gather_report(options, settings, STATUS_PATH, pm_report_status);
-}
-
-static struct pm_report run_links(const struct options *options, const struct pm_settings *settings)
-{
-    return gather_report(options, settings, STATUS_PATH, pm_report_links);
-}
-
-static struct pm_report run_duties(const struct options *options,
-                                   const struct pm_settings *settings)
-{
-    return gather_report(options, settings, STATUS_PATH, pm_report_duties);
-}
-
 static struct pm_report run_why(const struct options *options, const struct pm_settings *settings)
 {
     struct pm_gathered gathered;
@@ -114,12 +87,6 @@
     return pm_drain(settings, options->words[0], options->timeout_s);
 }
 
-static struct pm_report run_cleanup(const struct options *options,
-                                    const struct pm_settings *settings)
-{
-    return gather_report(options, settings, CLEANUP_PATH, pm_report_cleanup);
-}
-
 static struct pm_report run_record_list(const struct options *options,
                                         const struct pm_settings *settings)
 {
@@ -137,14 +104,56 @@
 enum { FILES_MOST = 4096 };
 
 static const struct command commands[] = {
-    {"status", NULL, 0, 0, "", false, template_status, true, run_status},
-    {"links", NULL, 0, 0, "", false, template_links, true, run_links},
-    {"duties", NULL, 0, 0, "", false, template_duties, true, run_duties},
-    {"why", NULL, 1, 1, "one job", false, template_why, true, run_why},
-    {"duty", "drain", 1, 1, "one duty", false, template_drain, false, run_drain},
-    {"cleanup", NULL, 0, 0, "", false, template_cleanup, true, run_cleanup},
-    {"record", "list", 1, FILES_MOST, "files", true, template_record, false, run_record_list},
-    {"record", "verify", 1, FILES_MOST, "files", true, template_record, false, run_record_verify},
+    {.name = "status",
+     .target = STATUS_PATH,
+     .template_text = template_status,
+     .framed = true,
+     .report = pm_report_status},
+    {.name = "links",
+     .target = STATUS_PATH,
+     .template_text = template_links,
+     .framed = true,
+     .report = pm_report_links},
+    {.name = "duties",
+     .target = STATUS_PATH,
+     .template_text = template_duties,
+     .framed = true,
+     .report = pm_report_duties},
+    {.name = "cleanup",
+     .target = CLEANUP_PATH,
+     .template_text = template_cleanup,
+     .framed = true,
+     .report = pm_report_cleanup},
+    {.name = "why",
+     .least = 1,
+     .most = 1,
+     .needs = "one job",
+     .template_text = template_why,
+     .framed = true,
+     .run = run_why},
+    {.name = "duty",
+     .second = "drain",
+     .least = 1,
+     .most = 1,
+     .needs = "one duty",
+     .template_text = template_drain,
+     .run = run_drain},
+    {.name = "record",
+     .second = "list",
+     .least = 1,
+     .most = FILES_MOST,
+     .needs = "files",
+     .offline = true,
+     .template_text = template_record,
+     .run = run_record_list},
+    {.name = "record",
+     .second = "verify",
+     .least = 1,
+     .most = FILES_MOST,
+     .needs = "files",
+     .offline = true,
+     .template_text = template_record,
+     .run = run_record_verify},
 };
 
 static int fail_usage(const char *what)
@@ -180,9 +189,24 @@
     return failed || fflush(stdout) ? PM_EXIT_WRONG : (int)report->exit;
 }
 
+static struct pm_report make_report(const struct options *options,
+                                    const struct pm_settings *settings)
+{
+    const struct command *command = options->command;
+    struct pm_gathered gathered;
+    struct pm_report out;
+
+    if (!command->target)
+        return command->run(options, settings);
+    pm_gather(&gathered, settings, command->target, options->timeout_s);
+    out = command->report(&gathered);
+    pm_gathered_free(&gathered);
+    return out;
+}
+
 static int run_command(const struct options *options, const struct pm_settings *settings)
 {
-    struct pm_report report = options->command->run(options, settings);
+    struct pm_report report = make_report(options, settings);
     int code = print_report(&report, options);
 
     json_decref(report.document);
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -277,21 +277,22 @@
     struct pm_node *n = arg;
     const struct pm_job *job;
 
-    pm_clean_put(n->clean, key, value, revision, pm_clock_steady());
     if (!strcmp(key, "p/epoch") || !strcmp(key, "p/lead") || !strncmp(key, "p/speaks", 8)) {
         pm_leader_put(n->lead, key, value, revision);
         n->tables.protocol_version = pm_leader_protocol_version(n->lead);
         pm_api_enable_dependencies(n->intake,
                                    n->tables.protocol_version >= PM_PROTOCOL_DEPENDENCIES);
     } else if (pm_duties_put(n->duties, key, value, revision)) {
-        return;
+        pm_clean_put(n->clean, key, value, revision, pm_clock_steady());
     } else if (!strncmp(key, "p/b/", 4)) {
         n->blocks_changed |= n->ruling;
         pm_blocks_put(n->blocks, key, value, revision);
     } else if (!strncmp(key, PM_LINKS_PREFIX, strlen(PM_LINKS_PREFIX))) {
         pm_links_put(n->links, key, value, revision, pm_clock_steady());
+        pm_clean_put(n->clean, key, value, revision, pm_clock_steady());
     } else if (!strncmp(key, "p/seen/", 7)) {
         pm_cancels_put(n->cancels, key, value);
+        pm_clean_put(n->clean, key, value, revision, pm_clock_steady());
     } else if (!strcmp(key, "p/ledger")) {
         n->ledger_revision = MAX(n->ledger_revision, revision);
         if (!n->leading) {
--- a/src/cmd/pumicemount/toolbox.c
+++ b/src/cmd/pumicemount/toolbox.c
@@ -16,6 +16,14 @@
 
 enum { NAMED_MOST = 20 }; /* jobs named in one reason */
 
+/* Who tells this, and how much its word counts: every answer begins with it. */
+static void put_teller(struct pm_node *n, struct pm_buf *out, double now)
+{
+    pm_put_pair_text(out, "controller", n->settings->name);
+    pm_put_pair_flag(out, "leads", n->leading);
+    pm_put_pair_flag(out, "confirmed", pm_leader_confirmed(n->lead, now));
+}
+
 static void put_counts(struct pm_node *n, struct pm_buf *out, double now)
 {
     struct pm_node_counts counts = pm_node_count(n, now);
@@ -73,14 +81,12 @@
     const char *leader = n->leading ? n->settings->name : pm_leader_other(n->lead);
 
     pm_put_map(out);
-    pm_put_pair_text(out, "controller", n->settings->name);
+    put_teller(n, out, now);
     pm_put_pair_text(out, "version", PM_VERSION);
     pm_put_pair_text(out, "process", pm_leader_boot(n->lead));
     pm_put_pair_count(out, "protocol_version", pm_leader_protocol_version(n->lead));
     pm_put_pair_text(out, "leader", leader ? leader : "");
-    pm_put_pair_flag(out, "leads", n->leading);
     pm_put_pair_flag(out, "holds_block", n->ruling && !n->leading);
-    pm_put_pair_flag(out, "confirmed", pm_leader_confirmed(n->lead, now));
     pm_put_pair_count(out, "epoch", pm_leader_epoch(n->lead));
     put_state_service(n, out, now);
     put_counts(n, out, now);
@@ -95,9 +101,7 @@
 static void put_cleanup(struct pm_node *n, struct pm_buf *out, double now)
 {
     pm_put_map(out);
-    pm_put_pair_text(out, "controller", n->settings->name);
-    pm_put_pair_flag(out, "leads", n->leading);
-    pm_put_pair_flag(out, "confirmed", pm_leader_confirmed(n->lead, now));
+    put_teller(n, out, now);
     pm_put_pair_flag(out, "cleans", pm_duties_holds(n->duties, PM_SINGLE_CLEAN, now));
     pm_put_text(out, "keys");
     pm_clean_put_status(n->clean, out, now);
@@ -219,9 +223,7 @@
     uint32_t running = 0;
 
     pm_put_map(out);
-    pm_put_pair_text(out, "controller", n->settings->name);
-    pm_put_pair_flag(out, "leads", n->leading);
-    pm_put_pair_flag(out, "confirmed", pm_leader_confirmed(n->lead, now));
+    put_teller(n, out, now);
     pm_put_pair_text(out, "job", id);
     pm_put_pair_flag(out, "known", job != NULL);
     if (job) {
--- a/src/duties/clean.c
+++ b/src/duties/clean.c
@@ -46,12 +46,7 @@
 
 static bool is_controller(const struct pm_settings *settings, const char *name)
 {
-    if (!strcmp(name, settings->name))
-        return true;
-    for (int i = 0; i < settings->peers; i++)
-        if (!strcmp(name, settings->peer[i].name))
-            return true;
-    return false;
+    return !strcmp(name, settings->name) || pm_settings_peer(settings, name) >= 0;
 }
 
 /* Why the key is of no use, as its name alone tells; NULL: it may be. */
--- a/src/duties/duties.c
+++ b/src/duties/duties.c
@@ -192,15 +192,6 @@
 
 /* ---- status ---- */
 
-static unsigned count_open(const struct pm_duties *d, enum pm_single_duty duty)
-{
-    GPtrArray *open = pm_duties_open(d, duty);
-    unsigned count = open->len;
-
-    g_ptr_array_free(open, TRUE);
-    return count;
-}
-
 void pm_duties_put_status(const struct pm_duties *d, struct pm_buf *out, double now)
 {
     pm_put_list(out);
@@ -216,7 +207,8 @@
         pm_put_pair_number(out, "held_for_s", duty->held_since > 0 ? now - duty->held_since : 0);
         if (duty->token)
             pm_put_pair_number(out, "renewed_ago_s", now - d->lease_sent);
-        pm_put_pair_count(out, "open_intents", count_open(d, (enum pm_single_duty)name));
+        pm_put_pair_count(out, "open_intents",
+                          pm_duties_count(d, (enum pm_single_duty)name, false));
         pm_put_end(out);
     }
     pm_put_end(out);
--- a/src/duties/intents.c
+++ b/src/duties/intents.c
@@ -132,19 +132,18 @@
     g_free(closing);
 }
 
-/* How many of the duty's open intents are closing. */
-static unsigned count_closing(const struct pm_duties *d, enum pm_single_duty duty)
+unsigned pm_duties_count(const struct pm_duties *d, enum pm_single_duty duty, bool closing)
 {
     GHashTableIter iter;
     gpointer value;
-    unsigned closing = 0;
+    unsigned count = 0;
 
     g_hash_table_iter_init(&iter, d->intents);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct pm_intent *intent = value;
-        closing += intent->closing && intent->duty == duty;
+        count += intent->duty == duty && (intent->closing || !closing);
     }
-    return closing;
+    return count;
 }
 
 /* Drops what is closing, as many as one transaction takes. It can wait for room in the write
@@ -155,7 +154,7 @@
     struct closing *closing;
     struct pm_txn txn = {0};
     char key[sizeof PM_INTENT_PREFIX + PM_INTENT_NAME];
-    unsigned due = count_closing(d, duty);
+    unsigned due = pm_duties_count(d, duty, true);
     int most = due >= CLOSING_MOST ? d->settings->txn_ops
                                    : MIN(pm_store_room(d->store, now), d->settings->txn_ops);
 
@@ -188,7 +187,7 @@
         return;
     intent->busy = false;
     intent->closing = true;
-    if (count_closing(d, intent->duty) >= CLOSED_AT_ONCE)
+    if (pm_duties_count(d, intent->duty, true) >= CLOSED_AT_ONCE)
         pm_duties_drop_closed(d, intent->duty, now);
 }
 
--- a/src/duties/internal.h
+++ b/src/duties/internal.h
@@ -65,6 +65,8 @@
 void pm_duties_drain_if_asked(struct pm_duties *d, enum pm_single_duty duty);
 
 /* intents.c */
+/* How many intents of the duty are open; with `closing`, of those that the cloud has answered. */
+unsigned pm_duties_count(const struct pm_duties *d, enum pm_single_duty duty, bool closing);
 void pm_duties_put_intent(struct pm_duties *d, const char *key, const cbor_item_t *value,
                           uint64_t revision);
 /* Drops what is closing, as many as one transaction takes. It can wait for room in the write
--- a/src/duties/record.c
+++ b/src/duties/record.c
@@ -2,6 +2,7 @@
 #include "base/cbor.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/writer.h"
 
 #include <archive.h>
 #include <archive_entry.h>
@@ -26,19 +27,12 @@
 #define PART ".part"
 #define SEAL "sealed" /* the event of the last entry of a whole file; no other entry has it */
 
-struct told {
-    bool last; /* ends the thread */
-    struct pm_record_entry entry;
-};
-
 struct pm_record {
     char dir[256], controller[128];
     double period_s;
     uint64_t bytes_most; /* of all files together */
-    GAsyncQueue *queue;
-    GThread *thread;
-    gint dropped;
-    /* The thread's own. */
+    struct pm_writer *writer;
+    /* The writer's own. */
     struct archive *archive;
     int file;
     char path[NAME_SIZE]; /* without PART */
@@ -185,58 +179,39 @@
     return false;
 }
 
-static void write_entry(struct pm_record *r, struct pm_record_entry *entry)
+static void write_entry(void *arg, const void *item)
 {
+    struct pm_record *r = arg;
+    struct pm_record_entry entry = *(const struct pm_record_entry *)item;
+
     if (r->archive &&
-        (fabs(entry->day - r->opened) >= r->period_s || r->bytes > r->bytes_most / FILES_KEPT))
+        (fabs(entry.day - r->opened) >= r->period_s || r->bytes > r->bytes_most / FILES_KEPT))
         close_file(r);
-    if (!r->archive && !open_file(r, entry->day))
+    if (!r->archive && !open_file(r, entry.day))
         return;
-    entry->number = ++r->entries;
-    if (write_member(r, entry))
+    entry.number = ++r->entries;
+    if (write_member(r, &entry))
         return;
     say_failing(r, "not written");
     close_file(r);
 }
 
-static gpointer run_writer(gpointer data)
-{
-    struct pm_record *r = data;
-
-    for (;;) {
-        struct told *told = g_async_queue_pop(r->queue);
-        bool last = told->last;
-        if (!last)
-            write_entry(r, &told->entry);
-        g_free(told);
-        if (last)
-            break;
-    }
-    close_file(r);
-    return NULL;
-}
-
 void pm_record_tell(struct pm_record *r, const char *event, const char *duty, const char *subject,
                     const char *detail)
 {
-    struct told *told;
-
-    if (g_async_queue_length(r->queue) >= QUEUE_MOST) {
-        g_atomic_int_inc(&r->dropped);
-        return;
-    }
-    told = g_new0(struct told, 1);
-    told->entry.day = pm_clock_day();
-    g_strlcpy(told->entry.event, event, sizeof told->entry.event);
-    g_strlcpy(told->entry.duty, duty, sizeof told->entry.duty);
-    g_strlcpy(told->entry.subject, subject, sizeof told->entry.subject);
-    g_strlcpy(told->entry.detail, detail, sizeof told->entry.detail);
-    g_async_queue_push(r->queue, told);
+    struct pm_record_entry *entry = g_new0(struct pm_record_entry, 1);
+
+    entry->day = pm_clock_day();
+    g_strlcpy(entry->event, event, sizeof entry->event);
+    g_strlcpy(entry->duty, duty, sizeof entry->duty);
+    g_strlcpy(entry->subject, subject, sizeof entry->subject);
+    g_strlcpy(entry->detail, detail, sizeof entry->detail);
+    pm_writer_push(r->writer, entry);
 }
 
 uint64_t pm_record_dropped(const struct pm_record *r)
 {
-    return (uint64_t)g_atomic_int_get(&r->dropped);
+    return pm_writer_dropped(r->writer);
 }
 
 struct pm_record *pm_record_new(const char *dir, const char *controller, double period_s,
@@ -253,19 +228,15 @@
     g_strlcpy(r->controller, controller, sizeof r->controller);
     r->period_s = period_s;
     r->bytes_most = (uint64_t)megabytes * 1024 * 1024;
-    r->queue = g_async_queue_new();
-    r->thread = g_thread_new("record", run_writer, r);
+    r->writer = pm_writer_new("record", QUEUE_MOST,
+                              &(struct pm_writer_hooks){.write = write_entry, .arg = r});
     return r;
 }
 
 void pm_record_free(struct pm_record *r)
 {
-    struct told *told = g_new0(struct told, 1);
-
-    told->last = true;
-    g_async_queue_push(r->queue, told);
-    g_thread_join(r->thread);
-    g_async_queue_unref(r->queue);
+    pm_writer_free(r->writer);
+    close_file(r);
     g_free(r);
 }
 
--- a/src/fleet/boots.c
+++ b/src/fleet/boots.c
@@ -62,6 +62,7 @@
                 kind->overdue = kind->up_since = 0;
                 kind->oldest_overdue = INFINITY;
                 kind->longest_boot = 0;
+                kind->cpus = 0; /* summed by the sizing that follows */
             }
     for (guint i = 0; i < all->len; i++)
         if (g_ptr_array_index(all, i))
--- a/src/fleet/calls.c
+++ b/src/fleet/calls.c
@@ -398,24 +398,45 @@
     pm_buf_free(&body);
 }
 
+static void mark_returned(struct pm_fleet *f, const struct pm_intent *intent)
+{
+    for (guint i = 0; i < intent->machines->len; i++) {
+        const char *name = g_ptr_array_index(intent->machines, i);
+        struct pm_machine *m;
+        if (pm_fleet_returned(f, name))
+            continue;
+        m = pm_workers_add(f->workers, name);
+        m->state = PM_RELEASING;
+        m->release_retry = INFINITY; /* with the intent */
+    }
+}
+
+static void send_return(struct pm_fleet *f, struct pm_intent *intent, double now)
+{
+    struct call *call = call_new(f, now);
+
+    call->machines = g_ptr_array_new_with_free_func(g_free);
+    g_strlcpy(call->intent, intent->name, sizeof call->intent);
+    for (guint i = 0; i < intent->machines->len; i++)
+        g_ptr_array_add(call->machines, g_strdup(g_ptr_array_index(intent->machines, i)));
+    intent->busy = true;
+    mark_returned(f, intent);
+    release_send(call);
+}
+
 static void on_return_intended(void *arg, const char *name)
 {
     struct call *call = arg;
     struct pm_fleet *f = call->fleet;
 
-    if (call->round != f->round) {
-        call_free(call);
-        return;
-    }
-    f->in_flight--;
-    if (!name) {
-        retry_machines(call, pm_clock_steady() + UNWRITTEN_S);
-        call_free(call);
-        return;
+    if (call->round == f->round) { /* else whoever holds the duty finishes what was written */
+        f->in_flight--;
+        if (name)
+            send_return(f, pm_duties_find(f->duties, name), call->sent);
+        else
+            retry_machines(call, pm_clock_steady() + UNWRITTEN_S);
     }
-    g_strlcpy(call->intent, name, sizeof call->intent);
-    pm_duties_find(f->duties, name)->busy = true;
-    release_send(call);
+    call_free(call);
 }
 
 static void release_fenced(struct call *call, double now)
@@ -472,19 +493,6 @@
 
 /* ---- finishing what is open ---- */
 
-static void mark_returned(struct pm_fleet *f, const struct pm_intent *intent)
-{
-    for (guint i = 0; i < intent->machines->len; i++) {
-        const char *name = g_ptr_array_index(intent->machines, i);
-        struct pm_machine *m;
-        if (pm_fleet_returned(f, name))
-            continue;
-        m = pm_workers_add(f->workers, name);
-        m->state = PM_RELEASING;
-        m->release_retry = INFINITY; /* with the intent */
-    }
-}
-
 void pm_fleet_adopt_intents(struct pm_fleet *f)
 {
     GPtrArray *open;
@@ -498,19 +506,6 @@
     g_ptr_array_free(open, TRUE);
 }
 
-static void send_return(struct pm_fleet *f, struct pm_intent *intent, double now)
-{
-    struct call *call = call_new(f, now);
-
-    call->machines = g_ptr_array_new_with_free_func(g_free);
-    g_strlcpy(call->intent, intent->name, sizeof call->intent);
-    for (guint i = 0; i < intent->machines->len; i++)
-        g_ptr_array_add(call->machines, g_strdup(g_ptr_array_index(intent->machines, i)));
-    intent->busy = true;
-    mark_returned(f, intent);
-    release_send(call);
-}
-
 void pm_fleet_finish_intents(struct pm_fleet *f, int in_flight_max, double now)
 {
     static const enum pm_single_duty duties[] = {PM_SINGLE_RETURN, PM_SINGLE_RENT};
--- a/src/fleet/size.c
+++ b/src/fleet/size.c
@@ -395,10 +395,6 @@
     GPtrArray *all = pm_workers_all(f->workers);
 
     g_array_set_size(s->bins, 0);
-    for (int type = 0; type < f->tables->ntypes; type++)
-        for (int zone = 0; zone < f->tables->settings->zones; zone++)
-            for (int spot = 0; spot < 2; spot++)
-                f->kind[type][zone][spot].cpus = 0;
     f->spot_cpus = 0;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
@@ -408,10 +404,11 @@
         boot = m->state == PM_BOOTING ? pm_fleet_boot_of(f, m, s->now) : BOOT_EXPECTED;
         if (boot == BOOT_STUCK)
             continue;
-        if (m->spot && m->state != PM_RELEASING && !m->recall_at)
-            f->spot_cpus += f->tables->type[m->type].cpus;
-        if (m->state != PM_RELEASING && !m->recall_at)
-            pm_fleet_kind_of(f, m)->cpus += f->tables->type[m->type].cpus;
+        if (m->state != PM_RELEASING && !m->recall_at) {
+            double cpus = f->tables->type[m->type].cpus;
+            pm_fleet_kind_of(f, m)->cpus += cpus;
+            f->spot_cpus += m->spot ? cpus : 0;
+        }
         if (m->state == PM_RELEASING || m->recall_at || pm_fault_machine_faulty(m) || m->lent ||
             (m->state == PM_UP && s->now - m->heard > SILENT_S) || m->cpus <= EPS)
             continue;
--- a/src/leadership/cancels.c
+++ b/src/leadership/cancels.c
@@ -198,20 +198,12 @@
     c->store_revision[peer] = MAX(c->store_revision[peer], store_revision);
 }
 
-static int find_peer(const struct pm_cancels *c, const char *name)
-{
-    for (int i = 0; i < c->settings->peers; i++)
-        if (!strcmp(c->settings->peer[i].name, name))
-            return i;
-    return -1;
-}
-
 void pm_cancels_put(struct pm_cancels *c, const char *key, const cbor_item_t *value)
 {
     uint64_t store_revision;
     int peer;
 
-    if (strncmp(key, "p/seen/", 7) || (peer = find_peer(c, key + 7)) < 0 ||
+    if (strncmp(key, "p/seen/", 7) || (peer = pm_settings_peer(c->settings, key + 7)) < 0 ||
         pm_cbor_count(pm_cbor_get(value, "edition"), &store_revision))
         return;
     pm_cancels_reached(c, peer, store_revision);
@@ -223,7 +215,7 @@
     Pm__CancelCall *call = pm__cancel_call__unpack(NULL, req->body_size, req->body);
     Pm__CancelTell tell = PM__CANCEL_TELL__INIT;
     unsigned char data[512];
-    int peer = call ? find_peer(c, call->from) : -1;
+    int peer = call ? pm_settings_peer(c->settings, call->from) : -1;
 
     if (peer < 0) {
         pm_error("cancels.message", "malformed, or from a controller that is not known");
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -549,11 +549,9 @@
 void pm_leader_peer(struct pm_leader *l, struct pm_http_request *req)
 {
     Pm__PeerAsk *ask = pm__peer_ask__unpack(NULL, req->body_size, req->body);
-    int peer = 0;
+    int peer = ask ? pm_settings_peer(l->settings, ask->from) : -1;
 
-    while (ask && peer < l->settings->peers && strcmp(l->settings->peer[peer].name, ask->from))
-        peer++;
-    if (!ask || peer == l->settings->peers) {
+    if (peer < 0) {
         pm_error("lead.message", "malformed, or from a controller that is not known");
         if (ask)
             pm__peer_ask__free_unpacked(ask, NULL);
@@ -705,15 +703,16 @@
     char leader[PM_NAME_MAX] = "";
     char boot[24] = "";
     uint64_t epoch;
+    int peer;
 
     if (!strncmp(key, "p/speaks/", 9)) {
         if (pm_cbor_count(pm_cbor_get(value, "version"), &epoch))
             return;
         l->version_announced |= !strcmp(key + 9, l->settings->name) && epoch >= PM_PROTOCOL_VERSION;
-        for (int i = 0; i < l->settings->peers; i++)
-            if (!strcmp(key + 9, l->settings->peer[i].name))
-                l->peer_version[i] =
-                    (unsigned)MAX(l->peer_version[i], MIN(epoch, PM_PROTOCOL_VERSION));
+        peer = pm_settings_peer(l->settings, key + 9);
+        if (peer >= 0)
+            l->peer_version[peer] =
+                (unsigned)MAX(l->peer_version[peer], MIN(epoch, PM_PROTOCOL_VERSION));
         return;
     }
     if (!strcmp(key, "p/speaks")) {
--- a/src/links/matrix.c
+++ b/src/links/matrix.c
@@ -21,10 +21,12 @@
 
 int pm_matrix_controller(const struct pm_matrix *matrix, const char *name)
 {
-    for (int i = 0; i < matrix->controllers; i++)
-        if (!strcmp(pm_matrix_name(matrix, i), name))
-            return i;
-    return -1;
+    int peer;
+
+    if (!strcmp(matrix->settings->name, name))
+        return 0;
+    peer = pm_settings_peer(matrix->settings, name);
+    return peer < 0 ? -1 : peer + 1;
 }
 
 bool pm_matrix_is_fresh(const struct pm_matrix *matrix, int controller, double now)
--- a/src/links/tests/fleet.c
+++ b/src/links/tests/fleet.c
@@ -180,17 +180,23 @@
 
 /* ---- the worker's messages ---- */
 
-static void put_report(struct machine *m, struct pm_buf *out)
+/* What both a worker and the cloud say of a machine. */
+static void put_description(const struct machine *m, struct pm_buf *out)
 {
     char zone[16];
 
     snprintf(zone, sizeof zone, "zone-%d", m->zone);
-    pm_put_map(out);
-    pm_put_pair_text(out, "host", m->name);
     pm_put_pair_text(out, "endpoint", m->endpoint);
     pm_put_pair_text(out, "model", "m8");
     pm_put_pair_text(out, "room", zone);
     pm_put_pair_flag(out, "borrowed", false);
+}
+
+static void put_report(struct machine *m, struct pm_buf *out)
+{
+    pm_put_map(out);
+    pm_put_pair_text(out, "host", m->name);
+    put_description(m, out);
     pm_put_pair_count(out, "shift", m->session);
     pm_put_pair_count(out, "tally", ++m->sequence);
     pm_put_pair_count(out, "mandate", m->token);
@@ -487,15 +493,9 @@
 
 static void put_machine(const struct machine *m, struct pm_buf *out)
 {
-    char zone[16];
-
-    snprintf(zone, sizeof zone, "zone-%d", m->zone);
     pm_put_map(out);
     pm_put_pair_text(out, "name_id", m->name);
-    pm_put_pair_text(out, "endpoint", m->endpoint);
-    pm_put_pair_text(out, "model", "m8");
-    pm_put_pair_text(out, "room", zone);
-    pm_put_pair_flag(out, "borrowed", false);
+    put_description(m, out);
     pm_put_pair_text(out, "status", m->failed ? "failed" : "running");
     pm_put_pair_number(out, "age_s", pm_clock_steady() - m->rented);
     pm_put_end(out);
--- a/src/links/trace.c
+++ b/src/links/trace.c
@@ -1,6 +1,7 @@
 #include "links/trace.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/writer.h"
 
 #include <babeltrace/ctf-writer/clock.h>
 #include <babeltrace/ctf-writer/event-fields.h>
@@ -28,7 +29,6 @@
 #define FLUSH_US G_USEC_PER_SEC /* or once nothing more has come for this long */
 
 struct change {
-    bool last; /* ends the thread */
     int64_t time_ns;
     char subject[16], name[NAME_SIZE], from[32], to[32], reason[NAME_SIZE];
 };
@@ -48,10 +48,8 @@
     char dir[256], controller[128];
     size_t bytes_most; /* of one trace */
     unsigned number;   /* of the trace being written */
-    GAsyncQueue *queue;
-    GThread *thread;
-    gint dropped;
-    struct ctf ctf;
+    struct pm_writer *writer;
+    struct ctf ctf; /* the writer's own */
 };
 
 static void ctf_close(struct ctf *ctf)
@@ -177,8 +175,10 @@
     return true;
 }
 
-static void write_change(struct pm_links_trace *trace, const struct change *change)
+static void write_change(void *arg, const void *item)
 {
+    struct pm_links_trace *trace = arg;
+
     if (trace->ctf.bytes > trace->bytes_most) {
         ctf_close(&trace->ctf);
         trace->number++;
@@ -186,51 +186,31 @@
             pm_error("links.trace", "a new trace can't be begun in %s", trace->dir);
     }
     if (trace->ctf.stream)
-        ctf_append(&trace->ctf, change);
+        ctf_append(&trace->ctf, item);
 }
 
-static gpointer write_changes(gpointer data)
+static void flush_changes(void *arg)
 {
-    struct pm_links_trace *trace = data;
-    bool last = false;
-
-    while (!last) {
-        struct change *change = g_async_queue_timeout_pop(trace->queue, FLUSH_US);
-        if (!change) {
-            ctf_flush(&trace->ctf);
-            continue;
-        }
-        last = change->last;
-        if (!last)
-            write_change(trace, change);
-        g_free(change);
-    }
-    ctf_close(&trace->ctf);
-    return NULL;
+    ctf_flush(&((struct pm_links_trace *)arg)->ctf);
 }
 
 void pm_links_trace_change(struct pm_links_trace *trace, const char *subject, const char *name,
                            const char *from, const char *to, const char *reason)
 {
-    struct change *change;
+    struct change *change = g_new0(struct change, 1);
 
-    if (g_async_queue_length(trace->queue) >= QUEUE_MOST) {
-        g_atomic_int_inc(&trace->dropped);
-        return;
-    }
-    change = g_new0(struct change, 1);
     change->time_ns = (int64_t)(pm_clock_day() * 1e9);
     g_strlcpy(change->subject, subject, sizeof change->subject);
     g_strlcpy(change->name, name, sizeof change->name);
     g_strlcpy(change->from, from, sizeof change->from);
     g_strlcpy(change->to, to, sizeof change->to);
     g_strlcpy(change->reason, reason, sizeof change->reason);
-    g_async_queue_push(trace->queue, change);
+    pm_writer_push(trace->writer, change);
 }
 
 uint64_t pm_links_trace_dropped(const struct pm_links_trace *trace)
 {
-    return (uint64_t)g_atomic_int_get(&trace->dropped);
+    return pm_writer_dropped(trace->writer);
 }
 
 struct pm_links_trace *pm_links_trace_new(const char *dir, const char *controller,
@@ -246,21 +226,17 @@
         g_free(trace);
         return NULL;
     }
-    trace->queue = g_async_queue_new();
-    trace->thread = g_thread_new("links-trace", write_changes, trace);
+    trace->writer =
+        pm_writer_new("links-trace", QUEUE_MOST,
+                      &(struct pm_writer_hooks){write_change, flush_changes, FLUSH_US, trace});
     return trace;
 }
 
 void pm_links_trace_free(struct pm_links_trace *trace)
 {
-    struct change *last;
-
     if (!trace)
         return;
-    last = g_new0(struct change, 1);
-    last->last = true;
-    g_async_queue_push(trace->queue, last);
-    g_thread_join(trace->thread);
-    g_async_queue_unref(trace->queue);
+    pm_writer_free(trace->writer);
+    ctf_close(&trace->ctf);
     g_free(trace);
 }
