--- a/src/api/api.c
+++ b/src/api/api.c
@@ -39,6 +39,7 @@
     struct pm_name_tables *tables;
     struct pm_cancels *cancels;
     bool dependencies_enabled;
+    bool cut_off; /* the state service is out of reach */
     struct pm_limit *limit;
     GQueue queue; /* of items to be written */
     int in_flight;
@@ -260,6 +261,10 @@
         reply_final(item, job);
         return;
     }
+    if (in->cut_off) {
+        reply_unsure(item, 2);
+        return;
+    }
     if (!job && item->kind == SUBMIT) {
         if (item->dependencies && !in->dependencies_enabled) {
             reply_unsure(item, 2);
@@ -561,8 +566,8 @@
     /* The state service refusing everybody is no reason to turn users away from every node, and to
      * have them wait for the load balancer when it is back: they hear 503, and when to return.
      * Being out of its reach, or refused alone, is one to send them elsewhere. */
-    ready = pm_store_refusing(in->store) ? !refused_alone
-                                         : pm_store_ready(in->store) && silent < SERVED_S;
+    ready = !refused_alone &&
+            (pm_store_refusing(in->store) || (pm_store_ready(in->store) && silent < SERVED_S));
     if (silent > 1 && now - in->probed > 1) {
         in->probed = now;
         pm_store_fresh(in->store, on_probed, in);
@@ -593,6 +598,11 @@
     in->dependencies_enabled = enabled;
 }
 
+void pm_api_set_cut_off(struct pm_api *in, bool cut_off)
+{
+    in->cut_off = cut_off;
+}
+
 void pm_api_free(struct pm_api *in)
 {
     ev_timer_stop(in->loop, &in->timer);
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -38,7 +38,11 @@
 void pm_api_free(struct pm_api *intake);
 /* Takes a request whose path is /work or below, and answers it now or later. */
 void pm_api_request(struct pm_api *intake, struct pm_http_request *req);
-/* GET /ready. `refused_alone`: the state service refuses us, but not the others. */
+/* Whether the state service is out of this controller's reach: what needs it is then turned away at
+ * once, and final states are told from memory as ever. */
+void pm_api_set_cut_off(struct pm_api *intake, bool cut_off);
+/* GET /ready. `refused_alone`: the state service refuses us, or is out of our reach, but serves the
+ * others. */
 void pm_api_ready(struct pm_api *intake, struct pm_http_request *req, bool refused_alone);
 
 #endif
--- a/src/base/http.h
+++ b/src/base/http.h
@@ -50,6 +50,16 @@
 
 struct pm_http_client *pm_http_client_new(struct ev_loop *loop, int conns_max);
 void pm_http_client_free(struct pm_http_client *client);
+/* A call that has ended, as it speaks for or against the way to its target. What failed for want of
+ * sockets here, or was dropped here as too late, is not told. */
+struct pm_http_outcome {
+    const char *addr, *method, *target;
+    int status;
+    double began, ended; /* steady */
+};
+typedef void pm_http_observer(void *arg, const struct pm_http_outcome *outcome);
+/* Tells `observer` of every call from now on, before the call's own `done`. */
+void pm_http_client_observe(struct pm_http_client *client, pm_http_observer *observer, void *arg);
 /* Calls `done` exactly once, from the loop. `body_max` bounds the answer. */
 void pm_http_call(struct pm_http_client *client, const char *addr, const char *method,
                   const char *target, const void *body, size_t size, double timeout_s,
--- /dev/null
+++ b/src/base/http_socket.c
@@ -0,0 +1,44 @@
+/* Sockets and addresses, for the server and the client. */
+#include "base/http_internal.h"
+#include "base/clock.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+int pm_http_parse_addr(const char *text, struct sockaddr_in *out)
+{
+    char host[64];
+    const char *colon = strrchr(text, ':');
+    long port;
+
+    if (!colon || (size_t)(colon - text) >= sizeof host)
+        return -1;
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = 0;
+    port = strtol(colon + 1, NULL, 10);
+    if (port < 0 || port > UINT16_MAX)
+        return -1;
+    memset(out, 0, sizeof *out);
+    out->sin_family = AF_INET;
+    out->sin_port = htons((uint16_t)port);
+    return inet_pton(AF_INET, host, &out->sin_addr) == 1 ? 0 : -1;
+}
+
+int pm_http_new_socket(void)
+{
+    int one = 1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd >= 0)
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    return fd;
+}
+
+bool pm_http_is_too_late(double valid_until)
+{
+    return valid_until > 0 && pm_clock_steady() > valid_until;
+}
--- a/src/base/protocol.h
+++ b/src/base/protocol.h
@@ -9,9 +9,10 @@
 
 enum pm_protocol_version {
     PM_PROTOCOL_FIRST = 1,
-    PM_PROTOCOL_DEPENDENCIES = 2, /* jobs that need others, chunks of tasks in halves */
-    PM_PROTOCOL_END_TIMES = 3,    /* a job that is done says when it ended */
-    PM_PROTOCOL_VERSION = PM_PROTOCOL_END_TIMES /* of this program */
+    PM_PROTOCOL_DEPENDENCIES = 2,           /* jobs that need others, chunks of tasks in halves */
+    PM_PROTOCOL_END_TIMES = 3,              /* a job that is done says when it ended */
+    PM_PROTOCOL_LINKS = 4,                  /* p/links values, views in the peers' answers */
+    PM_PROTOCOL_VERSION = PM_PROTOCOL_LINKS /* of this program */
 };
 
 #endif
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,7 +1,6 @@
 #include "base/settings.h"
 #include "base/toml.h"
 
-#include <cyaml/cyaml.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -175,98 +174,3 @@
             return i;
     return -1;
 }
-
-void pm_operator_defaults(struct pm_operator *out)
-{
-    *out = (struct pm_operator){
-        .window_h = 24,
-        .min_runtime_s = 1800,
-        .leader_ttl_s = 2.5,
-        .confirm_s = 2.0,
-        .admit_min = 8,
-        .admit_max = 256,
-        .idle_return_s = 25,
-        .replica_due_s = 35,
-        .backlog_s = 60,
-        .warm_share = 0.3,
-    };
-}
-
-/* Every key is optional: a pointer that stays NULL leaves the default. */
-struct yaml_form {
-    double *window_h, *min_runtime_s, *leader_ttl_s, *confirm_s, *idle_return_s, *warm_share,
-        *replica_due_s, *backlog_s;
-    unsigned *admit_min, *admit_max;
-};
-
-#define YAML_NUMBER(key)                                                                           \
-    CYAML_FIELD_FLOAT_PTR(#key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct yaml_form, key)
-#define YAML_COUNT(key)                                                                            \
-    CYAML_FIELD_UINT_PTR(#key, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct yaml_form, key)
-
-static const cyaml_schema_field_t yaml_fields[] = {YAML_NUMBER(window_h),
-                                                   YAML_NUMBER(min_runtime_s),
-                                                   YAML_NUMBER(leader_ttl_s),
-                                                   YAML_NUMBER(confirm_s),
-                                                   YAML_NUMBER(idle_return_s),
-                                                   YAML_NUMBER(warm_share),
-                                                   YAML_NUMBER(replica_due_s),
-                                                   YAML_NUMBER(backlog_s),
-                                                   YAML_COUNT(admit_min),
-                                                   YAML_COUNT(admit_max),
-                                                   CYAML_FIELD_END};
-
-static const cyaml_schema_value_t yaml_schema = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct yaml_form, yaml_fields)};
-
-static void take(double *out, const double *value, const char *name, double least, double most,
-                 char *err, size_t err_size, int *failed)
-{
-    if (!value)
-        return;
-    if (!isfinite(*value) || *value < least || *value > most) {
-        snprintf(err, err_size, "%s: outside %g to %g", name, least, most);
-        *failed = 1;
-        return;
-    }
-    *out = *value;
-}
-
-int pm_operator_load(struct pm_operator *out, const char *path, char *err, size_t err_size)
-{
-    const cyaml_config_t config = {
-        .log_fn = cyaml_log, .log_level = CYAML_LOG_ERROR, .mem_fn = cyaml_mem};
-    struct yaml_form *form = NULL;
-    cyaml_err_t code;
-    int failed = 0;
-
-    pm_operator_defaults(out);
-    code = cyaml_load_file(path, &config, &yaml_schema, (cyaml_data_t **)&form, NULL);
-    if (code != CYAML_OK) {
-        snprintf(err, err_size, "%s", cyaml_strerror(code));
-        return -1;
-    }
-    if (!form)
-        return 0; /* an empty file */
-    take(&out->window_h, form->window_h, "window_h", 0.01, 8784, err, err_size, &failed);
-    take(&out->min_runtime_s, form->min_runtime_s, "min_runtime_s", 0, 28800, err, err_size,
-         &failed);
-    take(&out->leader_ttl_s, form->leader_ttl_s, "leader_ttl_s", 0.5, 60, err, err_size, &failed);
-    take(&out->confirm_s, form->confirm_s, "confirm_s", 0.2, 60, err, err_size, &failed);
-    take(&out->idle_return_s, form->idle_return_s, "idle_return_s", 0, 86400, err, err_size,
-         &failed);
-    take(&out->warm_share, form->warm_share, "warm_share", 0, 4, err, err_size, &failed);
-    take(&out->replica_due_s, form->replica_due_s, "replica_due_s", 0, 3600, err, err_size,
-         &failed);
-    take(&out->backlog_s, form->backlog_s, "backlog_s", 1, 86400, err, err_size, &failed);
-    if (form->admit_min)
-        out->admit_min = *form->admit_min;
-    if (form->admit_max)
-        out->admit_max = *form->admit_max;
-    if (!failed && (out->admit_min < 1 || out->admit_max < out->admit_min)) {
-        snprintf(err, err_size, "admit_min, admit_max: need 1 <= admit_min <= admit_max");
-        failed = 1;
-    }
-    cyaml_free(&config, &yaml_schema, form, 0);
-    return failed ? -1 : 0;
-}
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -2,6 +2,7 @@
 #ifndef PM_BASE_SETTINGS_H
 #define PM_BASE_SETTINGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 enum {
@@ -55,6 +56,19 @@
     int sockets;
 };
 
+/* What is observed of the links between machines, and what follows (docs/operators/links.md). */
+struct pm_links_setting {
+    bool observe;        /* judge links, and tell the other controllers */
+    bool decide;         /* let duties follow from it */
+    double probe_s;      /* a link without traffic is probed so often */
+    double down_s;       /* failing for this long, a link is down */
+    double recover_s;    /* one that was down has to work for this long */
+    double half_life_s;  /* of the penalty for changing */
+    double expire_s;     /* a controller's view counts for this long */
+    char trace_dir[256]; /* where traces are written; "": none are */
+    unsigned trace_mb;   /* how much of them is kept */
+};
+
 /* The operators' settings; every value has a default (see docs/operations.md). */
 struct pm_operator {
     double window_h;      /* span over which a team's occupied time is summed */
@@ -67,6 +81,7 @@
     double replica_due_s; /* a service's replica that runs within this is not missed yet */
     double backlog_s;     /* array work that is late anyway is worked off within this */
     double warm_share;    /* spare room kept for services, as a share of what they use */
+    struct pm_links_setting links;
 };
 
 /* 0, or -1 with a message that names the field and its path. */
--- /dev/null
+++ b/src/cmd/pumicectl/templates.cmake
@@ -0,0 +1,12 @@
+# Writes the templates as texts into a header: cmake -DOUT=FILE -DDIR=DIR -P templates.cmake
+file(GLOB files ${DIR}/*.mustache)
+set(text "/* Made from the templates of src/cmd/pumicectl. */\n")
+foreach(file ${files})
+  get_filename_component(name ${file} NAME_WE)
+  file(READ ${file} content)
+  string(REPLACE "\\" "\\\\" content "${content}")
+  string(REPLACE "\"" "\\\"" content "${content}")
+  string(REPLACE "\n" "\\n\"\n    \"" content "${content}")
+  string(APPEND text "static const char template_${name}[] =\n    \"${content}\";\n")
+endforeach()
+file(WRITE ${OUT} "${text}")
--- a/src/cmd/pumicemount/internal.h
+++ b/src/cmd/pumicemount/internal.h
@@ -9,6 +9,8 @@
 #include "jobs/commit.h"
 #include "leadership/cancels.h"
 #include "leadership/leadership.h"
+#include "links/links.h"
+#include "links/trace.h"
 #include "node.h"
 #include "placement/plan.h"
 #include "store/store.h"
@@ -30,6 +32,7 @@
     struct pm_store *store;
     struct pm_leader *lead;
     struct pm_cancels *cancels;
+    struct pm_links *links;
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_plan *plan;
@@ -56,7 +59,7 @@
     double fleet_at, fleet_cost;      /* when the last sizing ended, how long it took */
     double commit_ended, commit_cost; /* the same of the last look for what is to be written */
     int directs;                      /* /do under way */
-    double round_at, late_until; /* this process lags: answers it missed say nothing until then */
+    bool links_busy;                  /* p/links is being written */
 };
 
 /* planning.c: the planner's thread, and what follows from a plan */
@@ -76,7 +79,26 @@
 void pm_node_direct_all(struct pm_node *n);
 void pm_node_report(struct pm_node *n, struct pm_http_request *req);
 
+/* links.c: evidence for the links slice, its probes, and what follows from it */
+void pm_node_make_links(struct pm_node *n);
+/* The rest of it: once there is a leader slice to carry the views. */
+void pm_node_carry_links(struct pm_node *n);
+void pm_node_tick_links(struct pm_node *n, double now);
+/* Steps down from the lead if another controller is better placed to have it. */
+void pm_node_give_way(struct pm_node *n, double now);
+
+/* toolbox.c: what operators' tools ask */
+/* GET /toolbox/... on the back address; false: no such path. */
+bool pm_node_toolbox(struct pm_node *n, struct pm_http_request *req);
+
 /* round.c: what is looked after by the clock */
+struct pm_node_counts {
+    int up, silent, lent, booting;       /* machines */
+    unsigned live;                       /* jobs */
+    unsigned placed, waiting, delegated; /* tasks */
+    double cpus, idle;
+};
+struct pm_node_counts pm_node_count(struct pm_node *n, double now);
 void pm_node_find_again(struct pm_node *n, double now);
 void pm_node_on_round(struct ev_loop *loop, ev_timer *w, int events);
 
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -281,6 +281,8 @@
     } else if (!strncmp(key, "p/b/", 4)) {
         n->blocks_changed |= n->ruling;
         pm_blocks_put(n->blocks, key, value, revision);
+    } else if (!strncmp(key, PM_LINKS_PREFIX, strlen(PM_LINKS_PREFIX))) {
+        pm_links_put(n->links, key, value, revision, pm_clock_steady());
     } else if (!strncmp(key, "p/seen/", 7)) {
         pm_cancels_put(n->cancels, key, value);
     } else if (!strcmp(key, "p/ledger")) {
@@ -372,7 +374,9 @@
         else
             pm_http_reply(req, 405, NULL, 0, 0);
     } else if (!strcmp(req->path, "/ready")) {
-        pm_api_ready(n->intake, req, pm_leader_refused_alone(n->lead, pm_clock_steady()));
+        pm_api_ready(n->intake, req,
+                     pm_leader_refused_alone(n->lead, pm_clock_steady()) ||
+                         pm_links_is_cut_off(n->links));
     } else if (!strcmp(req->path, "/work") || !strncmp(req->path, "/work/", 6)) {
         pm_api_request(n->intake, req);
     } else {
@@ -390,7 +394,7 @@
         pm_cancels_peer(n->cancels, req);
     else if (!strcmp(req->path, "/block") && req->method == PM_HTTP_POST)
         pm_blocks_peer(n->blocks, req);
-    else
+    else if (!pm_node_toolbox(n, req))
         pm_http_reply(req, 404, NULL, 0, 0);
 }
 
@@ -507,8 +511,10 @@
     make_names(&n->tables, settings);
     make_locks(n);
     n->http = pm_http_client_new(loop, settings->sockets / CLIENT_SHARE);
+    pm_node_make_links(n);
     make_planning(n);
     make_replication(n);
+    pm_node_carry_links(n);
     start_timers(n);
     if (!start_servers(n))
         return NULL;
--- a/src/cmd/pumicemount/planning.c
+++ b/src/cmd/pumicemount/planning.c
@@ -130,7 +130,8 @@
     if (now < n->fleet_at + MIN(FLEET_REST * n->fleet_cost, 1))
         return;
     /* Who stood still, or lags, has not heard who spoke meanwhile: nobody is given up for that. */
-    pm_fleet_set_writable(n->fleet, pm_node_writable(n, now) && now >= n->late_until, now);
+    pm_fleet_set_writable(n->fleet, pm_node_writable(n, now) && !pm_links_lagging(n->links, now),
+                          now);
     pm_fleet_run(n->fleet, now, pm_clock_day());
     n->fleet_at = pm_clock_steady();
     n->fleet_cost = n->fleet_at - now;
--- a/src/cmd/pumicemount/round.c
+++ b/src/cmd/pumicemount/round.c
@@ -112,82 +112,64 @@
     }
 }
 
-/* Cut off from the workers alone, a leader does nothing but let their leases lapse: another one may
- * reach them. */
-static void step_down_if_unheard(struct pm_node *n, double now)
+static void count_machine(struct pm_node *n, const struct pm_machine *m,
+                          struct pm_node_counts *counts, double now)
+{
+    counts->up += m->state == PM_UP && !m->lent;
+    counts->booting += m->state == PM_BOOTING;
+    counts->lent += m->lent > 0;
+    counts->silent += m->state == PM_UP && !m->lent && pm_workers_silent(m, n->settings, now);
+    if (m->state != PM_UP)
+        return;
+    counts->cpus += n->tables.type[m->type].cpus;
+    counts->idle += m->lent ? 0 : m->cpus;
+}
+
+static void count_job(const struct pm_job *job, struct pm_node_counts *counts)
+{
+    uint32_t done;
+    uint32_t running;
+
+    if (job->delegated && job->spec) {
+        pm_jobs_count(job, &done, &running);
+        counts->placed += running;
+        counts->delegated += job->entries - MIN(job->entries, done + running);
+    } else {
+        counts->placed += job->nplaced;
+        counts->waiting += pm_job_waiting(job);
+    }
+}
+
+struct pm_node_counts pm_node_count(struct pm_node *n, double now)
 {
     GPtrArray *all = pm_workers_all(n->workers);
-    double limit = MAX(3.5, 1.6 * n->settings->report_s);
-    int silent = 0;
-    int deaf = 0;
-    int up = 0;
+    GPtrArray *active = pm_jobs_active(n->jobs);
+    struct pm_node_counts counts = {.live = active->len};
 
-    if (!n->settings->peers || now - n->took_at < limit)
-        return;
     for (guint i = 0; i < all->len; i++) {
         const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!m || m->state != PM_UP || m->lent)
-            continue;
-        up++;
-        /* An answer to a command is none: a worker whose reports come nowhere loses its lease. */
-        silent += now - MAX(m->report_at, n->took_at) >= limit;
-        deaf += pm_workers_deaf(m, now);
+        if (m && m->type >= 0)
+            count_machine(n, m, &counts, now);
     }
-    /* Any report counts, also one that an outage keeps from being answered. */
-    if (silent >= 3 && now - n->report_at >= limit)
-        pm_leader_step_down(n->lead, "no worker is heard");
-    else if (deaf >= 3 && 2 * deaf > up && pm_leader_confirmed(n->lead, now))
-        pm_leader_step_down(n->lead, "the workers do not hear us");
+    for (guint i = 0; i < active->len; i++)
+        count_job(g_ptr_array_index(active, i), &counts);
+    return counts;
 }
 
 /* What there is and what waits, for whoever reads the log. */
 static void tell_state(struct pm_node *n, double now)
 {
-    GPtrArray *all = pm_workers_all(n->workers);
-    GPtrArray *active = pm_jobs_active(n->jobs);
-    int up = 0;
-    int booting = 0;
-    int lent = 0;
-    int silent = 0;
-    unsigned placed = 0;
-    unsigned waiting = 0;
-    unsigned delegated = 0;
-    double cpus = 0;
-    double idle = 0;
+    struct pm_node_counts counts;
 
     if (now - n->told_at < TELL_S)
         return;
     n->told_at = now;
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *m = g_ptr_array_index(all, i);
-        if (!m || m->type < 0)
-            continue;
-        up += m->state == PM_UP && !m->lent;
-        booting += m->state == PM_BOOTING;
-        lent += m->lent > 0;
-        silent += m->state == PM_UP && !m->lent && pm_workers_silent(m, n->settings, now);
-        if (m->state != PM_UP)
-            continue;
-        cpus += n->tables.type[m->type].cpus;
-        idle += m->lent ? 0 : m->cpus;
-    }
-    for (guint i = 0; i < active->len; i++) {
-        const struct pm_job *job = g_ptr_array_index(active, i);
-        uint32_t done;
-        uint32_t running;
-        if (job->delegated && job->spec) {
-            pm_jobs_count(job, &done, &running);
-            placed += running;
-            delegated += job->entries - MIN(job->entries, done + running);
-        } else {
-            placed += job->nplaced;
-            waiting += pm_job_waiting(job);
-        }
-    }
+    counts = pm_node_count(n, now);
     pm_info("node.state",
             "machines up %d (%d silent), leased out %d, booting %d; cpus %.0f, idle %.0f; jobs %u, "
             "tasks placed %u, waiting %u, at holders %u",
-            up, silent, lent, booting, cpus, idle, active->len, placed, waiting, delegated);
+            counts.up, counts.silent, counts.lent, counts.booting, counts.cpus, counts.idle,
+            counts.live, counts.placed, counts.waiting, counts.delegated);
 }
 
 void pm_node_on_round(struct ev_loop *loop, ev_timer *w, int events)
@@ -197,9 +179,7 @@
 
     (void)loop;
     (void)events;
-    if (n->round_at && now - n->round_at > 2 * ROUND_S)
-        n->late_until = now + DIRECT_S;
-    n->round_at = now;
+    pm_node_tick_links(n, now);
     if (!n->tables.ntypes && pm_store_ready(n->store))
         pm_fleet_ask_types(n->fleet, now);
     if (n->ruling) {
@@ -211,7 +191,7 @@
         if (n->leading)
             tell_state(n, now);
         if (n->leading)
-            step_down_if_unheard(n, now);
+            pm_node_give_way(n, now);
         pm_node_plan_soon(n);
     }
 }
--- a/src/cmd/pumicemount/workers.c
+++ b/src/cmd/pumicemount/workers.c
@@ -17,6 +17,7 @@
     int machine;
     uint64_t epoch;
     double valid_until; /* steady: not written later */
+    double sent;
 };
 
 static void on_direct(void *arg, int status, const unsigned char *body, size_t size)
@@ -28,6 +29,8 @@
     bool fresh;
 
     n->directs--;
+    if (m && m->reported && status != PM_HTTP_NOT_SENT)
+        pm_links_worker_answered(n->links, m->zone, status > 0, direct->sent, pm_clock_steady());
     if (m && m->direct_busy) {
         report = status == 200 || status == 409 ? pm_cbor_parse(body, size) : NULL;
         pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
@@ -35,7 +38,8 @@
         if (status < 0 &&
             !(status == PM_HTTP_NOT_SENT && pm_clock_steady() > direct->valid_until)) {
             m->unreached = pm_clock_steady();
-            if (m->reported && m->unreached > n->late_until) /* one that boots can't answer */
+            if (m->reported &&
+                !pm_links_lagging(n->links, m->unreached)) /* one that boots can't answer */
                 pm_workers_unheard(m, "a /do has no answer", m->unreached);
             m->direct_retry = m->unreached + 0.7;
         }
@@ -62,8 +66,8 @@
         !pm_leader_confirmed(n->lead, pm_clock_steady()))
         return;
     direct = g_new0(struct direct, 1);
-    *direct =
-        (struct direct){n, m->index, pm_leader_epoch(n->lead), pm_leader_confirmed_until(n->lead)};
+    *direct = (struct direct){n, m->index, pm_leader_epoch(n->lead),
+                              pm_leader_confirmed_until(n->lead), pm_clock_steady()};
     pm_put_map(&body);
     pm_put_pair_count(&body, "mandate", direct->epoch);
     pm_put_pair_count(&body, "shift", m->session ? m->session : 1);
@@ -153,6 +157,8 @@
         return;
     }
     m = n->ruling ? pm_workers_find(n->workers, name) : NULL;
+    if (m)
+        pm_links_worker_heard(n->links, m->zone, token && token == epoch, now);
     if (!n->ruling || (n->leading ? m && m->lent : !m || m->left)) {
         if (pm_leader_may_renew_in_outage(n->lead, now) && token <= epoch) {
             req->valid_until = pm_leader_renewal_until(n->lead);
--- a/src/leadership/leadership.c
+++ b/src/leadership/leadership.c
@@ -74,7 +74,8 @@
     double announced_at;
     double caught_up_at, reaching_sent;
     uint64_t reaching; /* the store revision that they have to reach for a later one, 0: none */
-    double epoch_at, raise_at; /* steady: our epoch is that old; a raise was last tried */
+    struct pm_leader_links links; /* no functions: none are carried */
+    double epoch_at, raise_at;    /* steady: our epoch is that old; a raise was last tried */
 };
 
 struct ask {
@@ -457,6 +458,8 @@
     }
     if (!strcmp(tell->from, l->holder))
         l->leader_heard = pm_clock_steady();
+    if (l->links.unpack && tell->views.len)
+        l->links.unpack(l->links.arg, ask->peer, tell->views.data, tell->views.len, ask->sent);
     if (take_cancelled(l, ask, tell)) {
         on_vote(l, ask, tell);
         g_free(ask);
@@ -529,8 +532,11 @@
     tell.n_cancelled = n;
     tell.more = more;
     tell.protocol_version = PM_PROTOCOL_VERSION;
+    if (l->links.pack)
+        tell.views.data = l->links.pack(l->links.arg, &tell.views.len);
     data = g_malloc(pm__peer_tell__get_packed_size(&tell));
     pm_http_reply(req, 200, data, pm__peer_tell__pack(&tell, data), 0);
+    g_free(tell.views.data);
     g_free(data);
     g_free(list);
     g_free(entry);
@@ -550,6 +556,8 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
+    if (l->links.heard)
+        l->links.heard(l->links.arg, peer);
     l->peer_version[peer] = MAX(l->peer_version[peer], ask->protocol_version);
     if (ask->epoch > l->heard)
         l->heard = ask->epoch;
@@ -627,6 +635,7 @@
 {
     struct pm_leader *l = w->data;
     double now = pm_clock_steady();
+    double wait;
 
     (void)loop;
     (void)events;
@@ -658,6 +667,8 @@
         if (now - l->asked > ANNOUNCE_S)
             ask_peers(l, now);
     }
+    if (l->links.pack && now - l->asked > l->links.ask_every_s)
+        ask_peers(l, now);
     if (l->leads) {
         if (!l->renew_busy && now - l->renewed > l->op->leader_ttl_s / 3.5) {
             l->renew_busy = true;
@@ -675,7 +686,10 @@
     if (now < l->standing_back_until && now - l->vacant_since < 4)
         return;
     /* A little apart by name, so that two that see it free at once seldom collide. */
-    if (now - l->vacant_since < 0.02 + 0.15 * (g_str_hash(l->settings->name) % 3))
+    wait = 0.02 + 0.15 * (g_str_hash(l->settings->name) % 3);
+    if (l->links.candidate_wait_s)
+        wait += l->links.candidate_wait_s(l->links.arg);
+    if (now - l->vacant_since < wait)
         return;
     l->candidate = true;
     pm_store_hold(l->store, l->op->leader_ttl_s, on_lease_id, l);
@@ -855,6 +869,11 @@
     return l;
 }
 
+void pm_leader_carry_links(struct pm_leader *l, const struct pm_leader_links *links)
+{
+    l->links = *links;
+}
+
 void pm_leader_free(struct pm_leader *l)
 {
     ev_timer_stop(l->loop, &l->tick);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -37,10 +37,25 @@
     void *arg;
 };
 
+/* What the links slice has to do with the messages between controllers, and with who leads. */
+struct pm_leader_links {
+    double ask_every_s; /* peers are asked at least so often */
+    /* The views to be told in an answer to a peer; owned by the caller. */
+    unsigned char *(*pack)(void *arg, size_t *size);
+    /* A peer's answer, to what was sent at `asked_at`, told its views. */
+    void (*unpack)(void *arg, int peer, const unsigned char *data, size_t size, double asked_at);
+    void (*heard)(void *arg, int peer); /* a peer's request has arrived */
+    /* How much longer than others this controller waits before it takes a vacant lead. */
+    double (*candidate_wait_s)(void *arg);
+    void *arg;
+};
+
 struct pm_leader *pm_leader_new(struct ev_loop *loop, struct pm_store *store,
                                 struct pm_http_client *http, const struct pm_settings *settings,
                                 const struct pm_operator *op, const struct pm_leader_hooks *hooks);
 void pm_leader_free(struct pm_leader *lead);
+/* From now on views of links travel with the messages between controllers. */
+void pm_leader_carry_links(struct pm_leader *lead, const struct pm_leader_links *links);
 /* The replica's feed, for p/epoch and p/lead. */
 void pm_leader_put(struct pm_leader *lead, const char *key, const cbor_item_t *value,
                    uint64_t revision);
