Red: a holder that reads the state anew takes its block again without its places

test_blocks, a_holder_that_reads_anew_gives_its_block_up: after a listing (the watch too old, or out of reach for 8 s) a holder is granted the block that it dropped, in the same epoch, and counts nothing of what runs there.

--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -30,6 +30,7 @@
     struct pm_blocks *blocks;
     uint64_t took;
     int granted, back_jobs;
+    int left; /* times at which this controller was told that it holds no block */
 };
 
 static struct ev_loop *loop;
@@ -100,7 +101,10 @@
 
 static void on_mine(void *arg, bool granted)
 {
-    ((struct side *)arg)->granted = granted;
+    struct side *s = arg;
+
+    s->granted = granted;
+    s->left += !granted;
 }
 
 static void on_peer(void *arg, struct pm_http_request *req)
@@ -451,6 +455,34 @@
     assert_int_equal(pm_workers_find(leader.workers, "i-000001")->lent, 1);
 }
 
+static bool has_left(void *arg)
+{
+    (void)arg;
+    round_of_leader();
+    return holder.left > 0 && (holder.granted || leader.back_jobs > 0);
+}
+
+/* Reading the state anew, a holder drops what it knew of its block: which tasks it placed, and
+ * which commands are under way. It does not act on that block again, though the state service still
+ * has it: counting none of what runs there, it would start as much again as the lease allows. The
+ * leader takes the block back, which ends those commands, and finds the places in the state
+ * service. */
+static void a_holder_that_reads_anew_gives_its_block_up(void **arg)
+{
+    uint64_t epoch;
+
+    (void)arg;
+    write_job(&leader, "job-1", false);
+    assert_true(fake_run_until(loop, is_granted, NULL));
+    epoch = pm_leader_epoch(leader.lead);
+    pm_store_relist(holder.store);
+    assert_true(fake_run_until(loop, has_left, NULL));
+    assert_false(holder.granted);
+    assert_int_equal(leader.back_jobs, 1);
+    assert_true(pm_leader_epoch(leader.lead) > epoch);
+    assert_int_equal(fake_state_revision(state, "p/b/n1"), 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -458,6 +490,7 @@
         cmocka_unit_test_setup(a_holder_tells_which_jobs_fail, set_up),
         cmocka_unit_test_setup(given_only_what_the_block_holds, set_up),
         cmocka_unit_test_setup(a_late_first_write_gives_nothing_away, set_up),
+        cmocka_unit_test_setup(a_holder_that_reads_anew_gives_its_block_up, set_up),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
