--- a/src/base/tests/test_http.c
+++ b/src/base/tests/test_http.c
@@ -1,6 +1,6 @@
 /* What was decided on something that was confirmed a while ago is not written once that is too old:
  * the process may have stood still in between. */
-#include "../../store/tests/fake_state.h"
+#include "testing/fake_state.h"
 #include "base/clock.h"
 #include "base/http.h"
 
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -2,7 +2,7 @@
  * the transaction that raises the epoch. Two controllers and a state service in this process. */
 #include "../../jobs/tests/books.h"
 #include "../../jobs/tests/earlier.h"
-#include "../../store/tests/fake_state.h"
+#include "testing/fake_state.h"
 #include "base/clock.h"
 #include "blocks/blocks.h"
 #include "workers/faults.h"
--- a/src/cmd/measure-cuts/main.c
+++ b/src/cmd/measure-cuts/main.c
@@ -1,7 +1,7 @@
 /* Measures what follows when the leader's links are cut: real controller processes over loopback,
  * the stand-ins, a running workload. Prints one line a kind of cut, times in seconds. Not part of
  * CI: a kind takes minutes. */
-#include "../../links/tests/cluster.h"
+#include "testing/cluster.h"
 #include "base/clock.h"
 
 #include <glib.h>
--- a/src/cmd/pumicectl/tests/test_pumicectl.c
+++ b/src/cmd/pumicectl/tests/test_pumicectl.c
@@ -1,5 +1,5 @@
 /* pumicectl against real controllers in failed states: what it prints, and its exit status. */
-#include "../../../links/tests/cluster.h"
+#include "testing/cluster.h"
 #include "base/http.h"
 
 #include <glib.h>
--- a/src/duties/tests/calls.h
+++ b/src/duties/tests/calls.h
@@ -7,7 +7,7 @@
 #ifndef PM_DUTIES_TESTS_CALLS_H
 #define PM_DUTIES_TESTS_CALLS_H
 
-#include "../../links/tests/fleet.h"
+#include "testing/fleet.h"
 #include "base/cbor.h"
 
 #include <stdbool.h>
--- a/src/duties/tests/test_duties.c
+++ b/src/duties/tests/test_duties.c
@@ -1,6 +1,6 @@
 /* Duties of two controllers in one process, over one stand-in state service: who holds them, until
  * when, and what of a holder that was replaced is refused. */
-#include "../../store/tests/fake_state.h"
+#include "testing/fake_state.h"
 #include "base/clock.h"
 #include "duties/duties.h"
 
--- a/src/duties/tests/test_replacements.c
+++ b/src/duties/tests/test_replacements.c
@@ -4,7 +4,7 @@
  * What the cloud carried out is checked against what the state service held. PM_REPLACEMENTS and
  * PM_SEED make longer runs, outside CI; PM_FIRST_DAEMON is run in place of controller 0, say with a
  * wall clock that jumps. */
-#include "../../links/tests/cluster.h"
+#include "testing/cluster.h"
 #include "base/clock.h"
 #include "calls.h"
 #include "duties/duties.h"
--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -1,7 +1,7 @@
 /* What is rented for what waits: the cheapest that fits, enough to be in time, and no more than the
  * machines that there are leave undone. */
 #include "../../jobs/tests/books.h"
-#include "../../store/tests/fake_state.h"
+#include "testing/fake_state.h"
 #include "base/clock.h"
 #include "fleet/fleet.h"
 
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -1,7 +1,7 @@
 /* Safety invariants 1, 2 and 6, against a state service in this process: a placement is durable
  * before it may be launched, on the condition of the epoch and of the job; accepted and cancelled
  * are durable before they are answered. */
-#include "../../store/tests/fake_state.h"
+#include "testing/fake_state.h"
 #include "base/clock.h"
 #include "base/protocol.h"
 #include "books.h"
--- a/src/leadership/tests/controllers.h
+++ b/src/leadership/tests/controllers.h
@@ -3,7 +3,7 @@
 #define PM_LEADERSHIP_TESTS_CONTROLLERS_H
 
 #include "../../jobs/tests/books.h"
-#include "../../store/tests/fake_state.h"
+#include "testing/fake_state.h"
 #include "base/clock.h"
 #include "base/protocol.h"
 #include "leadership/cancels.h"
--- a/src/links/tests/test_cuts.c
+++ b/src/links/tests/test_cuts.c
@@ -1,7 +1,7 @@
 /* Four real controller processes, the stand-ins, a running workload, and links that are cut. What
  * must hold is checked by the history of what workers did and users heard; times are bounds that a
  * busy machine keeps as well. */
-#include "cluster.h"
+#include "testing/cluster.h"
 
 #include <glib.h>
 #include <setjmp.h>
--- a/src/links/tests/cluster.c
+++ b/src/testing/cluster.c
@@ -1,4 +1,4 @@
-#include "cluster.h"
+#include "testing/cluster.h"
 #include "base/clock.h"
 #include "base/http.h"
 
--- a/src/links/tests/cluster.h
+++ b/src/testing/cluster.h
@@ -1,12 +1,12 @@
 /* Real controller processes over loopback, with the stand-ins, users and a record of all that
  * matters, for tests and measurements that cut links. */
-#ifndef PM_LINKS_TESTS_CLUSTER_H
-#define PM_LINKS_TESTS_CLUSTER_H
+#ifndef PM_TESTING_CLUSTER_H
+#define PM_TESTING_CLUSTER_H
 
-#include "../../store/tests/fake_state.h"
-#include "fleet.h"
-#include "history.h"
-#include "relay.h"
+#include "testing/fake_state.h"
+#include "testing/fleet.h"
+#include "testing/history.h"
+#include "testing/relay.h"
 
 #include <stdbool.h>
 
--- a/src/store/tests/fake_state.c
+++ b/src/testing/fake_state.c
@@ -1,4 +1,4 @@
-#include "fake_state.h"
+#include "testing/fake_state.h"
 #include "base/cbor.h"
 #include "base/clock.h"
 #include "base/http.h"
--- a/src/store/tests/fake_state.h
+++ b/src/testing/fake_state.h
@@ -1,8 +1,8 @@
 /* A state service for tests, on a loopback port of its own choice: keys with revisions,
  * transactions, listing, watches, holds, outages. No time, no chance, unless holds are to expire by
  * the clock. */
-#ifndef PM_STORE_FAKE_STATE_H
-#define PM_STORE_FAKE_STATE_H
+#ifndef PM_TESTING_FAKE_STATE_H
+#define PM_TESTING_FAKE_STATE_H
 
 #include "base/cbor.h"
 
--- a/src/links/tests/fleet.c
+++ b/src/testing/fleet.c
@@ -1,5 +1,5 @@
-#include "fleet.h"
-#include "../../store/tests/fake_state.h"
+#include "testing/fleet.h"
+#include "testing/fake_state.h"
 #include "base/cbor.h"
 #include "base/clock.h"
 #include "base/http.h"
--- a/src/links/tests/fleet.h
+++ b/src/testing/fleet.h
@@ -1,10 +1,10 @@
 /* A stand-in for the cloud and its machines' workers, by the published protocol: machines boot at
  * once, leases expire by the steady clock, tasks run for as long as their job's id says. */
-#ifndef PM_LINKS_TESTS_FLEET_H
-#define PM_LINKS_TESTS_FLEET_H
+#ifndef PM_TESTING_FLEET_H
+#define PM_TESTING_FLEET_H
 
-#include "history.h"
-#include "relay.h"
+#include "testing/history.h"
+#include "testing/relay.h"
 
 struct fleet;
 
--- a/src/links/tests/history.c
+++ b/src/testing/history.c
@@ -1,4 +1,4 @@
-#include "history.h"
+#include "testing/history.h"
 
 #include <glib.h>
 #include <string.h>
--- a/src/links/tests/history.h
+++ b/src/testing/history.h
@@ -4,8 +4,8 @@
  * abandoned, none is called done early, no answer goes back; no task of a job runs on after its
  * cancellation was confirmed and had its time; nobody launches under a token but the controller
  * that raised it, or one that holds a block. */
-#ifndef PM_LINKS_TESTS_HISTORY_H
-#define PM_LINKS_TESTS_HISTORY_H
+#ifndef PM_TESTING_HISTORY_H
+#define PM_TESTING_HISTORY_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/links/tests/relay.c
+++ b/src/testing/relay.c
@@ -1,4 +1,4 @@
-#include "relay.h"
+#include "testing/relay.h"
 #include "base/http_internal.h"
 
 #include <arpa/inet.h>
--- a/src/links/tests/relay.h
+++ b/src/testing/relay.h
@@ -1,7 +1,7 @@
 /* A TCP relay in front of one stand-in, for tests that cut links: it tells by the connecting
  * process which controller a connection is from, and holds back, or resets, what goes over it. */
-#ifndef PM_LINKS_TESTS_RELAY_H
-#define PM_LINKS_TESTS_RELAY_H
+#ifndef PM_TESTING_RELAY_H
+#define PM_TESTING_RELAY_H
 
 #include <stdbool.h>
 #include <sys/types.h>
--- a/src/links/tests/test_history.c
+++ b/src/testing/tests/test_history.c
@@ -1,5 +1,5 @@
 /* The checker of histories finds each kind of violation, and nothing where there is none. */
-#include "history.h"
+#include "testing/history.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
