A command's answer tells of that command alone

Cause: the end of a /do was matched by its epoch, and the open one by a flag. A /do with a launch that got no answer was cleared by the next one that was answered in the same epoch; its place, stopped since, was judged gone while the launch could still be carried out, and ran beside the team's next task, without a place: counted by nobody. In the same way the end of a /do from a term before was taken for that of the one that is open.

Change: every /do has a number, over all terms. A launch that went unanswered is in doubt until the machine's doubt is over, whatever is answered after it; it may be sent anew, as before, with the same attempt. Red before: held_then_answered.trace; the second: command_of_a_term_before.trace.

--- a/src/cmd/pumicemount/round.c
+++ b/src/cmd/pumicemount/round.c
@@ -104,7 +104,7 @@
             continue; /* the others are asked next time: not all workers at once */
         if (is_worth_asking(n, m, now))
             pm_node_direct(n, m, true);
-        asked += m->direct_busy;
+        asked += m->direct_open != 0;
     }
     if (doubtful && n->leading && now - n->raised_at > 6) {
         n->raised_at = now;
--- a/src/cmd/pumicemount/workers.c
+++ b/src/cmd/pumicemount/workers.c
@@ -15,7 +15,7 @@
 struct direct {
     struct pm_node *node;
     int machine;
-    uint64_t epoch;
+    uint64_t number, epoch;
     double valid_until; /* steady: not written later */
     double sent;
 };
@@ -31,9 +31,9 @@
     n->directs--;
     if (m && m->reported && status != PM_HTTP_NOT_SENT)
         pm_links_worker_answered(n->links, m->zone, status > 0, direct->sent, pm_clock_steady());
-    if (m && m->direct_busy) {
-        report = status == 200 || status == 409 ? pm_cbor_parse(body, size) : NULL;
-        pm_workers_direct_done(m, direct->epoch, status > 0 && !report ? PM_HTTP_LOST : status);
+    report = status == 200 || status == 409 ? pm_cbor_parse(body, size) : NULL;
+    if (m && pm_workers_direct_done(m, direct->number, direct->epoch,
+                                    status > 0 && !report ? PM_HTTP_LOST : status)) {
         /* One that we did not write in time says nothing about the machine. */
         if (status < 0 &&
             !(status == PM_HTTP_NOT_SENT && pm_clock_steady() > direct->valid_until)) {
@@ -49,9 +49,9 @@
             pm_node_plan_soon(n);
             pm_node_commit(n);
         }
-        pm_cbor_free(report);
         pm_node_direct(n, m, false);
     }
+    pm_cbor_free(report);
     g_free(direct);
 }
 
@@ -61,20 +61,23 @@
     struct direct *direct;
     double timeout;
 
-    if (m->direct_busy || n->directs >= n->settings->sockets / DIRECT_SHARE || !m->endpoint[0] ||
+    if (m->direct_open || n->directs >= n->settings->sockets / DIRECT_SHARE || !m->endpoint[0] ||
         m->direct_retry > pm_clock_steady() || (!probe && !pm_workers_direct_due(m)) ||
         !pm_leader_confirmed(n->lead, pm_clock_steady()))
         return;
     direct = g_new0(struct direct, 1);
-    *direct = (struct direct){n, m->index, pm_leader_epoch(n->lead),
-                              pm_leader_confirmed_until(n->lead), pm_clock_steady()};
+    *direct = (struct direct){.node = n,
+                              .machine = m->index,
+                              .number = pm_workers_direct_begin(n->workers, m),
+                              .epoch = pm_leader_epoch(n->lead),
+                              .valid_until = pm_leader_confirmed_until(n->lead),
+                              .sent = pm_clock_steady()};
     pm_put_map(&body);
     pm_put_pair_count(&body, "mandate", direct->epoch);
     pm_put_pair_count(&body, "shift", m->session ? m->session : 1);
     pm_put_text(&body, "orders");
     timeout = pm_workers_orders(m, true, direct->epoch, &body) ? DIRECT_S : PROBE_S;
     pm_put_end(&body);
-    m->direct_busy = true;
     n->directs++;
     pm_http_call_until(n->http, m->endpoint, "POST", "/do", body.data, body.size, timeout,
                        DIRECT_ANSWER_MAX, direct->valid_until, on_direct, direct);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -93,7 +93,8 @@
     double leave_s;
     double since;     /* steady: placed, or found again */
     double ran_from;  /* steady: first seen running, 0: not yet */
-    uint64_t direct;  /* epoch of a /do that may have carried the launch, 0: none */
+    uint64_t direct;  /* number of the last /do with the launch, until one is answered; 0: none */
+    bool in_doubt;    /* a /do with the launch has no answer: see `doubtful` of the machine */
     uint64_t replied; /* sequence number of the report whose answer carried the launch, 0: none */
 };
 
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -368,7 +368,7 @@
     struct pm_buf buf = {0};
 
     if (direct)
-        m->direct_busy = true;
+        pm_workers_direct_begin(w->workers, m);
     pm_workers_orders(m, direct, w->epoch, &buf);
     say_orders(w, &buf);
 }
@@ -464,16 +464,28 @@
     w->epoch = strtoul(words[1], NULL, 10);
 }
 
-/* unanswered HOST: a /do has no answer */
+/* The /do that is open ends, or, with as=N, the one of that number. */
+static void end_direct(struct world *w, char **words, int status)
+{
+    struct pm_machine *m = machine_of(w, words);
+    uint64_t number_of = (uint64_t)number(words, "as", (double)m->direct_open);
+
+    if (!pm_workers_direct_done(m, number_of, w->epoch, status))
+        g_string_append(w->said, "> not the open one\n");
+    else if (status == PM_HTTP_LOST)
+        pm_workers_unheard(m, "a /do has no answer", w->now);
+}
+
+/* unanswered HOST [as=N]: a /do has no answer */
 static void do_unanswered(struct world *w, char **words)
 {
-    pm_workers_direct_done(machine_of(w, words), w->epoch, PM_HTTP_LOST);
-    pm_workers_unheard(machine_of(w, words), "a /do has no answer", w->now);
+    end_direct(w, words, PM_HTTP_LOST);
 }
 
+/* answered HOST [as=N] */
 static void do_answered(struct world *w, char **words)
 {
-    pm_workers_direct_done(machine_of(w, words), w->epoch, 200);
+    end_direct(w, words, 200);
 }
 
 /* lease_tasks JOB KEPT: how many a lease may take */
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -18,6 +18,7 @@
     struct pm_workers_hooks hooks;
     GPtrArray *all;   /* by machine index of the replica */
     uint64_t ignored; /* entries of jobs that the replica does not know */
+    uint64_t directs; /* /do begun so far, over all resets */
 };
 
 struct pm_workers *pm_workers_new(struct pm_name_tables *tables, struct pm_jobs *jobs,
@@ -248,7 +249,7 @@
 
 bool pm_workers_clean(const struct pm_machine *m, uint64_t epoch)
 {
-    return !m->places->len && !m->direct_busy && !m->doubtful && !m->ended->len &&
+    return !m->places->len && !m->direct_open && !m->doubtful && !m->ended->len &&
            !m->strays->len && m->reported && m->token >= epoch;
 }
 
@@ -390,7 +391,7 @@
     for (guint i = 0; i < m->places->len;) {
         struct pm_place *place = g_ptr_array_index(m->places, i);
         bool in_answer = place->replied && (kind != PM_REPORT || m->sequence <= place->replied);
-        bool in_direct = place->direct && (m->direct_busy || m->doubtful);
+        bool in_direct = (place->direct && m->direct_open) || (place->in_doubt && m->doubtful);
 
         if (place->seen || place->state == PM_INTENT || m->token < epoch || in_answer ||
             in_direct) {
@@ -398,6 +399,7 @@
             continue;
         }
         place->replied = place->direct = 0; /* no copy is under way any more */
+        place->in_doubt = false;
         if (place->stop || place->state > PM_DURABLE) {
             /* Not there, and nothing can bring it. */
             end_place(w, place, PM_END_GONE, false, now);
@@ -566,7 +568,7 @@
 {
     const struct pm_chunk *chunk;
 
-    if (m->direct_busy || m->doubtful || m->token < epoch)
+    if (m->direct_open || m->doubtful || m->token < epoch)
         return false;
     if (!entry->job->chunk)
         return true; /* over, durably */
@@ -584,7 +586,7 @@
         if (launch_due(place, m, direct)) {
             put_order(out, "launch", place->job->id, place->index, place->attempt, -1);
             if (direct)
-                place->direct = epoch, m->direct_launches = true;
+                place->direct = m->direct_open, m->direct_launches = true;
             else
                 place->replied = m->sequence;
             n++;
@@ -634,21 +636,41 @@
     pm_put_end(out);
 }
 
-void pm_workers_direct_done(struct pm_machine *m, uint64_t epoch, int status)
+uint64_t pm_workers_direct_begin(struct pm_workers *w, struct pm_machine *m)
 {
-    bool launched = m->direct_launches;
+    m->direct_open = ++w->directs;
+    m->direct_launches = false;
+    return m->direct_open;
+}
 
-    m->direct_busy = m->direct_launches = false;
-    for (guint i = 0; i < m->places->len; i++) {
-        struct pm_place *place = g_ptr_array_index(m->places, i);
-        if (status != PM_HTTP_LOST && place->direct == epoch)
-            place->direct = 0; /* 200: listed from now on; 409 or not sent: never executed */
-        if (status != 200)
-            place->stop_sent = false;
+/* What the end of a /do tells of one place. */
+static void note_direct_end(struct pm_place *place, uint64_t number, int status)
+{
+    if (status == PM_HTTP_LOST) {
+        place->in_doubt |= place->direct == number;
+    } else if (status == PM_HTTP_NOT_SENT) {
+        if (place->direct == number)
+            place->direct = 0;
+    } else if (place->direct <= number) {
+        /* The machine answers: what is still not there is sent anew. That says nothing of an
+         * earlier /do that had no answer: its launch may be carried out yet. */
+        place->direct = 0;
     }
+    if (status != 200)
+        place->stop_sent = false;
+}
+
+bool pm_workers_direct_done(struct pm_machine *m, uint64_t number, uint64_t epoch, int status)
+{
+    if (m->direct_open != number)
+        return false;
+    m->direct_open = 0;
+    for (guint i = 0; i < m->places->len; i++)
+        note_direct_end(g_ptr_array_index(m->places, i), number, status);
     /* Whatever became of the launches it carried, a copy may still arrive minutes late. */
-    if (status == PM_HTTP_LOST && launched) {
+    if (status == PM_HTTP_LOST && m->direct_launches) {
         m->doubtful = epoch;
         m->doubtful_session = m->session;
     }
+    return true;
 }
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -70,7 +70,8 @@
     double session_heard; /* steady: first message of its session, which cannot have begun later */
     double answered;      /* steady: when this leader last answered a report of it with 200 */
     /* Direct commands. */
-    bool direct_busy, direct_launches; /* a /do is open; it carries launches */
+    uint64_t direct_open; /* number of the /do that is open, 0: none */
+    bool direct_launches; /* it carries launches */
     double direct_retry;
     double unreached;  /* steady: a /do to it last failed */
     uint64_t doubtful; /* epoch of a /do with launches that got no answer, 0: none */
@@ -161,8 +162,13 @@
                                struct pm_buf *out);
 /* Whether /do would carry something. */
 bool pm_workers_direct_due(const struct pm_machine *machine);
-/* A /do sent at `epoch` came to this; on no answer, launches it carried stay in doubt. */
-void pm_workers_direct_done(struct pm_machine *machine, uint64_t epoch, int status);
+/* A /do is about to be sent: its number, under which pm_workers_orders notes what it carries. Never
+ * 0, and never the same twice, also after a reset. */
+uint64_t pm_workers_direct_begin(struct pm_workers *workers, struct pm_machine *machine);
+/* That /do, sent at `epoch`, came to this; on no answer, launches it carried stay in doubt. False:
+ * it is not the one that is open, but from before a reset. */
+bool pm_workers_direct_done(struct pm_machine *machine, uint64_t number, uint64_t epoch,
+                            int status);
 /* Everything on the machine is gone, its session over: the lease lapsed, or it was released. */
 void pm_workers_gone(struct pm_workers *workers, struct pm_machine *machine, double now);
 /* Whether the lease of what is on the machine has lapsed for certain. `floor` is the steady time
