A holder that reads the state anew gives its block up

Cause: on a listing (the watch too old, or out of reach for 8 s) a holder dropped its working state and took the block that the listing showed again, for its process had not changed. It counted none of the places in it and could start as much again as the lease allows; what ran became a stray.

Change: the name that tells holders apart changes with the working state, not only with the process. The leader sees another one, takes the block back, which ends all commands under way, and finds the places in the state service. Ruled out: finding the places again in the holder, since a command under way could still bring what it takes for gone. Red before: test_blocks, a_holder_that_reads_anew_gives_its_block_up.

--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -28,6 +28,7 @@
     b->http = http;
     b->lead = lead;
     b->hooks = *hooks;
+    g_strlcpy(b->boot, pm_leader_boot(lead), sizeof b->boot);
     b->n = tables->settings->peers + 1;
     for (int i = 0; i < b->n; i++) {
         struct block *k = &b->block[i];
@@ -98,9 +99,10 @@
     }
     if (k != pm_blocks_own(b) || b->leading)
         return;
-    /* A block that was leased to a predecessor of this process is not ours to use: what that one
-     * had under way is unknown. The leader sees the new boot name and takes the block back. */
-    if (!strcmp(k->boot_seen, pm_leader_boot(b->lead)))
+    /* A block that was leased to a predecessor of this process, or of its working state, is not
+     * ours to use: what that one had under way is unknown. The leader sees the new boot name and
+     * takes the block back. */
+    if (!strcmp(k->boot_seen, b->boot))
         pm_blocks_join(b, value, pm_clock_steady());
     else
         pm_blocks_leave_all(b);
@@ -123,6 +125,17 @@
         k->lost = true;
 }
 
+/* What this holder placed, and which commands it has under way, is forgotten: it is another holder
+ * from now on, and a block that was leased to it before comes back to the leader. */
+static void forget_working_state(struct pm_blocks *b)
+{
+    if (!b->mine_granted)
+        return;
+    snprintf(b->boot, sizeof b->boot, "%08x%08x", g_random_int(), g_random_int());
+    pm_info("blocks.forget", "the state is read anew: the block is given up");
+    pm_blocks_leave_all(b);
+}
+
 void pm_blocks_relist(struct pm_blocks *b)
 {
     for (int i = 0; i < b->n; i++) {
@@ -131,7 +144,7 @@
         g_array_set_size(b->block[i].jobs, 0);
     }
     if (!b->leading)
-        pm_blocks_leave_all(b);
+        forget_working_state(b);
 }
 
 /* ---- leader: adopting, losing ---- */
--- a/src/blocks/hold.c
+++ b/src/blocks/hold.c
@@ -128,7 +128,7 @@
         pm_http_reply(req, 400, NULL, 0, 0);
         return;
     }
-    tell.boot = (char *)pm_leader_boot(b->lead);
+    tell.boot = b->boot;
     tell.ready = pm_store_ready(b->store) && !pm_store_refusing(b->store) &&
                  now - pm_store_served(b->store) < 7 && b->tables->ntypes > 0;
     for (size_t i = 0; !b->leading && b->mine_granted && i < call->n_leaving; i++) {
--- a/src/blocks/internal.h
+++ b/src/blocks/internal.h
@@ -51,6 +51,7 @@
     struct pm_blocks_hooks hooks;
     int n;
     struct block block[PM_PEERS_MAX + 1]; /* the peers', and last our own */
+    char boot[24]; /* tells this holder's working state from those before it */
     uint64_t round;
     bool leading, doubt;
     bool mine_granted;
