Soak: kinds of trouble, the workers' lease; callers are looked for in what operators run

test_callers lists calls of the cloud by file: the stand-ins, moved to src/testing, are no callers and are left out by name, as their folders of tests were before.

--- a/src/duties/tests/test_callers.c
+++ b/src/duties/tests/test_callers.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <string.h>
 #include <cmocka.h>
@@ -12,7 +13,8 @@
     return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
-/* The sources but for the tests, "slice/file.c", in order. */
+/* The sources but for the tests and their stand-ins (which no program of the operators' holds),
+ * "slice/file.c", in order. */
 static GPtrArray *list_sources(void)
 {
     static const char *const roots[] = {"src", "src/cmd"};
@@ -24,7 +26,8 @@
         assert_non_null(root); /* the tests run in the root of the sources */
         while ((slice = g_dir_read_name(root))) {
             char *dir = g_build_filename(roots[i], slice, NULL);
-            GDir *files = g_dir_open(dir, 0, NULL);
+            bool stand_ins = !strcmp(slice, "testing");
+            GDir *files = stand_ins ? NULL : g_dir_open(dir, 0, NULL);
             const char *name;
             while (files && (name = g_dir_read_name(files)))
                 if (g_str_has_suffix(name, ".c"))
--- a/src/soak/main.c
+++ b/src/soak/main.c
@@ -10,8 +10,8 @@
 
 struct options {
     int seed, count, controllers, machines;
-    double seconds;
-    char *daemon, *only, *operator_file, *logs;
+    double seconds, lease_s;
+    char *daemon, *only, *kinds, *operator_file, *logs;
 };
 
 static bool read_options(struct options *o, int argc, char **argv, GError **error)
@@ -24,6 +24,8 @@
         {"machines", 'm', 0, G_OPTION_ARG_INT, &o->machines, "at most so many", "N"},
         {"daemon", 'd', 0, G_OPTION_ARG_FILENAME, &o->daemon, "the program", "FILE"},
         {"operator", 0, 0, G_OPTION_ARG_FILENAME, &o->operator_file, "operators' settings", "FILE"},
+        {"lease", 0, 0, G_OPTION_ARG_DOUBLE, &o->lease_s, "the workers' lease; drawn", "S"},
+        {"kinds", 0, 0, G_OPTION_ARG_STRING, &o->kinds, "only such troubles", "NAME,NAME"},
         {"only", 0, 0, G_OPTION_ARG_STRING, &o->only, "only these troubles, by number", "N,N"},
         {"logs", 0, 0, G_OPTION_ARG_FILENAME, &o->logs, "a directory for logs", "DIR"},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
@@ -48,6 +50,10 @@
         return "the machines are not from 1 to 400";
     if (!(o->seconds > 0 && o->seconds <= 3600))
         return "the seconds are not above 0, and 3600 at most";
+    if (!(o->lease_s >= 0 && o->lease_s <= 60))
+        return "the lease is not from 0 to 60 seconds";
+    if (!schedule_read_kinds(o->kinds))
+        return "no such kind of trouble";
     if (access(o->daemon, X_OK))
         return "the daemon can't be run";
     return NULL;
@@ -62,6 +68,8 @@
                                      .controllers = o->controllers,
                                      .machines = o->machines,
                                      .daemon = o->daemon,
+                                     .lease_s = o->lease_s,
+                                     .kinds = schedule_read_kinds(o->kinds),
                                      .only = o->only,
                                      .operator= operators,
                                      .log_file = log,
--- a/src/soak/schedule.c
+++ b/src/soak/schedule.c
@@ -1,6 +1,7 @@
 #include "soak/schedule.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define GAP_MOST_S 4.0 /* between two troubles */
 #define MEETING 0.5    /* share of troubles that meet the next one */
@@ -34,7 +35,35 @@
     return g_rand_double_range(random, SHORT_S, LONG_S);
 }
 
-GArray *schedule_draw(GRand *random, double seconds)
+unsigned schedule_read_kinds(const char *names)
+{
+    char **words = names ? g_strsplit(names, ",", -1) : NULL;
+    unsigned kinds = names ? 0 : (1u << TROUBLE_KINDS) - 1;
+    bool known = true;
+
+    for (char **word = words; word && *word; word++) {
+        bool found = false;
+        for (int kind = 0; kind < TROUBLE_KINDS; kind++)
+            if (!strcmp(*word, kind_names[kind])) {
+                kinds |= 1u << kind;
+                found = true;
+            }
+        known &= found;
+    }
+    g_strfreev(words);
+    return known ? kinds : 0;
+}
+
+static enum trouble_kind draw_kind(GRand *random, unsigned kinds)
+{
+    for (;;) {
+        int kind = g_rand_int_range(random, 0, TROUBLE_KINDS);
+        if (kinds >> kind & 1)
+            return (enum trouble_kind)kind;
+    }
+}
+
+GArray *schedule_draw(GRand *random, double seconds, unsigned kinds)
 {
     GArray *schedule = g_array_new(FALSE, FALSE, sizeof(struct trouble));
     double at_s = 0;
@@ -46,7 +75,7 @@
         if (at_s >= seconds)
             return schedule;
         trouble.at_s = at_s;
-        trouble.kind = (enum trouble_kind)g_rand_int_range(random, 0, TROUBLE_KINDS);
+        trouble.kind = draw_kind(random, kinds);
         trouble.target = (enum trouble_target)g_rand_int_range(random, 0, TARGETS);
         trouble.choice = g_rand_int(random);
         trouble.for_s = draw_length(random);
--- a/src/soak/schedule.h
+++ b/src/soak/schedule.h
@@ -37,8 +37,10 @@
 };
 
 /* All troubles of a run of that length, by when they begin; of struct trouble, owned by the caller.
- */
-GArray *schedule_draw(GRand *random, double seconds);
+ * `kinds` has bit k for each kind that may come. */
+GArray *schedule_draw(GRand *random, double seconds, unsigned kinds);
+/* Reads names of kinds ("kill,outage") as such bits; NULL: all. 0: there is no such name. */
+unsigned schedule_read_kinds(const char *names);
 /* Keeps only those whose numbers, counted from 1, are listed in `only` ("2,5"). False: that is no
  * list of numbers. */
 bool schedule_keep(GArray *schedule, const char *only);
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -17,13 +17,17 @@
 /* Short leases, so that much happens in a minute. */
 static const char own_operator[] = "leader_ttl_s: 1.5\nconfirm_s: 0.8\nidle_return_s: 3\n";
 
+/* With the short one much happens in a minute; within the long one commands may be held up for
+ * longer than they are waited for. */
+static const double leases[] = {4, 15};
+
 struct soak {
     const struct soak_settings *settings;
     struct cluster *cluster;
     GRand *random; /* of the workload, and of what the stand-ins delay */
     GArray *schedule;
     GArray *active; /* of struct active */
-    double began;
+    double began, lease_s;
     size_t said; /* length of the violations that were told already */
     GString *violations;
     FILE *log;
@@ -309,8 +313,9 @@
     const struct soak_settings *settings = s->settings;
     GRand *draws = g_rand_new_with_seed(settings->seed);
 
-    s->schedule = schedule_draw(draws, settings->seconds);
+    s->schedule = schedule_draw(draws, settings->seconds, settings->kinds);
     s->random = g_rand_new_with_seed(g_rand_int(draws));
+    s->lease_s = settings->lease_s > 0 ? settings->lease_s : leases[g_rand_int_range(draws, 0, 2)];
     g_rand_free(draws);
     if (settings->print)
         print_schedule(s->schedule);
@@ -336,6 +341,7 @@
         .quiet = !settings->log_file,
         .log_file = settings->log_file,
         .machines_most = settings->machines,
+        .lease_s = s.lease_s,
         .teams = workload_teams(settings->machines * MACHINE_CPUS),
         .team_count = WORKLOAD_TEAMS,
         .random = s.random});
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -9,6 +9,8 @@
     double seconds;
     int controllers, machines;
     const char *daemon;
+    double lease_s;       /* of the workers; 0: drawn */
+    unsigned kinds;       /* see schedule_draw */
     const char *only;     /* numbers of the troubles that are kept, NULL: all */
     const char *operator; /* the operators' settings, as YAML; NULL: the soak's own */
     const char *log_file; /* controllers' logs with the soak's own marks; NULL: none */
--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -16,7 +16,7 @@
 
 #define LEASE_S 4.0
 #define REPORT_S 0.5
-#define CANCEL_S 12.0
+#define CANCEL_LEASES 3.0 /* within so many leases a cancelled job is gone */
 #define USERS_TICK_S 0.1
 #define POLL_S 0.5
 #define RETRY_S 0.5
@@ -68,6 +68,11 @@
 /* All of the machines' processors. */
 static const struct cluster_team default_teams[] = {{"team", 64, 64}};
 
+static double cancel_s(const struct cluster *c)
+{
+    return CANCEL_LEASES * c->settings.lease_s;
+}
+
 /* ---- users ---- */
 
 static void put_submission(const struct user_job *user, struct pm_buf *out)
@@ -307,7 +312,7 @@
         "[settings.cloud]\nrps = 10.0\nlist_lag_s = 0.5\n"
         "[settings.quota]\ncores = 1.0\nmem_mb = 512.0\nsockets = 900\n",
         fleet_cloud_addr(c->fleet), relay_addr(c->state_relay), c->settings.controllers, REPORT_S,
-        LEASE_S, GANG_WAIT_S, GANG_PEER_S, CANCEL_S);
+        c->settings.lease_s, GANG_WAIT_S, GANG_PEER_S, cancel_s(c));
     for (int k = 0; k < c->settings.team_count; k++)
         g_string_append_printf(text,
                                "[[settings.teams]]\nname = \"%s\"\ncpus = %.1f\n"
@@ -435,7 +440,9 @@
     c->loop = ev_loop_new(EVFLAG_AUTO);
     c->jobs = g_ptr_array_new();
     c->client = pm_http_client_new(c->loop, 64);
-    c->history = history_new(CANCEL_S);
+    if (settings->lease_s <= 0)
+        c->settings.lease_s = LEASE_S;
+    c->history = history_new(cancel_s(c));
     for (int i = 0; i < c->settings.team_count; i++)
         history_team(c->history, c->settings.teams[i].name, c->settings.teams[i].cpus_max);
     c->state = fake_state_new(c->loop);
@@ -450,7 +457,7 @@
                                                   .zones = CLUSTER_ZONES,
                                                   .machines_most = c->settings.machines_most,
                                                   .report_s = REPORT_S,
-                                                  .lease_s = LEASE_S,
+                                                  .lease_s = c->settings.lease_s,
                                                   .gang_wait_s = GANG_WAIT_S,
                                                   .gang_peer_s = GANG_PEER_S,
                                                   .front = c->front_text,
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -27,6 +27,7 @@
     bool quiet;                       /* the processes' logs are thrown away */
     const char *log_file;             /* where else they go; NULL: to standard error */
     int machines_most;                /* 0: a few */
+    double lease_s;                   /* of the workers; 0: a short one */
     const struct cluster_team *teams; /* NULL: one, with all that there is */
     int team_count;
     /* Users ask another controller each time, repeat submissions and ask for jobs that nobody
