One account of a team's use, asked by planner, leases, holder and commit

Need: what counted a team's use stood in three files (ledger, plan, lease), and a start was checked at planning only. Now placement/use.c counts places that are not proven gone, leases out (a width that was not read yet as all that are not done; never less than what the replica shows running) and strays, which nobody counted; within, gangs, lease_tasks, widen and the wants ask it. Before placements are written it is counted anew, and starts beyond a limit are withdrawn (quota.refused). What workers report is held against the limits at each plan (quota.over). Both are errors and counted; the daemon goes on.

Logs: quota.use every 10 s for teams near their limits, by parts; plan.place with the parts and the limit; blocks.adopt with the revision, machines, jobs and widths; task.ended with words for numbers.

--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -181,11 +181,15 @@
             m->heard = now;
             g_array_append_val(k->entries, entry);
         }
+        if (k->revision)
+            pm_info("blocks.adopt", "%s as of revision %llu: %u machines, %u jobs", k->name,
+                    (unsigned long long)k->revision, k->machines->len, k->jobs->len);
         for (guint j = 0; j < k->jobs->len; j++) {
             struct seen_job *seen = &g_array_index(k->jobs, struct seen_job, j);
             struct pm_job *job = pm_jobs_find(b->jobs, seen->id);
             if (!job || !job->spec)
                 continue;
+            pm_debug("blocks.adopt", "%s at %s, %u at once", job->id, k->name, seen->parallelism);
             job->delegated = true;
             job->parallelism = seen->parallelism;
             g_ptr_array_add(k->given, job);
--- a/src/cmd/pumicemount/node.c
+++ b/src/cmd/pumicemount/node.c
@@ -49,13 +49,15 @@
 
 static void on_ended(void *arg, struct pm_place *place, enum pm_end end, bool saved, double now)
 {
+    static const char *const ends[] = {"",        "done",     "stopped", "failed",
+                                       "refused", "its gang", "gone"};
     struct pm_node *n = arg;
     struct pm_job *job = place->job;
     struct pm_task *task = pm_job_task(job, place->index);
     struct pm_machine *m = place->machine;
 
-    pm_debug("task.ended", "%s/%u try %u on %s: %d%s", job->id, place->index, place->attempt,
-             m->name, end, saved ? " saved" : "");
+    pm_debug("task.ended", "%s/%u try %u on %s: %s%s", job->id, place->index, place->attempt,
+             m->name, ends[end], saved ? " saved" : "");
     if (end != PM_END_DONE && place->ran_from && job->spec->bookmark_s > 0)
         task->resumed = true;
     /* What was stopped to make room does not compete for that room at once. */
--- a/src/cmd/pumicemount/planning.c
+++ b/src/cmd/pumicemount/planning.c
@@ -101,6 +101,7 @@
         commit_at(n, rested, now);
         return;
     }
+    pm_plan_check_starts(n->plan, now);
     grounds.epoch_revision = pm_leader_revision(n->lead);
     if (!n->leading) {
         grounds.block_key = n->block_key;
--- a/src/cmd/pumicemount/round.c
+++ b/src/cmd/pumicemount/round.c
@@ -170,6 +170,7 @@
             "tasks placed %u, waiting %u, at holders %u",
             counts.up, counts.silent, counts.lent, counts.booting, counts.cpus, counts.idle,
             counts.live, counts.placed, counts.waiting, counts.delegated);
+    pm_plan_tell_use(n->plan);
 }
 
 void pm_node_on_round(struct ev_loop *loop, ev_timer *w, int events)
--- a/src/placement/internal.h
+++ b/src/placement/internal.h
@@ -15,6 +15,18 @@
     double sum;
 };
 
+/* Of a team's limit. */
+struct pm_use {
+    double cpus, gpus;
+};
+
+struct team_use {
+    struct pm_use own;      /* places that are not proven gone */
+    struct pm_use leased;   /* what leases out allow at once */
+    struct pm_use stray;    /* tasks that a worker reports and no place is known of */
+    struct pm_use reported; /* of own and stray: what workers say is there now */
+};
+
 struct pm_plan {
     struct pm_name_tables *tables;
     struct pm_jobs *jobs;
@@ -23,10 +35,13 @@
     struct ledger ledger[PM_TEAMS_MAX];
     long bucket; /* the bucket in force, counted in time of day */
     double charged_at;
-    double cpus[PM_TEAMS_MAX], gpus[PM_TEAMS_MAX]; /* in use, or leased out: for the limits */
-    double actual[PM_TEAMS_MAX];                   /* processors in use: for the guarantees */
-    double yielding[PM_TEAMS_MAX];                 /* processors of tasks that are being stopped */
-    double promised[PM_TEAMS_MAX]; /* processors that are being made free for the team */
+    struct team_use use[PM_TEAMS_MAX]; /* see use.c: for the limits */
+    bool unchecked;                    /* something was placed since it was counted */
+    double over_told[PM_TEAMS_MAX];    /* steady: the team was last told to be over its limit */
+    uint64_t violations;               /* of a limit, as seen here */
+    double actual[PM_TEAMS_MAX];       /* processors in use: for the guarantees */
+    double yielding[PM_TEAMS_MAX];     /* processors of tasks that are being stopped */
+    double promised[PM_TEAMS_MAX];     /* processors that are being made free for the team */
     GArray *wants;
     GPtrArray *queue;
     double ratio[PM_TEAMS_MAX];
@@ -70,6 +85,17 @@
 /* Room on each machine that is spoken for: processors, accelerators, memory. */
 typedef double spoken[3];
 
+/* use.c */
+/* Counts all teams' use anew. */
+void pm_use_count(struct pm_plan *p, double now);
+struct pm_use pm_use_total(const struct pm_plan *p, int team);
+void pm_use_add_own(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks);
+void pm_use_add_leased(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks);
+/* Whether so many more tasks are within the team's limits. */
+bool pm_use_allows(const struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks);
+/* How many more are, less the share `kept` of the limits. */
+uint32_t pm_use_room(const struct pm_plan *p, const struct pm_spec *spec, double kept);
+
 /* ledger.c */
 void pm_plan_account(struct pm_plan *p, double now, double day);
 bool pm_plan_unallocated(const struct pm_job *job);
--- a/src/placement/lease.c
+++ b/src/placement/lease.c
@@ -8,24 +8,14 @@
     g_array_append_vals(p->wants, &(struct pm_want){job, tasks}, 1);
 }
 
-/* What is below a limit, less a share of it that is kept; all of it where there is no limit. */
-static double below(double most, double used, double kept)
-{
-    return most < 1e9 ? most * (1 - kept) - used : most;
-}
-
 uint32_t pm_plan_lease_tasks(const struct pm_plan *p, const struct pm_spec *spec, double kept)
 {
-    const struct pm_team_setting *team = &p->tables->settings->team[spec->team];
-
-    return pm_spec_fit(spec, below(team->cpus_max, p->cpus[spec->team], kept),
-                       below(team->gpus_max, p->gpus[spec->team], kept), INFINITY);
+    return pm_use_room(p, spec, kept);
 }
 
 void pm_plan_lease(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks)
 {
-    p->cpus[spec->team] += tasks * spec->cpus;
-    p->gpus[spec->team] += tasks * spec->gpus;
+    pm_use_add_leased(p, spec, tasks);
 }
 
 uint32_t pm_plan_within_guarantee(struct pm_plan *p, const struct pm_job *job)
--- a/src/placement/ledger.c
+++ b/src/placement/ledger.c
@@ -57,8 +57,8 @@
     l->sum += amount;
 }
 
-/* Jobs that holders place: what their leases allow at once counts for the limits, what the replica
- * says of them for the guarantees and the ledger. */
+/* Jobs that holders place: what the replica says of them counts for the guarantees and the ledger.
+ */
 static void account_away(struct pm_plan *p, double span)
 {
     GPtrArray *active = pm_jobs_active(p->jobs);
@@ -66,16 +66,8 @@
     for (guint i = 0; i < active->len; i++) {
         const struct pm_job *job = g_ptr_array_index(active, i);
         const struct pm_spec *spec = job->spec;
-        uint32_t done;
-        uint32_t placed;
-        uint32_t width;
         if (!job->delegated || !spec || job->parallelism == UINT32_MAX)
             continue;
-        /* What is done, durably, never runs again: it takes nothing of the limit any more. */
-        pm_jobs_count(job, &done, &placed);
-        width = MIN(job->parallelism, job->entries - MIN(done, job->entries));
-        p->cpus[spec->team] += width * spec->cpus;
-        p->gpus[spec->team] += width * spec->gpus;
         for (int k = 0; k < job->nchunks; k++) {
             const GArray *stored_places = job->chunk[k] ? job->chunk[k]->stored_places : NULL;
             for (guint s = 0; stored_places && s < stored_places->len; s++) {
@@ -97,7 +89,7 @@
 
     turn_buckets(p, day);
     for (int t = 0; t < p->tables->settings->teams; t++)
-        p->cpus[t] = p->gpus[t] = p->actual[t] = p->yielding[t] = p->promised[t] = 0;
+        p->actual[t] = p->yielding[t] = p->promised[t] = 0;
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
         for (guint j = 0; m && j < m->places->len; j++) {
@@ -105,8 +97,6 @@
             const struct pm_spec *spec = place->job->spec;
             if (place->state == PM_ENDED)
                 continue;
-            p->cpus[spec->team] += spec->cpus;
-            p->gpus[spec->team] += spec->gpus;
             p->actual[spec->team] += spec->cpus;
             if (place->stop)
                 p->yielding[spec->team] += spec->cpus;
@@ -115,6 +105,7 @@
         }
     }
     account_away(p, span);
+    pm_use_count(p, now);
     p->charged_at = now;
 }
 
--- a/src/placement/plan.c
+++ b/src/placement/plan.c
@@ -72,12 +72,12 @@
         return false; /* the block's lease allows no more at once */
     if (job->spec->form == PM_ARRAY && job->nplaced && pm_fault_job_failing(job))
         return false; /* one at a time */
-    if (guarantee && (p->actual[job->spec->team] + tasks * job->spec->cpus > team->cpus + EPS ||
-                      p->gpus[job->spec->team] + tasks * job->spec->gpus > team->gpus + EPS))
+    if (guarantee &&
+        (p->actual[job->spec->team] + tasks * job->spec->cpus > team->cpus + EPS ||
+         pm_use_total(p, job->spec->team).gpus + tasks * job->spec->gpus > team->gpus + EPS))
         return false;
     /* Always the limit too: leases out count for it, though they are not in use yet. */
-    return p->cpus[job->spec->team] + tasks * job->spec->cpus <= team->cpus_max + EPS &&
-           p->gpus[job->spec->team] + tasks * job->spec->gpus <= team->gpus_max + EPS;
+    return pm_use_allows(p, job->spec, tasks);
 }
 
 void pm_plan_put_task(struct pm_plan *p, struct pm_job *job, uint32_t index, struct pm_machine *m,
@@ -85,16 +85,18 @@
 {
     pm_workers_place(p->workers, job, index, m, attempt, m->session, PM_INTENT, now);
     pm_job_touch(job, index);
-    p->cpus[job->spec->team] += job->spec->cpus;
-    p->gpus[job->spec->team] += job->spec->gpus;
+    pm_use_add_own(p, job->spec, 1);
     p->actual[job->spec->team] += job->spec->cpus;
     at->zone[m->zone]++;
     at->total++;
     p->steps++;
     if (m->cpus < EPS)
         g_ptr_array_remove(p->room, m);
-    pm_debug("plan.place", "%s/%u try %u on %s, %s uses %g", job->id, index, attempt, m->name,
-             p->tables->settings->team[job->spec->team].name, p->cpus[job->spec->team]);
+    pm_debug("plan.place", "%s/%u try %u on %s, %s uses %g of %g: own %g, leased %g, stray %g",
+             job->id, index, attempt, m->name, p->tables->settings->team[job->spec->team].name,
+             pm_use_total(p, job->spec->team).cpus,
+             p->tables->settings->team[job->spec->team].cpus_max, p->use[job->spec->team].own.cpus,
+             p->use[job->spec->team].leased.cpus, p->use[job->spec->team].stray.cpus);
 }
 
 /* The next waiting task from `from` on, or `entries`. Those that rest after errors are skipped. */
@@ -269,7 +271,7 @@
         if (!left || (job->spec->form == PM_GANG && job->nplaced))
             continue;
         /* More than the team's limit allows is no reason to rent or to stop anything. */
-        room = team->cpus_max - p->cpus[job->spec->team] - held_cpus[job->spec->team];
+        room = team->cpus_max - pm_use_total(p, job->spec->team).cpus - held_cpus[job->spec->team];
         if (job->spec->cpus > 0)
             left = (uint32_t)MIN((double)left, MAX(0, floor((room + EPS) / job->spec->cpus)));
         if (job->spec->form == PM_GANG && left < job->entries)
--- a/src/placement/plan.h
+++ b/src/placement/plan.h
@@ -16,6 +16,13 @@
 /* The same in two steps: the accounts and what must be stopped first; then what is placed. */
 void pm_plan_begin(struct pm_plan *plan, double now, double day);
 int pm_plan_place(struct pm_plan *plan, double now);
+/* To be called before placements are written: starts that would take a team over its limit, by what
+ * is known by now, are withdrawn and told of as an error. */
+void pm_plan_check_starts(struct pm_plan *plan, double now);
+/* How often a limit was seen broken, or a start was refused at the last moment. */
+uint64_t pm_plan_violations(const struct pm_plan *plan);
+/* Logs the use of the teams that are near their limits, by its parts. */
+void pm_plan_tell_use(const struct pm_plan *plan);
 /* Stops what must yield to the wants that are not away. */
 void pm_plan_preempt(struct pm_plan *plan, double now);
 /* For the leasing of blocks: how many such tasks fit below the team's limits, less the share `kept`
--- a/src/placement/tests/test_traces.c
+++ b/src/placement/tests/test_traces.c
@@ -565,6 +565,17 @@
     }
 }
 
+/* check: what comes before the write of placements; says how often a limit was seen broken so far
+ */
+static void do_check(struct world *w, char **words)
+{
+    (void)words;
+    pm_plan_check_starts(w->plan, w->now);
+    if (pm_plan_violations(w->plan))
+        g_string_append_printf(w->said, "> %llu violations\n",
+                               (unsigned long long)pm_plan_violations(w->plan));
+}
+
 static void do_lapsed(struct world *w, char **words)
 {
     pm_workers_gone(w->workers, machine_of(w, words), w->now);
@@ -591,7 +602,7 @@
         {"speaks", do_speaks},     {"answer", do_answer},
         {"hears", do_hears},       {"lapsed", do_lapsed},
         {"fault", do_fault},       {"broken", do_broken},
-        {"wants", do_wants},
+        {"wants", do_wants},       {"check", do_check},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
