Red: a recall without an answer is not made again

The block is given up by its leader and never taken: no machine is leased to it, its jobs wait for ever.

--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -455,6 +455,38 @@
     assert_int_equal(pm_workers_find(leader.workers, "i-000001")->lent, 1);
 }
 
+static bool listen_again(void *arg)
+{
+    struct side *s = arg;
+
+    s->back = pm_http_server_new(loop, s->settings.peer_listen, 16, on_peer, s);
+    return s->back != NULL;
+}
+
+static bool is_back_or_late(void *arg)
+{
+    return is_over(arg) || leader.back_jobs > 0;
+}
+
+/* A block is taken back from a holder that is not heard of, the write that does it gets no answer,
+ * and the holder is heard again before the next try. The write may be carried out yet, so the block
+ * is of no use any more: it is taken back all the same, else its jobs would wait there for ever. */
+static void a_recall_without_an_answer_is_made_again(void **arg)
+{
+    double later;
+
+    (void)arg;
+    write_job(&leader, "job-1", false);
+    assert_true(fake_run_until(loop, is_granted, NULL));
+    fake_state_put_off(state, "p/b/n1");
+    pm_http_server_free(holder.back);
+    assert_true(fake_run_until(loop, is_put_off, NULL));
+    assert_true(fake_run_until(loop, listen_again, &holder));
+    later = pm_clock_steady() + 6;
+    assert_true(fake_run_until(loop, is_back_or_late, &later));
+    assert_int_equal(leader.back_jobs, 1);
+}
+
 static bool has_left(void *arg)
 {
     (void)arg;
@@ -491,6 +523,7 @@
         cmocka_unit_test_setup(given_only_what_the_block_holds, set_up),
         cmocka_unit_test_setup(a_late_first_write_gives_nothing_away, set_up),
         cmocka_unit_test_setup(a_holder_that_reads_anew_gives_its_block_up, set_up),
+        cmocka_unit_test_setup(a_recall_without_an_answer_is_made_again, set_up),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
