--- /dev/null
+++ b/src/workers/report.c
@@ -0,0 +1,267 @@
+/* Takes in what a worker reports: its tasks, and what their absence proves. */
+#include "base/log.h"
+#include "workers/faults.h"
+#include "workers/internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+const char *const pm_task_states[PM_TASK_STATES] = {"fetching", "waiting", "running", "saving",
+                                                    "ended"};
+
+bool pm_workers_read_entry(const char *text, char *id, uint32_t *index)
+{
+    const char *slash = strchr(text, '/');
+    char *end;
+    unsigned long value;
+
+    if (!slash || (size_t)(slash - text) >= PM_ID_MAX)
+        return false;
+    memcpy(id, text, (size_t)(slash - text));
+    id[slash - text] = 0;
+    value = strtoul(slash + 1, &end, 10);
+    if (end == slash + 1 || *end || value >= PM_ENTRIES_MAX)
+        return false;
+    *index = (uint32_t)value;
+    return true;
+}
+
+static enum pm_end read_end(const cbor_item_t *entry)
+{
+    char cause[32];
+
+    if (pm_cbor_text(pm_cbor_get(entry, "cause"), cause, sizeof cause))
+        return PM_END_ERROR;
+    if (!strcmp(cause, "done"))
+        return PM_END_DONE;
+    if (!strcmp(cause, "stopped"))
+        return PM_END_STOPPED;
+    if (!strcmp(cause, "mates_gone") || !strcmp(cause, "incomplete"))
+        return PM_END_GANG;
+    if (!strcmp(cause, "error"))
+        return PM_END_ERROR;
+    return PM_END_REFUSED;
+}
+
+static void note_image(struct pm_workers *w, struct pm_machine *m, const struct pm_spec *spec)
+{
+    struct pm_cached entry = {spec->image, spec->image_gb};
+    double room = m->type >= 0 ? w->tables->type[m->type].local_gb : 0;
+    int i;
+
+    for (i = 0; i < m->ncached && m->cached[i].image != spec->image; i++)
+        ;
+    if (i == 0 && m->ncached)
+        return;
+    if (i == m->ncached && m->ncached < PM_CACHE_MAX)
+        m->ncached++;
+    if (i == PM_CACHE_MAX)
+        i--;
+    memmove(m->cached + 1, m->cached, (size_t)i * sizeof m->cached[0]);
+    m->cached[0] = entry;
+    for (i = 0; i < m->ncached; i++) { /* the least recently used give way */
+        room -= m->cached[i].gb;
+        if (i > 0 && room < 0)
+            m->ncached = i;
+    }
+}
+
+static void read_task(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *item,
+                      double now)
+{
+    char text[64];
+    char id[PM_ID_MAX];
+    char status[16];
+    struct pm_entry entry;
+    struct pm_place *place = NULL;
+    uint64_t attempt;
+    bool saved = false;
+    int state;
+
+    if (pm_cbor_text(pm_cbor_get(item, "entry"), text, sizeof text) ||
+        !pm_workers_read_entry(text, id, &entry.index) ||
+        pm_cbor_count(pm_cbor_get(item, "try"), &attempt) ||
+        pm_cbor_text(pm_cbor_get(item, "status"), status, sizeof status)) {
+        pm_error("workers.entry", "unreadable entry from %s", m->name);
+        return;
+    }
+    for (state = 0; state < PM_TASK_STATES && strcmp(pm_task_states[state], status); state++)
+        ;
+    entry.job = pm_jobs_find(w->jobs, id);
+    entry.attempt = (uint32_t)attempt;
+    if (!entry.job || state == PM_TASK_STATES || entry.index >= entry.job->entries) {
+        if (w->ignored++ == 0)
+            pm_error("workers.entry", "%s reports %s, unknown here", m->name, text);
+        return;
+    }
+    if (entry.job->spec && entry.job->chunk) {
+        const struct pm_task *task = pm_job_peek(entry.job, entry.index);
+        if (task && task->place && task->place->machine == m &&
+            task->place->attempt == entry.attempt && task->place->session == m->session)
+            place = task->place;
+    }
+    if (!place) {
+        g_array_append_val(*(state == 4 ? &m->ended : &m->strays), entry);
+        if (state != 4)
+            pm_info("workers.stray", "%s has %s try %u, not in the books", m->name, text,
+                    entry.attempt);
+        return;
+    }
+    place->seen = true;
+    if (state >= 1 && state <= 3)
+        note_image(w, m, entry.job->spec);
+    if (state == 4) {
+        pm_cbor_flag(pm_cbor_get(item, "stored"), &saved);
+        g_array_append_val(m->ended, entry);
+        pm_workers_end_place(w, place, read_end(item), saved, now);
+        return;
+    }
+    place->state = (enum pm_place_state)(PM_FETCHING + state);
+    if (place->state == PM_RUNNING && !place->ran_from) {
+        place->ran_from = now;
+        w->hooks.ran(w->hooks.arg, place, now);
+    }
+    if (place->state == PM_RUNNING)
+        pm_fault_note_running(place, now);
+}
+
+/* What a fresh message does not list. Absence proves nothing while a copy of the launch may still
+ * arrive: one in a /do without an answer (until the worker has seen a later token, or a later
+ * session), or one in an answer to a report (until the next report, for the worker has one report
+ * in flight and drops late answers). */
+static void read_absence(struct pm_workers *w, struct pm_machine *m, enum pm_message kind,
+                         uint64_t epoch, double now)
+{
+    for (guint i = 0; i < m->places->len;) {
+        struct pm_place *place = g_ptr_array_index(m->places, i);
+        bool in_answer = place->replied && (kind != PM_REPORT || m->sequence <= place->replied);
+        bool in_direct = (place->direct && m->direct_open) || (place->in_doubt && m->doubtful);
+
+        if (place->seen || place->state == PM_INTENT || m->token < epoch || in_answer ||
+            in_direct) {
+            i++;
+            continue;
+        }
+        place->replied = place->direct = 0; /* no copy is under way any more */
+        place->in_doubt = false;
+        if (place->stop || place->state > PM_DURABLE) {
+            /* Not there, and nothing can bring it. */
+            pm_workers_end_place(w, place, PM_END_GONE, false, now);
+            i = 0;
+            continue;
+        }
+        i++; /* never arrived: launched anew, as the same attempt */
+    }
+}
+
+/* Signs that the answer to an earlier report never arrived. Any of them may come of one lost
+ * message: a /do then asks the worker, and its answer clears the doubt. */
+static void read_unheard(struct pm_machine *m, bool risen, double lease_s, double now)
+{
+    if (risen && m->told && now - m->answered < lease_s) {
+        pm_workers_unheard(m, "its lease ran out though we answered", now);
+        return;
+    }
+    if (m->told && m->sequence > m->told_sequence && m->token < m->told) {
+        pm_workers_unheard(m, "it has not taken our token", now);
+        return;
+    }
+    for (guint i = 0; i < m->places->len; i++) {
+        const struct pm_place *place = g_ptr_array_index(m->places, i);
+        if (place->state == PM_DURABLE && place->replied && m->sequence > place->replied) {
+            pm_workers_unheard(m, "it shows no trace of an order", now);
+            return;
+        }
+    }
+}
+
+static int read_identity(struct pm_workers *w, struct pm_machine *m, const cbor_item_t *report)
+{
+    char type[PM_NAME_MAX];
+    char zone[PM_NAME_MAX];
+
+    if (pm_cbor_text(pm_cbor_get(report, "endpoint"), m->endpoint, sizeof m->endpoint) ||
+        pm_cbor_text(pm_cbor_get(report, "model"), type, sizeof type) ||
+        pm_cbor_text(pm_cbor_get(report, "room"), zone, sizeof zone))
+        return -1;
+    m->zone = pm_settings_zone(w->tables->settings, zone);
+    m->spot = false;
+    pm_cbor_flag(pm_cbor_get(report, "borrowed"), &m->spot);
+    pm_workers_set_type(w, m, pm_names_find(w->tables->types, type));
+    return 0;
+}
+
+struct pm_machine *pm_workers_report(struct pm_workers *w, const cbor_item_t *report,
+                                     enum pm_message kind, uint64_t epoch, double now, bool *fresh)
+{
+    char name[PM_NAME_MAX];
+    uint64_t session;
+    uint64_t sequence;
+    uint64_t token;
+    struct pm_machine *m;
+    cbor_item_t *entries = pm_cbor_get(report, "entries");
+    double recall;
+    bool risen;
+
+    *fresh = false;
+    if (pm_cbor_text(pm_cbor_get(report, "host"), name, sizeof name) || !name[0] ||
+        pm_cbor_count(pm_cbor_get(report, "shift"), &session) ||
+        pm_cbor_count(pm_cbor_get(report, "tally"), &sequence) ||
+        pm_cbor_count(pm_cbor_get(report, "mandate"), &token) ||
+        (entries && !cbor_isa_array(entries)))
+        return NULL;
+    m = pm_workers_add(w, name);
+    if (read_identity(w, m, report))
+        return NULL;
+    if (session < m->session || session < m->least_session ||
+        (session == m->session && sequence <= m->sequence)) {
+        m->stale = now;
+        return m; /* late: its list is as old as itself */
+    }
+    *fresh = true;
+    risen = m->reported && session > m->session;
+    if (session > m->session) {
+        /* A later session: what an earlier one held was killed. Places found in the state service
+         * may be of this session already: those stay. */
+        for (guint i = 0; i < m->places->len;) {
+            struct pm_place *place = g_ptr_array_index(m->places, i);
+            if (place->session < session) {
+                pm_workers_end_place(w, place, PM_END_GONE, false, now);
+                i = 0;
+            } else {
+                i++;
+            }
+        }
+        if (m->session)
+            m->ncached = 0;
+    }
+    if (session > m->session || !m->reported)
+        m->session_heard = now;
+    m->session = session;
+    m->sequence = sequence;
+    m->token = token;
+    m->heard = now;
+    if (kind == PM_REPORT || !m->reported)
+        m->report_at = now;
+    m->reported = true;
+    m->absent_since = 0;
+    if (m->state == PM_BOOTING) {
+        m->state = PM_UP;
+        pm_debug("workers.up", "%s", m->name);
+    }
+    if (m->doubtful && (token > m->doubtful || session > m->doubtful_session))
+        m->doubtful = 0;
+    m->recall_at = pm_cbor_number(pm_cbor_get(report, "recall_s"), &recall) ? 0 : now + recall;
+    for (guint i = 0; i < m->places->len; i++)
+        ((struct pm_place *)g_ptr_array_index(m->places, i))->seen = false;
+    g_array_set_size(m->ended, 0);
+    g_array_set_size(m->strays, 0);
+    for (size_t i = 0; i < pm_cbor_length(entries); i++)
+        read_task(w, m, pm_cbor_at(entries, i), now);
+    if (kind == PM_REPORT)
+        read_unheard(m, risen, w->tables->settings->lease_s, now);
+    else
+        m->reached = true, m->unheard = 0;
+    read_absence(w, m, kind, epoch, now);
+    return m;
+}
