--- /dev/null
+++ b/src/leadership/versions.c
@@ -0,0 +1,69 @@
+/* Which protocol version every controller runs. */
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/protocol.h"
+#include "leadership/internal.h"
+
+#include <stdio.h>
+
+#define ANNOUNCE_PACE_S 0.7 /* between two writes of a version */
+
+static void on_version_written(void *arg, int status, uint64_t store_revision,
+                               const cbor_item_t *failed)
+{
+    (void)status;
+    (void)store_revision;
+    (void)failed;
+    ((struct pm_leader *)arg)->version_busy = false;
+}
+
+static void put_version(struct pm_leader *l, struct pm_txn *txn, const char *key, unsigned version,
+                        double now)
+{
+    l->version_busy = true;
+    l->announced_at = now;
+    pm_txn_put(txn, key);
+    pm_put_map(&txn->writes);
+    pm_put_pair_count(&txn->writes, "version", version);
+    pm_put_end(&txn->writes);
+    pm_txn_put_end(txn, 0);
+    pm_store_commit(l->store, txn, on_version_written, l);
+}
+
+/* The lowest version of all controllers. */
+static unsigned lowest_version(const struct pm_leader *l)
+{
+    unsigned lowest = PM_PROTOCOL_VERSION;
+
+    for (int i = 0; i < l->settings->peers; i++)
+        lowest = MIN(lowest, l->peer_version[i]);
+    return lowest;
+}
+
+/* Writes our own version, for those whom our messages do not reach; and, as the leader, the one
+ * that all controllers are known to run, for good. */
+void pm_leader_announce_version(struct pm_leader *l, double now)
+{
+    struct pm_txn txn = {0};
+    unsigned version;
+    char key[PM_NAME_MAX + 16];
+
+    if (l->version_busy || now - l->announced_at < ANNOUNCE_PACE_S || !pm_store_ready(l->store) ||
+        pm_store_refusing(l->store))
+        return;
+    if (!l->version_announced) {
+        snprintf(key, sizeof key, "p/speaks/%s", l->settings->name);
+        put_version(l, &txn, key, PM_PROTOCOL_VERSION, now);
+        return;
+    }
+    version = lowest_version(l);
+    if (!l->leads || l->reach || version <= pm_leader_protocol_version(l))
+        return;
+    pm_txn_if(&txn, "p/epoch", l->mine_revision);
+    put_version(l, &txn, "p/speaks", version, now);
+}
+
+unsigned pm_leader_protocol_version(const struct pm_leader *l)
+{
+    return MAX(l->common_version, PM_PROTOCOL_FIRST);
+}
