--- a/src/soak/main.c
+++ b/src/soak/main.c
@@ -11,6 +11,7 @@
 struct options {
     int seed, count, controllers, machines;
     double seconds, lease_s;
+    gboolean duties;
     char *daemon, *only, *kinds, *operator_file, *logs;
 };
 
@@ -23,6 +24,7 @@
         {"controllers", 'c', 0, G_OPTION_ARG_INT, &o->controllers, "3 to 8", "N"},
         {"machines", 'm', 0, G_OPTION_ARG_INT, &o->machines, "at most so many", "N"},
         {"daemon", 'd', 0, G_OPTION_ARG_FILENAME, &o->daemon, "the program", "FILE"},
+        {"duties", 0, 0, G_OPTION_ARG_NONE, &o->duties, "links and duties are on", NULL},
         {"operator", 0, 0, G_OPTION_ARG_FILENAME, &o->operator_file, "operators' settings", "FILE"},
         {"lease", 0, 0, G_OPTION_ARG_DOUBLE, &o->lease_s, "the workers' lease; drawn", "S"},
         {"kinds", 0, 0, G_OPTION_ARG_STRING, &o->kinds, "only such troubles", "NAME,NAME"},
@@ -70,6 +72,7 @@
                                      .daemon = o->daemon,
                                      .lease_s = o->lease_s,
                                      .kinds = schedule_read_kinds(o->kinds),
+                                     .duties = o->duties,
                                      .only = o->only,
                                      .operator= operators,
                                      .log_file = log,
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -1,4 +1,5 @@
 #include "soak/soak.h"
+#include "../duties/tests/calls.h"
 #include "base/clock.h"
 #include "soak/workload.h"
 
@@ -15,7 +16,13 @@
 enum { MACHINES_AT_ONCE = 4, CANCELS_MOST = 6, MACHINE_CPUS = 8 };
 
 /* Short leases, so that much happens in a minute. */
-static const char own_operator[] = "leader_ttl_s: 1.5\nconfirm_s: 0.8\nidle_return_s: 3\n";
+#define OWN_OPERATOR "leader_ttl_s: 1.5\nconfirm_s: 0.8\nidle_return_s: 3\n"
+static const char duties_operator[] =
+    OWN_OPERATOR "links:\n  observe: true\n  decide: true\n  probe_s: 0.5\n"
+                 "  down_s: 1\n  expire_s: 4\nduties:\n  fence: true\n  ttl_s: 2\n";
+
+/* A machine that nobody answered for this long may be returned with what runs there. */
+#define SILENT_S 2.0
 
 /* With the short one much happens in a minute; within the long one commands may be held up for
  * longer than they are waited for. */
@@ -26,7 +33,9 @@
     struct cluster *cluster;
     GRand *random; /* of the workload, and of what the stand-ins delay */
     GArray *schedule;
-    GArray *active; /* of struct active */
+    GArray *active;      /* of struct active */
+    struct calls *calls; /* NULL: rents and returns are not checked */
+    size_t calls_said;
     double began, lease_s;
     size_t said; /* length of the violations that were told already */
     GString *violations;
@@ -231,16 +240,15 @@
     }
 }
 
-/* Violations come with the second at which they were seen. */
-static void note_violations(struct soak *s)
+/* Violations come with the second at which they were seen; `said` is how much was told before. */
+static void note_new(struct soak *s, const char *all, size_t *said)
 {
-    const char *all = history_violations(cluster_history(s->cluster));
     char **lines;
 
-    if (strlen(all) == s->said)
+    if (strlen(all) == *said)
         return;
-    lines = g_strsplit(all + s->said, "\n", -1);
-    s->said = strlen(all);
+    lines = g_strsplit(all + *said, "\n", -1);
+    *said = strlen(all);
     for (char **line = lines; *line; line++) {
         if (!**line)
             continue;
@@ -253,6 +261,37 @@
     g_strfreev(lines);
 }
 
+static void note_violations(struct soak *s)
+{
+    note_new(s, history_violations(cluster_history(s->cluster)), &s->said);
+    if (s->calls)
+        note_new(s, calls_violations(s->calls), &s->calls_said);
+}
+
+static void on_state_change(void *arg, const char *key, const cbor_item_t *data, uint64_t revision)
+{
+    calls_state_changed(((struct soak *)arg)->calls, key, data, revision, pm_clock_steady());
+}
+
+static void on_call(void *arg, const struct fleet_call *call)
+{
+    calls_carried_out(((struct soak *)arg)->calls, call);
+}
+
+static const char *operators_of(const struct soak_settings *settings)
+{
+    if (settings->operator)
+        return settings->operator;
+    return settings->duties ? duties_operator : OWN_OPERATOR;
+}
+
+static void check_calls(struct soak *s)
+{
+    s->calls = calls_new(SILENT_S);
+    cluster_observe(s->cluster, on_state_change, s);
+    fleet_observe(cluster_fleet(s->cluster), on_call, s);
+}
+
 static void step(struct soak *s)
 {
     cluster_run(s->cluster, STEP_S);
@@ -334,20 +373,24 @@
 
     if (!prepare(&s))
         return false;
-    s.cluster = cluster_new(&(struct cluster_settings){
-        .controllers = settings->controllers,
-        .daemon = settings->daemon,
-        .operator= settings->operator? settings->operator: own_operator,
-        .quiet = !settings->log_file,
-        .log_file = settings->log_file,
-        .machines_most = settings->machines,
-        .lease_s = s.lease_s,
-        .teams = workload_teams(settings->machines * MACHINE_CPUS),
-        .team_count = WORKLOAD_TEAMS,
-        .random = s.random});
+    s.cluster = cluster_new(
+        &(struct cluster_settings){.controllers = settings->controllers,
+                                   .daemon = settings->daemon,
+                                   .operator= operators_of(settings),
+                                   .quiet = !settings->log_file,
+                                   .log_file = settings->log_file,
+                                   .machines_most = settings->machines,
+                                   .lease_s = s.lease_s,
+                                   .teams = workload_teams(settings->machines * MACHINE_CPUS),
+                                   .team_count = WORKLOAD_TEAMS,
+                                   .random = s.random});
+    if (settings->duties)
+        check_calls(&s);
     workload_submit(s.cluster, s.random);
     begun = cluster_until(s.cluster, has_begun, BEGIN_S);
     s.began = pm_clock_steady();
+    if (s.calls) /* what was rented before all controllers spoke of duties */
+        calls_forget(s.calls);
     if (begun) {
         play(&s);
         settle(&s);
@@ -356,6 +399,8 @@
                                    cluster_jobs(s.cluster), elapsed(&s),
                                    g_string_free(s.violations, FALSE)};
     cluster_free(s.cluster);
+    if (s.calls)
+        calls_free(s.calls);
     if (s.log)
         fclose(s.log);
     g_array_free(s.schedule, TRUE);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -12,6 +12,7 @@
     double lease_s;       /* of the workers; 0: drawn */
     unsigned kinds;       /* see schedule_draw */
     const char *only;     /* numbers of the troubles that are kept, NULL: all */
+    bool duties;          /* links and duties are on, and rents and returns are checked */
     const char *operator; /* the operators' settings, as YAML; NULL: the soak's own */
     const char *log_file; /* controllers' logs with the soak's own marks; NULL: none */
     bool print;           /* the schedule is printed */
