--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -23,6 +23,7 @@
 
 /* A machine that nobody answered for this long may be returned with what runs there. */
 #define SILENT_S 2.0
+#define DEAF_FOR_S 5.0 /* so long after commands were held up, machines may be taken for deaf */
 
 /* With the short one much happens in a minute; within the long one commands may be held up for
  * longer than they are waited for. */
@@ -37,7 +38,8 @@
     struct calls *calls; /* NULL: rents and returns are not checked */
     size_t calls_said;
     double began, lease_s;
-    size_t said; /* length of the violations that were told already */
+    double delayed_until; /* seconds of the run: until then commands are, or were, held up */
+    size_t said;          /* length of the violations that were told already */
     GString *violations;
     FILE *log;
 };
@@ -178,6 +180,7 @@
             fake_state_forget(state);
         break;
     case TROUBLE_LATE_MESSAGES:
+        s->delayed_until = MAX(s->delayed_until, a->until);
         fleet_delay_messages(cluster_fleet(s->cluster), on ? LATE_SHARE : 0, on ? LATE_SHARE : 0);
         break;
     case TROUBLE_MACHINE_CUT:
@@ -273,9 +276,16 @@
     calls_state_changed(((struct soak *)arg)->calls, key, data, revision, pm_clock_steady());
 }
 
+/* A machine whose commands got no answer lately was right to be taken for deaf, and is returned
+ * with what it runs, though its reports were answered. */
 static void on_call(void *arg, const struct fleet_call *call)
 {
-    calls_carried_out(((struct soak *)arg)->calls, call);
+    const struct soak *s = arg;
+    struct fleet_call seen = *call;
+
+    if (elapsed(s) < s->delayed_until + DEAF_FOR_S)
+        seen.heard_ago_s = INFINITY;
+    calls_carried_out(s->calls, &seen);
 }
 
 static const char *operators_of(const struct soak_settings *settings)
@@ -333,9 +343,13 @@
     note_violations(s);
 }
 
+static struct soak *current; /* for what cluster_until asks */
+
+/* With duties: once all controllers speak of them, and one was taken. */
 static bool has_begun(struct cluster *c)
 {
-    return history_starts(cluster_history(c)) > 0;
+    return history_starts(cluster_history(c)) > 0 &&
+           (!current->calls || calls_holders(current->calls) > 0);
 }
 
 static void print_schedule(const GArray *schedule)
@@ -387,6 +401,7 @@
     if (settings->duties)
         check_calls(&s);
     workload_submit(s.cluster, s.random);
+    current = &s;
     begun = cluster_until(s.cluster, has_begun, BEGIN_S);
     s.began = pm_clock_steady();
     if (s.calls) /* what was rented before all controllers spoke of duties */
--- a/src/testing/fake_state.c
+++ b/src/testing/fake_state.c
@@ -170,6 +170,27 @@
     return value ? value->revision : 0;
 }
 
+static struct hold *find_hold(struct fake_state *s, uint64_t lease_id)
+{
+    for (guint i = 0; i < s->holds->len; i++)
+        if (g_array_index(s->holds, struct hold, i).lease_id == lease_id)
+            return &g_array_index(s->holds, struct hold, i);
+    return NULL;
+}
+
+/* A put under a hold that is over is refused, whatever the conditions: its key would stay for ever.
+ */
+static bool has_ended_hold(struct fake_state *s, const cbor_item_t *writes)
+{
+    uint64_t lease_id = 0;
+
+    for (size_t i = 0; s->holds && i < pm_cbor_length(writes); i++)
+        if (!pm_cbor_count(pm_cbor_get(pm_cbor_at(writes, i), "tenure"), &lease_id) && lease_id &&
+            !find_hold(s, lease_id))
+            return true;
+    return false;
+}
+
 /* `req` NULL: nobody waits for the answer any more. */
 static void do_txn(struct fake_state *s, struct pm_http_request *req, const void *data, size_t size)
 {
@@ -183,6 +204,12 @@
     int nfailed = 0;
 
     s->txns++;
+    if (has_ended_hold(s, writes)) {
+        if (req)
+            pm_http_reply(req, 400, NULL, 0, 0);
+        pm_cbor_free(body);
+        return;
+    }
     for (size_t i = 0; i < pm_cbor_length(conditions); i++) {
         const cbor_item_t *c = pm_cbor_at(conditions, i);
         if (pm_cbor_text(pm_cbor_get(c, "key"), key, sizeof key) ||
@@ -285,14 +312,6 @@
 
 /* ---- holds that expire by the clock ---- */
 
-static struct hold *find_hold(struct fake_state *s, uint64_t lease_id)
-{
-    for (guint i = 0; i < s->holds->len; i++)
-        if (g_array_index(s->holds, struct hold, i).lease_id == lease_id)
-            return &g_array_index(s->holds, struct hold, i);
-    return NULL;
-}
-
 static void drop_keys(struct fake_state *s, uint64_t lease_id);
 
 static void end_hold(struct fake_state *s, struct hold *hold)
