A block is taken back until it is known to be gone

Cause: taking a block back was tried again only as long as its holder was not heard. A write that was refused in an outage, or not answered, with the holder heard again before the next try, left the block given up by its leader and never taken: no machine was leased to it, and its jobs waited for ever, beside room. In the same way a leader that read the state anew never heard of the drop.

Change: once begun, it is tried again each second until the key is known to be gone; a listing without the key tells that as well as a watch.

--- a/src/blocks/ask.c
+++ b/src/blocks/ask.c
@@ -291,6 +291,10 @@
         drop_vanished(b, k);
         if (!k->asking && now - k->asked > (holds ? ASK_PACE_S : IDLE_PACE_S))
             ask(b, k, now);
+        if (k->losing) { /* again until it is known to be gone, though its holder is heard again */
+            lose_block(b, k, "", now);
+            continue;
+        }
         if (k->revision && k->revision >= k->wrote && k->boot[0] && strcmp(k->boot, k->boot_seen)) {
             lose_block(b, k, "its process is a new one", now);
             continue;
--- a/src/blocks/blocks.c
+++ b/src/blocks/blocks.c
@@ -205,6 +205,13 @@
         forget_block(&b->block[i]);
 }
 
+/* Whether the key of a block that is being taken back is gone by what the replica has read. A
+ * listing tells of no drop: it does not have the key. */
+static bool is_dropped(const struct pm_blocks *b, const struct block *k)
+{
+    return k->losing && !k->revision && pm_store_revision(b->store) >= k->wrote;
+}
+
 void pm_blocks_caught_up(struct pm_blocks *b)
 {
     if (!b->leading && b->mine_granted)
@@ -212,7 +219,7 @@
     for (int i = 0; b->leading && i < b->n - 1; i++) {
         struct block *k = &b->block[i];
         GPtrArray *given;
-        if (!k->lost)
+        if (!k->lost && !is_dropped(b, k))
             continue;
         /* The holder's last writes are all in the replica: its jobs are found again from it. */
         for (guint j = 0; j < k->entries->len; j++) {
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -487,6 +487,26 @@
     assert_int_equal(leader.back_jobs, 1);
 }
 
+/* The write that takes a block back gets no answer, and the leader reads the state anew before it is
+ * told of the drop: the listing, which has no such key, tells as much. */
+static void a_listing_tells_that_a_block_is_gone(void **arg)
+{
+    double later;
+
+    (void)arg;
+    write_job(&leader, "job-1", false);
+    assert_true(fake_run_until(loop, is_granted, NULL));
+    fake_state_put_off(state, "p/b/n1");
+    pm_http_server_free(holder.back);
+    assert_true(fake_run_until(loop, is_put_off, NULL));
+    pm_store_relist(leader.store);
+    fake_state_deliver(state);
+    assert_int_equal(fake_state_revision(state, "p/b/n1"), 0);
+    later = pm_clock_steady() + 6;
+    assert_true(fake_run_until(loop, is_back_or_late, &later));
+    assert_int_equal(leader.back_jobs, 1);
+}
+
 static bool has_left(void *arg)
 {
     (void)arg;
@@ -524,6 +544,7 @@
         cmocka_unit_test_setup(a_late_first_write_gives_nothing_away, set_up),
         cmocka_unit_test_setup(a_holder_that_reads_anew_gives_its_block_up, set_up),
         cmocka_unit_test_setup(a_recall_without_an_answer_is_made_again, set_up),
+        cmocka_unit_test_setup(a_listing_tells_that_a_block_is_gone, set_up),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
