--- a/src/base/tests/known_red.c
+++ b/src/base/tests/known_red.c
@@ -4,6 +4,7 @@
  * PM_KNOWN_RED is a list of PROGRAM:TEST, parted by blanks, of which a program skips its own; one
  * for each program at most. PM_TEST_FILTER names the only test to run. */
 #include <errno.h>
+#include <glib.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -32,9 +33,8 @@
 
     if (only)
         cmocka_set_test_filter(only);
-    if (!red || strlen(red) >= sizeof list)
+    if (!red || g_strlcpy(list, red, sizeof list) >= sizeof list)
         return;
-    strcpy(list, red);
     red = find_known_red(list, program_invocation_short_name);
     if (red && !only)
         cmocka_set_skip_filter(red);
--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -487,8 +487,8 @@
     assert_int_equal(leader.back_jobs, 1);
 }
 
-/* The write that takes a block back gets no answer, and the leader reads the state anew before it is
- * told of the drop: the listing, which has no such key, tells as much. */
+/* The write that takes a block back gets no answer, and the leader reads the state anew before it
+ * is told of the drop: the listing, which has no such key, tells as much. */
 static void a_listing_tells_that_a_block_is_gone(void **arg)
 {
     double later;
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -74,7 +74,7 @@
 /* An array job, each of whose tasks runs for that long; its id. */
 const char *cluster_submit(struct cluster *cluster, unsigned tasks, double run_s);
 /* Any job; its id. */
-const char *cluster_submit_job(struct cluster *cluster, const struct cluster_job *job);
+const char *cluster_submit_job(struct cluster *cluster, const struct cluster_job *wanted);
 /* Users cancel one of the jobs that they wait for, chosen by number. */
 void cluster_abort_any(struct cluster *cluster, unsigned choice);
 /* Users cancel every job that runs until it is stopped. */
--- a/src/testing/history.h
+++ b/src/testing/history.h
@@ -23,7 +23,7 @@
 struct history *history_new(double cancel_s);
 void history_free(struct history *history);
 /* A team's tasks may use that many processors at once. */
-void history_team(struct history *history, const char *team, double cpus_max);
+void history_team(struct history *history, const char *name, double cpus_max);
 /* Jobs that this was not called for count for no team, and may run in any zone. */
 void history_submitted(struct history *history, const char *id, struct history_job job);
 void history_machine(struct history *history, const char *machine, int zone);
