--- a/src/blocks/tests/test_blocks.c
+++ b/src/blocks/tests/test_blocks.c
@@ -468,43 +468,45 @@
     return is_over(arg) || leader.back_jobs > 0;
 }
 
-/* A block is taken back from a holder that is not heard of, the write that does it gets no answer,
- * and the holder is heard again before the next try. The write may be carried out yet, so the block
- * is of no use any more: it is taken back all the same, else its jobs would wait there for ever. */
-static void a_recall_without_an_answer_is_made_again(void **arg)
+/* A block is taken back from a holder that is not heard of, and the write that does it gets no
+ * answer, nor is it carried out yet. */
+static void put_off_a_recall(void)
 {
-    double later;
-
-    (void)arg;
     write_job(&leader, "job-1", false);
     assert_true(fake_run_until(loop, is_granted, NULL));
     fake_state_put_off(state, "p/b/n1");
     pm_http_server_free(holder.back);
     assert_true(fake_run_until(loop, is_put_off, NULL));
-    assert_true(fake_run_until(loop, listen_again, &holder));
-    later = pm_clock_steady() + 6;
+}
+
+static void assert_taken_back_soon(void)
+{
+    double later = pm_clock_steady() + 6;
+
     assert_true(fake_run_until(loop, is_back_or_late, &later));
     assert_int_equal(leader.back_jobs, 1);
 }
 
-/* The write that takes a block back gets no answer, and the leader reads the state anew before it
- * is told of the drop: the listing, which has no such key, tells as much. */
-static void a_listing_tells_that_a_block_is_gone(void **arg)
+/* The holder is heard again before the next try. The write may be carried out yet, so the block is
+ * of no use any more: it is taken back all the same, else its jobs would wait there for ever. */
+static void a_recall_without_an_answer_is_made_again(void **arg)
 {
-    double later;
+    (void)arg;
+    put_off_a_recall();
+    assert_true(fake_run_until(loop, listen_again, &holder));
+    assert_taken_back_soon();
+}
 
+/* The leader reads the state anew before it is told of the drop: the listing, which has no such
+ * key, tells as much. */
+static void a_listing_tells_that_a_block_is_gone(void **arg)
+{
     (void)arg;
-    write_job(&leader, "job-1", false);
-    assert_true(fake_run_until(loop, is_granted, NULL));
-    fake_state_put_off(state, "p/b/n1");
-    pm_http_server_free(holder.back);
-    assert_true(fake_run_until(loop, is_put_off, NULL));
+    put_off_a_recall();
     pm_store_relist(leader.store);
     fake_state_deliver(state);
     assert_int_equal(fake_state_revision(state, "p/b/n1"), 0);
-    later = pm_clock_steady() + 6;
-    assert_true(fake_run_until(loop, is_back_or_late, &later));
-    assert_int_equal(leader.back_jobs, 1);
+    assert_taken_back_soon();
 }
 
 static bool has_left(void *arg)
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -13,7 +13,7 @@
 #define OPEN_MOST 40 /* jobs that users wait for at a time */
 #define LATE_SHARE 0.3
 
-enum { MACHINES_AT_ONCE = 4, CANCELS_MOST = 6, MACHINE_CPUS = 8 };
+enum { MACHINES_AT_ONCE = 4, CANCELS_MOST = 6, MACHINE_CPUS = 8, MACHINES_USUAL = 10 };
 
 /* Short leases, so that much happens in a minute. */
 #define OWN_OPERATOR "leader_ttl_s: 1.5\nconfirm_s: 0.8\nidle_return_s: 3\n"
@@ -309,6 +309,12 @@
     end_troubles(s, elapsed(s));
 }
 
+/* Work grows with the machines. */
+static unsigned scale_of(const struct soak_settings *settings)
+{
+    return (unsigned)MAX(1, settings->machines / MACHINES_USUAL);
+}
+
 static void play(struct soak *s)
 {
     guint next = 0;
@@ -319,7 +325,7 @@
                g_array_index(s->schedule, struct trouble, next).at_s <= elapsed(s))
             begin_trouble(s, &g_array_index(s->schedule, struct trouble, next++));
         if (elapsed(s) >= submit_at && cluster_open_jobs(s->cluster) < OPEN_MOST) {
-            workload_submit(s->cluster, s->random);
+            workload_submit(s->cluster, s->random, scale_of(s->settings));
             submit_at = elapsed(s) + g_rand_double(s->random) * 0.8;
         }
         step(s);
@@ -400,7 +406,7 @@
                                    .random = s.random});
     if (settings->duties)
         check_calls(&s);
-    workload_submit(s.cluster, s.random);
+    workload_submit(s.cluster, s.random, scale_of(settings));
     current = &s;
     begun = cluster_until(s.cluster, has_begun, BEGIN_S);
     s.began = pm_clock_steady();
--- a/src/soak/workload.c
+++ b/src/soak/workload.c
@@ -22,13 +22,13 @@
 }
 
 /* Mostly arrays; some gangs, and services that are cancelled later. */
-static void draw_form(GRand *random, struct cluster_job *job)
+static void draw_form(GRand *random, struct cluster_job *job, unsigned scale)
 {
     double form = g_rand_double(random);
 
     if (form < 0.75) {
         job->form = "array";
-        job->tasks = (unsigned)g_rand_int_range(random, 1, 12);
+        job->tasks = scale * (unsigned)g_rand_int_range(random, 1, 12);
         job->run_s = g_rand_int_range(random, 5, 60) / 10.0;
     } else if (form < 0.9) {
         job->form = "group";
@@ -40,12 +40,12 @@
     }
 }
 
-void workload_submit(struct cluster *cluster, GRand *random)
+void workload_submit(struct cluster *cluster, GRand *random, unsigned scale)
 {
     static char before[32]; /* the job that the next one may need */
     struct cluster_job job = {.urgency = "normal", .zone = -1, .cpus = 2};
 
-    draw_form(random, &job);
+    draw_form(random, &job, scale);
     job.team = teams[g_rand_int_range(random, 0, WORKLOAD_TEAMS)].name;
     if (g_rand_double(random) < URGENT)
         job.urgency = "urgent";
--- a/src/soak/workload.h
+++ b/src/soak/workload.h
@@ -8,7 +8,7 @@
 
 /* The teams: two that are at their limits, and one that lends and borrows. */
 const struct cluster_team *workload_teams(double machine_cpus);
-/* Submits a job drawn by `random` to the cluster. */
-void workload_submit(struct cluster *cluster, GRand *random);
+/* Submits a job drawn by `random` to the cluster; an array's tasks are `scale` times as many. */
+void workload_submit(struct cluster *cluster, GRand *random, unsigned scale);
 
 #endif
