Soak: both kinds of limit, what controllers log of limits, chains within a run

Teams have a limit of accelerators too; quota.over and quota.refused in the controllers' logs are violations.

--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -3,9 +3,11 @@
 #include "base/clock.h"
 #include "soak/workload.h"
 
+#include <glib/gstdio.h>
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define BEGIN_S 30.0  /* a cluster that starts no task by then does not start */
 #define SETTLE_S 90.0 /* once troubles are over, every job is over within this */
@@ -34,6 +36,7 @@
     struct cluster *cluster;
     GRand *random; /* of the workload, and of what the stand-ins delay */
     GArray *schedule;
+    char *log_file;      /* the caller's, or one that goes with the run */
     GArray *active;      /* of struct active */
     struct calls *calls; /* NULL: rents and returns are not checked */
     size_t calls_said;
@@ -332,6 +335,23 @@
     }
 }
 
+/* The controllers hold the limits against what workers report, and check each start at its write:
+ * what they say of that is a violation too. */
+static void note_logged_violations(struct soak *s, const char *log_file)
+{
+    char *text = NULL;
+    char **lines;
+
+    if (!log_file || !g_file_get_contents(log_file, &text, NULL, NULL))
+        return;
+    lines = g_strsplit(text, "\n", -1);
+    for (char **line = lines; *line; line++)
+        if (strstr(*line, " quota.over ") || strstr(*line, " quota.refused "))
+            g_string_append_printf(s->violations, "logged: %s\n", *line);
+    g_strfreev(lines);
+    g_free(text);
+}
+
 /* Troubles are over, services are cancelled: every job is over in time. */
 static void settle(struct soak *s)
 {
@@ -382,7 +402,11 @@
         return false;
     s->active = g_array_new(FALSE, FALSE, sizeof(struct active));
     s->violations = g_string_new("");
-    s->log = settings->log_file ? fopen(settings->log_file, "a") : NULL;
+    s->log_file = settings->log_file
+                      ? g_strdup(settings->log_file)
+                      : g_strdup_printf("%s/pumicemount-soak-%d-%u.log", g_get_tmp_dir(),
+                                        (int)getpid(), settings->seed);
+    s->log = fopen(s->log_file, "a");
     return true;
 }
 
@@ -416,6 +440,7 @@
         play(&s);
         settle(&s);
     }
+    note_logged_violations(&s, s.log_file);
     *result = (struct soak_result){s.schedule->len, history_starts(cluster_history(s.cluster)),
                                    cluster_jobs(s.cluster), elapsed(&s),
                                    g_string_free(s.violations, FALSE)};
@@ -424,6 +449,9 @@
         calls_free(s.calls);
     if (s.log)
         fclose(s.log);
+    if (!settings->log_file)
+        g_unlink(s.log_file);
+    g_free(s.log_file);
     g_array_free(s.schedule, TRUE);
     g_array_free(s.active, TRUE);
     return begun;
--- a/src/soak/workload.c
+++ b/src/soak/workload.c
@@ -4,6 +4,7 @@
 
 #define CHAINED 0.1 /* share of jobs that need the one before */
 #define URGENT 0.2
+#define ACCELERATED 0.5
 #define BOUND 0.3 /* share of jobs for one zone only */
 
 static struct cluster_team teams[WORKLOAD_TEAMS] = {
@@ -18,6 +19,7 @@
     teams[1].cpus_max = 0.3 * machine_cpus;
     teams[2].cpus = 0.2 * machine_cpus;
     teams[2].cpus_max = 0.5 * machine_cpus;
+    teams[2].accelerators_max = 0.1 * machine_cpus; /* this binds first */
     return teams;
 }
 
@@ -45,8 +47,12 @@
     static char before[32]; /* the job that the next one may need */
     struct cluster_job job = {.urgency = "normal", .zone = -1, .cpus = 2};
 
+    if (!cluster_jobs(cluster)) /* another run's */
+        before[0] = 0;
     draw_form(random, &job, scale);
     job.team = teams[g_rand_int_range(random, 0, WORKLOAD_TEAMS)].name;
+    if (g_rand_double(random) < ACCELERATED)
+        job.accelerators = 1;
     if (g_rand_double(random) < URGENT)
         job.urgency = "urgent";
     if (!strcmp(job.form, "standing"))
--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -66,7 +66,7 @@
 };
 
 /* All of the machines' processors. */
-static const struct cluster_team default_teams[] = {{"team", 64, 64}};
+static const struct cluster_team default_teams[] = {{"team", 64, 64, 0}};
 
 static double cancel_s(const struct cluster *c)
 {
@@ -89,7 +89,7 @@
     pm_put_pair_text(out, "urgency", job->urgency);
     pm_put_pair_count(out, "entries", user->tasks);
     pm_put_pair_number(out, "cpus", job->cpus);
-    pm_put_pair_number(out, "accelerators", 0);
+    pm_put_pair_number(out, "accelerators", job->accelerators);
     pm_put_pair_number(out, "ram_gb", 4);
     pm_put_pair_text(out, "bundle", "image");
     pm_put_pair_number(out, "size_gb", 0.1);
@@ -177,7 +177,10 @@
     job->ask = (int)c->jobs->len % c->settings.controllers;
     snprintf(job->id, sizeof job->id, "job-%04u%02d", c->jobs->len + 1, (int)(wanted->run_s * 10));
     history_submitted(c->history, job->id,
-                      (struct history_job){job->team, wanted->cpus, wanted->zone});
+                      (struct history_job){.team = job->team,
+                                           .cpus = wanted->cpus,
+                                           .accelerators = wanted->accelerators,
+                                           .zone = wanted->zone});
     fleet_describe(c->fleet, job->id,
                    (struct fleet_job){wanted->tasks, wanted->cpus, !strcmp(wanted->form, "group")});
     g_ptr_array_add(c->jobs, job);
@@ -188,8 +191,13 @@
 {
     int zone = (int)(c->jobs->len + 1) % CLUSTER_ZONES;
 
-    return cluster_submit_job(c, &(struct cluster_job){default_teams[0].name, "array", "normal",
-                                                       tasks, 2, run_s, zone, NULL});
+    return cluster_submit_job(c, &(struct cluster_job){.team = default_teams[0].name,
+                                                       .form = "array",
+                                                       .urgency = "normal",
+                                                       .tasks = tasks,
+                                                       .cpus = 2,
+                                                       .run_s = run_s,
+                                                       .zone = zone});
 }
 
 void cluster_abort(struct cluster *c, const char *id)
@@ -316,9 +324,10 @@
     for (int k = 0; k < c->settings.team_count; k++)
         g_string_append_printf(text,
                                "[[settings.teams]]\nname = \"%s\"\ncpus = %.1f\n"
-                               "cpus_max = %.1f\ngpus = 0.0\ngpus_max = 0.0\n",
+                               "cpus_max = %.1f\ngpus = 0.0\ngpus_max = %.1f\n",
                                c->settings.teams[k].name, c->settings.teams[k].cpus,
-                               c->settings.teams[k].cpus_max);
+                               c->settings.teams[k].cpus_max,
+                               c->settings.teams[k].accelerators_max);
     snprintf(c->config[i], sizeof c->config[i], "%s/%s.toml", c->dir, c->name[i]);
     g_file_set_contents(c->config[i], text->str, (gssize)text->len, NULL);
     g_string_free(text, TRUE);
@@ -444,7 +453,8 @@
         c->settings.lease_s = LEASE_S;
     c->history = history_new(cancel_s(c));
     for (int i = 0; i < c->settings.team_count; i++)
-        history_team(c->history, c->settings.teams[i].name, c->settings.teams[i].cpus_max);
+        history_team(c->history, c->settings.teams[i].name, c->settings.teams[i].cpus_max,
+                     c->settings.teams[i].accelerators_max);
     c->state = fake_state_new(c->loop);
     fake_state_expire_holds(c->state);
     fake_state_observe(c->state, on_state_change, c);
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -16,7 +16,8 @@
 
 struct cluster_team {
     const char *name;
-    double cpus, cpus_max; /* its guarantee, and its limit */
+    double cpus, cpus_max;   /* its guarantee, and its limit */
+    double accelerators_max; /* 0: no limit */
 };
 
 struct cluster_settings {
@@ -41,9 +42,10 @@
     const char *form;    /* "array", "group" or "standing" */
     const char *urgency; /* "normal" and so on */
     unsigned tasks;
-    double cpus, run_s; /* of each task; run_s 0: until the job is cancelled */
-    int zone;           /* the only allowed one, -1: any */
-    const char *awaits; /* a job that has to be done before, NULL: none */
+    double cpus, run_s;  /* of each task; run_s 0: until the job is cancelled */
+    double accelerators; /* of each task */
+    int zone;            /* the only allowed one, -1: any */
+    const char *awaits;  /* a job that has to be done before, NULL: none */
 };
 
 enum cluster_link { CLUSTER_STATE, CLUSTER_PEER, CLUSTER_ZONE, CLUSTER_CLOUD };
--- a/src/testing/fleet.c
+++ b/src/testing/fleet.c
@@ -214,7 +214,7 @@
     pm_put_map(&out);
     pm_put_pair_text(&out, "sku", "m8");
     pm_put_pair_number(&out, "cpus", FLEET_MACHINE_CPUS);
-    pm_put_pair_number(&out, "accelerators", 0);
+    pm_put_pair_number(&out, "accelerators", FLEET_MACHINE_ACCELERATORS);
     pm_put_pair_number(&out, "ram_gb", 64);
     pm_put_pair_number(&out, "local_gb", 200);
     pm_put_pair_number(&out, "pull_gb_per_s", 1);
--- a/src/testing/fleet_internal.h
+++ b/src/testing/fleet_internal.h
@@ -11,7 +11,12 @@
 
 #define FLEET_TICK_S 0.05
 
-enum { FLEET_ANSWER_MAX = 64 * 1024, FLEET_ZONES_MAX = 4, FLEET_MACHINE_CPUS = 8 };
+enum {
+    FLEET_ANSWER_MAX = 64 * 1024,
+    FLEET_ZONES_MAX = 4,
+    FLEET_MACHINE_CPUS = 8,
+    FLEET_MACHINE_ACCELERATORS = 4
+};
 
 struct task {
     char name[64];
