--- a/src/soak/main.c
+++ b/src/soak/main.c
@@ -12,7 +12,7 @@
     int seed, count, controllers, machines;
     double seconds, lease_s;
     gboolean duties;
-    char *daemon, *only, *kinds, *operator_file, *logs;
+    char *daemon, *old_daemon, *only, *kinds, *operator_file, *logs;
 };
 
 static bool read_options(struct options *o, int argc, char **argv, GError **error)
@@ -25,6 +25,7 @@
         {"machines", 'm', 0, G_OPTION_ARG_INT, &o->machines, "at most so many", "N"},
         {"daemon", 'd', 0, G_OPTION_ARG_FILENAME, &o->daemon, "the program", "FILE"},
         {"duties", 0, 0, G_OPTION_ARG_NONE, &o->duties, "links and duties are on", NULL},
+        {"old-daemon", 0, 0, G_OPTION_ARG_FILENAME, &o->old_daemon, "runs first, once", "FILE"},
         {"operator", 0, 0, G_OPTION_ARG_FILENAME, &o->operator_file, "operators' settings", "FILE"},
         {"lease", 0, 0, G_OPTION_ARG_DOUBLE, &o->lease_s, "the workers' lease; drawn", "S"},
         {"kinds", 0, 0, G_OPTION_ARG_STRING, &o->kinds, "only such troubles", "NAME,NAME"},
@@ -56,7 +57,7 @@
         return "the lease is not from 0 to 60 seconds";
     if (!schedule_read_kinds(o->kinds))
         return "no such kind of trouble";
-    if (access(o->daemon, X_OK))
+    if (access(o->daemon, X_OK) || (o->old_daemon && access(o->old_daemon, X_OK)))
         return "the daemon can't be run";
     return NULL;
 }
@@ -70,6 +71,7 @@
                                      .controllers = o->controllers,
                                      .machines = o->machines,
                                      .daemon = o->daemon,
+                                     .old_daemon = o->old_daemon,
                                      .lease_s = o->lease_s,
                                      .kinds = schedule_read_kinds(o->kinds),
                                      .duties = o->duties,
@@ -86,8 +88,9 @@
         g_free(log);
         return EXIT_INPUT;
     }
-    printf("seed %u: %u troubles in %.0f s, %u jobs, %u starts: %s\n", seed, result.troubles,
-           result.seconds, result.jobs, result.starts, result.violations[0] ? "violated" : "clean");
+    printf("seed %u: %u troubles in %.0f s, %u jobs, %u starts, stand-ins stalled %.2f s: %s\n",
+           seed, result.troubles, result.seconds, result.jobs, result.starts, result.stall_s,
+           result.violations[0] ? "violated" : "clean");
     code = result.violations[0] ? EXIT_VIOLATION : EXIT_CLEAN;
     if (code)
         printf("%slog: %s\n", result.violations, log ? log : "none kept (--logs DIR)");
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -40,7 +40,7 @@
     GArray *active;      /* of struct active */
     struct calls *calls; /* NULL: rents and returns are not checked */
     size_t calls_said;
-    double began, lease_s;
+    double began, lease_s, stall_s;
     double delayed_until; /* seconds of the run: until then commands are, or were, held up */
     size_t said;          /* length of the violations that were told already */
     GString *violations;
@@ -307,7 +307,10 @@
 
 static void step(struct soak *s)
 {
+    double began = elapsed(s);
+
     cluster_run(s->cluster, STEP_S);
+    s->stall_s = MAX(s->stall_s, elapsed(s) - began - STEP_S);
     note_violations(s);
     end_troubles(s, elapsed(s));
 }
@@ -318,10 +321,22 @@
     return (unsigned)MAX(1, settings->machines / MACHINES_USUAL);
 }
 
+/* Controller 0 is given the new version, unless a trouble has its process now. */
+static bool upgrade(struct soak *s)
+{
+    const struct active process = {{.kind = TROUBLE_KILL}, 0, 0};
+
+    if (elapsed(s) < s->settings->seconds / 2 || is_active(s, &process))
+        return false;
+    cluster_upgrade(s->cluster);
+    return true;
+}
+
 static void play(struct soak *s)
 {
     guint next = 0;
     double submit_at = 0;
+    bool upgraded = !s->settings->old_daemon;
 
     while (elapsed(s) < s->settings->seconds) {
         while (next < s->schedule->len &&
@@ -331,6 +346,7 @@
             workload_submit(s->cluster, s->random, scale_of(s->settings));
             submit_at = elapsed(s) + g_rand_double(s->random) * 0.8;
         }
+        upgraded = upgraded || upgrade(s);
         step(s);
     }
 }
@@ -420,6 +436,7 @@
     s.cluster = cluster_new(
         &(struct cluster_settings){.controllers = settings->controllers,
                                    .daemon = settings->daemon,
+                                   .old_daemon = settings->old_daemon,
                                    .operator= operators_of(settings),
                                    .quiet = !settings->log_file,
                                    .log_file = settings->log_file,
@@ -441,9 +458,12 @@
         settle(&s);
     }
     note_logged_violations(&s, s.log_file);
-    *result = (struct soak_result){s.schedule->len, history_starts(cluster_history(s.cluster)),
-                                   cluster_jobs(s.cluster), elapsed(&s),
-                                   g_string_free(s.violations, FALSE)};
+    *result = (struct soak_result){.troubles = s.schedule->len,
+                                   .starts = history_starts(cluster_history(s.cluster)),
+                                   .jobs = cluster_jobs(s.cluster),
+                                   .seconds = elapsed(&s),
+                                   .stall_s = s.stall_s,
+                                   .violations = g_string_free(s.violations, FALSE)};
     cluster_free(s.cluster);
     if (s.calls)
         calls_free(s.calls);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -9,6 +9,8 @@
     double seconds;
     int controllers, machines;
     const char *daemon;
+    const char
+        *old_daemon;      /* an earlier version, which controller 0 runs for the first half; NULL */
     double lease_s;       /* of the workers; 0: drawn */
     unsigned kinds;       /* see schedule_draw */
     const char *only;     /* numbers of the troubles that are kept, NULL: all */
@@ -21,6 +23,7 @@
 struct soak_result {
     unsigned troubles, starts, jobs;
     double seconds;
+    double stall_s;   /* for which the stand-ins stood still at most: a busy machine */
     char *violations; /* one line each, with the second; owned by the caller */
 };
 
