--- /dev/null
+++ b/src/testing/origin.c
@@ -0,0 +1,134 @@
+#include "testing/origin.h"
+
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum { LOOKS = 3 };
+
+/* Columns of a line of /proc/net/tcp. */
+enum { COLUMN_LOCAL = 1, COLUMN_REMOTE = 2, COLUMN_INODE = 9 };
+
+/* The socket's inode if its ports are these, 0: they are not, or its process has closed it. One
+ * local port may be in use towards several remote ones. */
+static unsigned long inode_in(char *line, int local, int remote)
+{
+    char *rest = line;
+    char *word;
+    const char *colon;
+
+    for (int column = 0; (word = strtok_r(rest, " ", &rest)); column++) {
+        colon = strchr(word, ':');
+        if (column == COLUMN_LOCAL && (!colon || strtol(colon + 1, NULL, 16) != local))
+            return 0;
+        if (column == COLUMN_REMOTE && (!colon || strtol(colon + 1, NULL, 16) != remote))
+            return 0;
+        if (column == COLUMN_INODE)
+            return strtoul(word, NULL, 10);
+    }
+    return 0;
+}
+
+/* Looks through all sockets: where the kernel does not answer for one. */
+static unsigned long scan_for_inode(int local, int remote)
+{
+    FILE *file = fopen("/proc/net/tcp", "r");
+    unsigned long found = 0;
+    char line[512];
+
+    while (file && !found && fgets(line, sizeof line, file))
+        found = inode_in(line, local, remote);
+    if (file)
+        fclose(file);
+    return found;
+}
+
+struct diag_question {
+    struct nlmsghdr head;
+    struct inet_diag_req_v2 request;
+};
+
+/* Asks the kernel for that one socket: among thousands, looking through all takes too long. */
+static unsigned long ask_for_inode(const struct sockaddr_in *client,
+                                   const struct sockaddr_in *server)
+{
+    struct diag_question question = {
+        .head = {.nlmsg_len = sizeof question,
+                 .nlmsg_type = SOCK_DIAG_BY_FAMILY,
+                 .nlmsg_flags = NLM_F_REQUEST},
+        .request = {.sdiag_family = AF_INET,
+                    .sdiag_protocol = IPPROTO_TCP,
+                    .idiag_states = ~0U,
+                    .id = {.idiag_sport = client->sin_port,
+                           .idiag_dport = server->sin_port,
+                           .idiag_src = {client->sin_addr.s_addr},
+                           .idiag_dst = {server->sin_addr.s_addr},
+                           .idiag_cookie = {INET_DIAG_NOCOOKIE, INET_DIAG_NOCOOKIE}}}};
+    char answer[1024] __attribute__((aligned(NLMSG_ALIGNTO)));
+    const struct nlmsghdr *head = (const struct nlmsghdr *)(const void *)answer;
+    unsigned long inode = 0;
+    int fd = socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+
+    if (fd < 0)
+        return 0;
+    if (send(fd, &question, sizeof question, 0) == sizeof question &&
+        recv(fd, answer, sizeof answer, 0) >= (ssize_t)NLMSG_LENGTH(sizeof(struct inet_diag_msg)) &&
+        head->nlmsg_type == SOCK_DIAG_BY_FAMILY)
+        inode = ((const struct inet_diag_msg *)NLMSG_DATA(head))->idiag_inode;
+    close(fd);
+    return inode;
+}
+
+static unsigned long find_inode(const struct sockaddr_in *client, const struct sockaddr_in *server)
+{
+    unsigned long inode = ask_for_inode(client, server);
+
+    return inode ? inode : scan_for_inode(ntohs(client->sin_port), ntohs(server->sin_port));
+}
+
+static bool has_socket(pid_t pid, unsigned long inode)
+{
+    char path[64];
+    char wanted[64];
+    char link[320];
+    char text[64];
+    struct dirent *entry;
+    bool found = false;
+    DIR *dir;
+
+    snprintf(path, sizeof path, "/proc/%d/fd", (int)pid);
+    snprintf(wanted, sizeof wanted, "socket:[%lu]", inode);
+    dir = opendir(path);
+    while (dir && !found && (entry = readdir(dir))) {
+        ssize_t n;
+        snprintf(link, sizeof link, "%s/%s", path, entry->d_name);
+        n = readlink(link, text, sizeof text - 1);
+        found = n > 0 && (size_t)n == strlen(wanted) && !memcmp(text, wanted, (size_t)n);
+    }
+    if (dir)
+        closedir(dir);
+    return found;
+}
+
+/* A process's list of files may change while it is read: it is looked at several times before the
+ * connection counts as a stranger's. One that its process has closed by now is nobody's. */
+int origin_find(const struct sockaddr_in *client, const struct sockaddr_in *server,
+                const struct relay_origins *origins)
+{
+    unsigned long inode = find_inode(client, server);
+
+    if (!inode)
+        return ORIGIN_GONE;
+    for (int look = 0; look < LOOKS; look++)
+        for (int i = 0; i < origins->count; i++)
+            if (origins->pid[i] && has_socket(origins->pid[i], inode))
+                return i;
+    return find_inode(client, server) == inode ? ORIGIN_STRANGER : ORIGIN_GONE;
+}
--- a/src/testing/relay.c
+++ b/src/testing/relay.c
@@ -1,8 +1,8 @@
 #include "testing/relay.h"
 #include "base/http_internal.h"
+#include "testing/origin.h"
 
 #include <arpa/inet.h>
-#include <dirent.h>
 #include <errno.h>
 #include <ev.h>
 #include <glib.h>
@@ -18,6 +18,7 @@
     struct ev_loop *loop;
     ev_io accept_io;
     char addr[64];
+    struct sockaddr_in own;
     char target[RELAY_ORIGINS_MAX][64];
     const struct relay_origins *origins;
     struct cut cut[RELAY_ORIGINS_MAX];
@@ -133,87 +134,6 @@
     }
 }
 
-/* ---- whose connection it is ---- */
-
-/* Columns of a line of /proc/net/tcp. */
-enum { COLUMN_LOCAL = 1, COLUMN_REMOTE = 2, COLUMN_INODE = 9 };
-
-/* The socket's inode if its ports are these, 0: they are not, or its process has closed it. One
- * local port may be in use towards several remote ones. */
-static unsigned long inode_in(char *line, int local, int remote)
-{
-    char *rest = line;
-    char *word;
-    const char *colon;
-
-    for (int column = 0; (word = strtok_r(rest, " ", &rest)); column++) {
-        colon = strchr(word, ':');
-        if (column == COLUMN_LOCAL && (!colon || strtol(colon + 1, NULL, 16) != local))
-            return 0;
-        if (column == COLUMN_REMOTE && (!colon || strtol(colon + 1, NULL, 16) != remote))
-            return 0;
-        if (column == COLUMN_INODE)
-            return strtoul(word, NULL, 10);
-    }
-    return 0;
-}
-
-static unsigned long find_inode(int local, int remote)
-{
-    FILE *file = fopen("/proc/net/tcp", "r");
-    unsigned long found = 0;
-    char line[512];
-
-    while (file && !found && fgets(line, sizeof line, file))
-        found = inode_in(line, local, remote);
-    if (file)
-        fclose(file);
-    return found;
-}
-
-static bool has_socket(pid_t pid, unsigned long inode)
-{
-    char path[64];
-    char wanted[64];
-    char link[320];
-    char text[64];
-    struct dirent *entry;
-    bool found = false;
-    DIR *dir;
-
-    snprintf(path, sizeof path, "/proc/%d/fd", (int)pid);
-    snprintf(wanted, sizeof wanted, "socket:[%lu]", inode);
-    dir = opendir(path);
-    while (dir && !found && (entry = readdir(dir))) {
-        ssize_t n;
-        snprintf(link, sizeof link, "%s/%s", path, entry->d_name);
-        n = readlink(link, text, sizeof text - 1);
-        found = n > 0 && (size_t)n == strlen(wanted) && !memcmp(text, wanted, (size_t)n);
-    }
-    if (dir)
-        closedir(dir);
-    return found;
-}
-
-enum { STRANGER = -1, GONE = -2, LOOKS = 3 };
-
-/* A process's list of files may change while it is read: it is looked at several times before the
- * connection counts as a stranger's. One that its process has closed by now is nobody's. */
-static int find_origin(const struct relay *relay, const struct sockaddr_in *peer)
-{
-    const struct relay_origins *origins = relay->origins;
-    int remote = (int)strtol(strchr(relay->addr, ':') + 1, NULL, 10);
-    unsigned long inode = find_inode(ntohs(peer->sin_port), remote);
-
-    if (!inode)
-        return GONE;
-    for (int look = 0; look < LOOKS; look++)
-        for (int i = 0; i < origins->count; i++)
-            if (origins->pid[i] && has_socket(origins->pid[i], inode))
-                return i;
-    return find_inode(ntohs(peer->sin_port), remote) == inode ? STRANGER : GONE;
-}
-
 /* ---- connections ---- */
 
 static void on_accept(struct ev_loop *loop, ev_io *w, int events)
@@ -232,13 +152,13 @@
         return;
     c = g_new0(struct connection, 1);
     c->relay = relay;
-    c->origin = find_origin(relay, &peer);
+    c->origin = origin_find(&peer, &relay->own, relay->origins);
     cut = cut_of(c);
     c->doomed = cut.from_controller || cut.to_controller;
     g_ptr_array_add(relay->connections, c);
     flow_init(&c->out, c, fd, c->doomed ? -1 : pm_http_new_socket());
     flow_init(&c->back, c, c->out.to, fd);
-    if (cut.reset || c->origin == GONE) {
+    if (cut.reset || c->origin == ORIGIN_GONE) {
         connection_close(c, true);
         return;
     }
@@ -292,6 +212,7 @@
     if (bind(fd, (struct sockaddr *)&sa, sizeof sa) || listen(fd, 64) ||
         getsockname(fd, (struct sockaddr *)&sa, &size))
         g_error("a relay can't listen");
+    relay->own = sa;
     snprintf(relay->addr, sizeof relay->addr, "127.0.0.1:%d", ntohs(sa.sin_port));
     ev_io_init(&relay->accept_io, on_accept, fd, EV_READ);
     relay->accept_io.data = relay;
