--- a/src/fleet/tests/test_fleet.c
+++ b/src/fleet/tests/test_fleet.c
@@ -608,6 +608,38 @@
     ev_loop_destroy(loop);
 }
 
+/* A machine that is lent reports to its holder. What its lender last heard of it, an answer to a
+ * command after its last report, or commands without an answer, says nothing of it any more. */
+static void a_machine_that_is_lent_is_judged_by_its_holder(void **state)
+{
+    struct pm_machine *lent = pm_workers_add(workers, "i-000001");
+    struct pm_machine *other = pm_workers_add(workers, "i-000002");
+
+    (void)state;
+    settings.report_s = 5;
+    for (int i = 0; i < 2; i++) {
+        struct pm_machine *m = i ? other : lent;
+        pm_workers_set_type(workers, m, 0);
+        m->zone = 0;
+        m->state = PM_UP;
+        m->reported = m->listed = true;
+        m->heard = m->report_at = m->rented = NOW;
+    }
+    lent->lent = 1;
+    lent->report_at = NOW - 60;
+    lent->heard = NOW - 59;
+    assert_true(pm_workers_mute(lent, &settings, NOW));
+    pm_fleet_set_writable(fleet, true, NOW - 60);
+    pm_fleet_review(fleet, NOW);
+    assert_int_equal(lent->state, PM_UP);
+    lent->report_at = lent->heard;
+    pm_workers_unheard(lent, "a /do has no answer", NOW - 62);
+    pm_workers_unheard(lent, "a /do has no answer", NOW - 60);
+    assert_true(pm_workers_deaf(lent, NOW));
+    pm_fleet_review(fleet, NOW);
+    assert_int_equal(lent->state, PM_UP);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -642,6 +674,8 @@
         cmocka_unit_test_setup_teardown(idle_machines_go_back_sooner_on_a_large_fleet, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(reads_machine_types, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_machine_that_is_lent_is_judged_by_its_holder, set_up,
+                                        tear_down),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
