A machine that is lent is judged by its holder alone

Cause: give_up_silent asks the holder whether a lent machine is silent, but judged by its own last word from the machine whether it hears us or reports at all. Where that was an answer to a command after its last report, the machine counted as reporting to nobody 14 s (with reports every 5 s) after it was lent, and went back to the cloud with what its holder ran there. Change: of a lent machine the holder's word alone counts.

--- a/src/fleet/review.c
+++ b/src/fleet/review.c
@@ -44,6 +44,19 @@
     }
 }
 
+/* Why the machine is of no use though it is heard of; NULL: it is not so. What we heard last of one
+ * that is lent says nothing: it reports to its holder. */
+static const char *why_lost(const struct pm_fleet *f, const struct pm_machine *m, double now)
+{
+    if (m->lent)
+        return NULL;
+    if (pm_workers_deaf(m, now))
+        return "does not hear us, while its zone does";
+    if (pm_workers_mute(m, f->tables->settings, now))
+        return "reports to nobody, while its zone does";
+    return NULL;
+}
+
 /* A machine that is silent, and was asked in vain, while others of its zone are heard has died,
  * hangs or is cut off. Its release, confirmed, proves its tasks gone long before its lease would,
  * and they start elsewhere; of a machine that was only cut off, little more than the blink of a
@@ -63,15 +76,14 @@
     silent = g_ptr_array_new();
     for (guint i = 0; i < all->len; i++) {
         struct pm_machine *m = g_ptr_array_index(all, i);
-        bool lost;
         double since;
         if (!m || m->state != PM_UP || m->zone < 0)
             continue;
         reported[m->zone] |= m->reported;
         /* Of one that is lent, its holder tells. */
         since = m->lent ? (now - m->silent_told < 2 ? m->silent_since : now) : m->heard;
-        lost = pm_workers_deaf(m, now) || pm_workers_mute(m, f->tables->settings, now);
-        if (lost) { /* its tasks end with its lease, whatever still comes of it or arrives there */
+        if (why_lost(f, m, now)) { /* its tasks end with its lease, whatever still comes of it or
+                                      arrives there */
             missed[m->zone]++;
             g_ptr_array_add(silent, m);
             continue;
@@ -88,11 +100,9 @@
     /* However many they are: by its zone alone is the network told from deaths. */
     for (guint i = 0; i < silent->len; i++) {
         struct pm_machine *m = g_ptr_array_index(silent, i);
+        const char *why = why_lost(f, m, now);
         if (missed[m->zone] <= heard[m->zone])
-            give_back(m, pm_workers_deaf(m, now) ? "does not hear us, while its zone does"
-                         : pm_workers_mute(m, f->tables->settings, now)
-                             ? "reports to nobody, while its zone does"
-                             : "silent, while its zone is heard");
+            give_back(m, why ? why : "silent, while its zone is heard");
     }
     g_ptr_array_free(silent, TRUE);
     give_up_zones(f, reported, now);
