--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -186,8 +186,12 @@
         s->delayed_until = MAX(s->delayed_until, a->until);
         fleet_delay_messages(cluster_fleet(s->cluster), on ? LATE_SHARE : 0, on ? LATE_SHARE : 0);
         break;
-    case TROUBLE_MACHINE_CUT:
     case TROUBLE_MACHINE_HANGS:
+        /* What was sent to it meanwhile is carried out and never answered. */
+        s->delayed_until = MAX(s->delayed_until, on ? a->until : elapsed(s));
+        machines(s, &a->trouble, on);
+        break;
+    case TROUBLE_MACHINE_CUT:
         machines(s, &a->trouble, on);
         break;
     case TROUBLE_MACHINE_FAILS:
