--- a/src/duties/tests/test_callers.c
+++ b/src/duties/tests/test_callers.c
@@ -95,7 +95,7 @@
 {
     (void)state;
     assert_users("pm_txn_drop(", "duties/clean.c 1, duties/holding.c 3, duties/intents.c 1, "
-                                 "jobs/commit.c 2, leadership/leadership.c 2, store/txn.c 1");
+                                 "jobs/commit.c 2, leadership/take.c 2, store/txn.c 1");
 }
 
 int main(void)
