--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -357,12 +357,12 @@
 
 /* The controllers hold the limits against what workers report, and check each start at its write:
  * what they say of that is a violation too. */
-static void note_logged_violations(struct soak *s, const char *log_file)
+static void note_logged_violations(struct soak *s)
 {
     char *text = NULL;
     char **lines;
 
-    if (!log_file || !g_file_get_contents(log_file, &text, NULL, NULL))
+    if (!g_file_get_contents(s->log_file, &text, NULL, NULL))
         return;
     lines = g_strsplit(text, "\n", -1);
     for (char **line = lines; *line; line++)
@@ -442,8 +442,7 @@
                                    .daemon = settings->daemon,
                                    .old_daemon = settings->old_daemon,
                                    .operator= operators_of(settings),
-                                   .quiet = !settings->log_file,
-                                   .log_file = settings->log_file,
+                                   .log_file = s.log_file,
                                    .machines_most = settings->machines,
                                    .lease_s = s.lease_s,
                                    .teams = workload_teams(settings->machines * MACHINE_CPUS),
@@ -461,7 +460,7 @@
         play(&s);
         settle(&s);
     }
-    note_logged_violations(&s, s.log_file);
+    note_logged_violations(&s);
     *result = (struct soak_result){.troubles = s.schedule->len,
                                    .starts = history_starts(cluster_history(s.cluster)),
                                    .jobs = cluster_jobs(s.cluster),
--- a/src/soak/tests/test_soak.c
+++ b/src/soak/tests/test_soak.c
@@ -46,6 +46,7 @@
     settings.seconds = 10;
     violations = violations_of(settings, "machine-fails");
     assert_non_null(strstr(violations, "quota: "));
+    assert_non_null(strstr(violations, " quota.over ")); /* the controllers see it too */
     g_free(violations);
 }
 
