Starts of an earlier plan are checked at the write too; leases ask the account itself

Found on reading the change once more. Counting the teams' use anew at a plan counted as the check before the write: where a second plan came first, starts of the one before it were written unchecked. Only the check clears the mark now.

--- a/src/placement/internal.h
+++ b/src/placement/internal.h
@@ -36,7 +36,7 @@
     long bucket; /* the bucket in force, counted in time of day */
     double charged_at;
     struct team_use use[PM_TEAMS_MAX]; /* see use.c: for the limits */
-    bool unchecked;                    /* something was placed since it was counted */
+    bool unchecked;                    /* something was placed since starts were last checked */
     double over_told[PM_TEAMS_MAX];    /* steady: the team was last told to be over its limit */
     uint64_t violations;               /* of a limit, as seen here */
     double actual[PM_TEAMS_MAX];       /* processors in use: for the guarantees */
@@ -90,11 +90,8 @@
 void pm_use_count(struct pm_plan *p, double now);
 struct pm_use pm_use_total(const struct pm_plan *p, int team);
 void pm_use_add_own(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks);
-void pm_use_add_leased(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks);
 /* Whether so many more tasks are within the team's limits. */
 bool pm_use_allows(const struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks);
-/* How many more are, less the share `kept` of the limits. */
-uint32_t pm_use_room(const struct pm_plan *p, const struct pm_spec *spec, double kept);
 
 /* ledger.c */
 void pm_plan_account(struct pm_plan *p, double now, double day);
--- a/src/placement/lease.c
+++ b/src/placement/lease.c
@@ -8,16 +8,6 @@
     g_array_append_vals(p->wants, &(struct pm_want){job, tasks}, 1);
 }
 
-uint32_t pm_plan_lease_tasks(const struct pm_plan *p, const struct pm_spec *spec, double kept)
-{
-    return pm_use_room(p, spec, kept);
-}
-
-void pm_plan_lease(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks)
-{
-    pm_use_add_leased(p, spec, tasks);
-}
-
 uint32_t pm_plan_within_guarantee(struct pm_plan *p, const struct pm_job *job)
 {
     const struct pm_spec *spec = job->spec;
--- a/src/placement/use.c
+++ b/src/placement/use.c
@@ -106,7 +106,6 @@
         if (job->delegated && job->spec && p->sees_all)
             add(&p->use[job->spec->team].leased, job->spec, leased_tasks(job));
     }
-    p->unchecked = false;
     assert_within(p, now);
 }
 
@@ -116,7 +115,7 @@
     p->unchecked = true;
 }
 
-void pm_use_add_leased(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks)
+void pm_plan_lease(struct pm_plan *p, const struct pm_spec *spec, uint32_t tasks)
 {
     add(&p->use[spec->team].leased, spec, tasks);
 }
@@ -135,7 +134,7 @@
     return most < UNLIMITED ? most * (1 - kept) - used : most;
 }
 
-uint32_t pm_use_room(const struct pm_plan *p, const struct pm_spec *spec, double kept)
+uint32_t pm_plan_lease_tasks(const struct pm_plan *p, const struct pm_spec *spec, double kept)
 {
     const struct pm_team_setting *team = &p->tables->settings->team[spec->team];
     struct pm_use use = pm_use_total(p, spec->team);
@@ -174,6 +173,7 @@
 {
     if (!p->unchecked)
         return;
+    p->unchecked = false;
     pm_use_count(p, now);
     for (int t = 0; t < p->tables->settings->teams; t++) {
         const struct pm_team_setting *team = &p->tables->settings->team[t];
