test_pumicectl: the outage's test leaves a leader that is fit again

Trace of the failure on: the tool said, rightly, that the leader is unfit since the state service refuses. The test before had ended an outage and waited for a status without problems; duties tells of the leader's fitness too, which comes back a little later. It waits for both now, as all_is_well does; every assertion stands.

--- a/src/cmd/pumicectl/tests/test_pumicectl.c
+++ b/src/cmd/pumicectl/tests/test_pumicectl.c
@@ -248,6 +248,7 @@
     json_decref(document);
     fake_state_outage(cluster_state(cluster), false);
     wait_for_status("status", 0);
+    wait_for_status("duties", 0); /* the leader is fit again, as the tests after this one expect */
 }
 
 /* ---- duties ---- */
