--- a/src/cmd/measure-cuts/main.c
+++ b/src/cmd/measure-cuts/main.c
@@ -111,8 +111,10 @@
 
     if (options->operator_file)
         g_file_get_contents(options->operator_file, &operators, NULL, NULL);
-    c = cluster_new(
-        &(struct cluster_settings){options->controllers, options->daemon, operators, NULL, true});
+    c = cluster_new(&(struct cluster_settings){.controllers = options->controllers,
+                                               .daemon = options->daemon,
+                                               .operator= operators,
+                                               .quiet = true});
     cluster_load(c, 0.4);
     begun = cluster_until(c, has_begun, BEGIN_S);
     cluster_run(c, SETTLE_S + g_rand_double(chance));
--- /dev/null
+++ b/src/soak/soak.c
@@ -0,0 +1,358 @@
+#include "soak/soak.h"
+#include "base/clock.h"
+#include "soak/workload.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define BEGIN_S 30.0  /* a cluster that starts no task by then does not start */
+#define SETTLE_S 90.0 /* once troubles are over, every job is over within this */
+#define STEP_S 0.05
+#define OPEN_MOST 40 /* jobs that users wait for at a time */
+#define LATE_SHARE 0.3
+
+enum { MACHINES_AT_ONCE = 4, CANCELS_MOST = 6, MACHINE_CPUS = 8 };
+
+/* Short leases, so that much happens in a minute. */
+static const char own_operator[] = "leader_ttl_s: 1.5\nconfirm_s: 0.8\nidle_return_s: 3\n";
+
+struct soak {
+    const struct soak_settings *settings;
+    struct cluster *cluster;
+    GRand *random; /* of the workload, and of what the stand-ins delay */
+    GArray *schedule;
+    GArray *active; /* of struct active */
+    double began;
+    size_t said; /* length of the violations that were told already */
+    GString *violations;
+    FILE *log;
+};
+
+/* A trouble that goes on. */
+struct active {
+    struct trouble trouble;
+    int controller; /* -1: it concerns none */
+    double until;   /* seconds of the run */
+};
+
+static double elapsed(const struct soak *s)
+{
+    return pm_clock_steady() - s->began;
+}
+
+/* A line in the controllers' log, between theirs. */
+static void mark(struct soak *s, const char *what, const struct active *a)
+{
+    if (!s->log)
+        return;
+    fprintf(s->log, "soak %.2f %s %s of %d\n", elapsed(s), what, trouble_name(a->trouble.kind),
+            a->controller);
+    fflush(s->log);
+}
+
+static int find_target(const struct soak *s, const struct trouble *trouble)
+{
+    int controllers = s->settings->controllers;
+    int target = -1;
+
+    if (trouble->target == TARGET_LEADER)
+        target = cluster_leader(s->cluster);
+    else if (trouble->target == TARGET_HOLDER)
+        target = cluster_holder(s->cluster);
+    return target >= 0 ? target : (int)(trouble->choice % (unsigned)controllers);
+}
+
+/* Lost both ways, one way or the other, or refused. */
+static struct cut cut_of(const struct trouble *trouble, bool on)
+{
+    static const struct cut cuts[] = {
+        {true, true, false}, {true, false, false}, {false, true, false}, {false, false, true}};
+
+    return on ? cuts[trouble->choice / 16 % G_N_ELEMENTS(cuts)] : (struct cut){0};
+}
+
+static void cut_all(struct soak *s, const struct active *a, enum cluster_link link, int ends,
+                    bool on)
+{
+    for (int to = 0; to < ends; to++)
+        if (link != CLUSTER_PEER || to != a->controller)
+            cluster_cut(s->cluster, a->controller, link, to, cut_of(&a->trouble, on));
+}
+
+static void cancel_some(struct soak *s, const struct trouble *trouble)
+{
+    unsigned count = 1 + trouble->choice % CANCELS_MOST;
+
+    for (unsigned i = 0; i < count; i++)
+        cluster_abort_any(s->cluster, g_rand_int(s->random));
+}
+
+static void machines(struct soak *s, const struct trouble *trouble, bool on)
+{
+    struct fleet *fleet = cluster_fleet(s->cluster);
+
+    for (unsigned i = 0; i < 1 + trouble->choice / 64 % MACHINES_AT_ONCE; i++) {
+        if (trouble->kind == TROUBLE_MACHINE_CUT)
+            fleet_cut_machine(fleet, trouble->choice + i, on);
+        else
+            fleet_hang_machine(fleet, trouble->choice + i, on);
+    }
+}
+
+static void delay_write(struct soak *s, const struct trouble *trouble, bool on)
+{
+    static const char *const keys[] = {"p/t/", "p/b/", "p/j/", "p/epoch"};
+    struct fake_state *state = cluster_state(s->cluster);
+
+    if (on)
+        fake_state_put_off(state, keys[trouble->choice % G_N_ELEMENTS(keys)]);
+    else if (fake_state_has_late(state))
+        fake_state_deliver(state);
+}
+
+static void switch_controller(struct soak *s, const struct active *a, bool on)
+{
+    if (a->trouble.kind == TROUBLE_PAUSE)
+        cluster_pause(s->cluster, a->controller, on);
+    else if (a->trouble.kind == TROUBLE_REFUSED_ALONE)
+        cluster_refuse(s->cluster, a->controller, on);
+    else if (on)
+        cluster_kill(s->cluster, a->controller);
+    else
+        cluster_start(s->cluster, a->controller);
+}
+
+/* The trouble begins, or ends. */
+static void switch_trouble(struct soak *s, const struct active *a, bool on)
+{
+    struct fake_state *state = cluster_state(s->cluster);
+
+    mark(s, on ? "begin" : "end", a);
+    switch (a->trouble.kind) {
+    case TROUBLE_KILL:
+    case TROUBLE_PAUSE:
+    case TROUBLE_REFUSED_ALONE:
+        switch_controller(s, a, on);
+        break;
+    case TROUBLE_CUT_STATE:
+        cut_all(s, a, CLUSTER_STATE, 1, on);
+        break;
+    case TROUBLE_CUT_PEERS:
+        cut_all(s, a, CLUSTER_PEER, s->settings->controllers, on);
+        break;
+    case TROUBLE_CUT_WORKERS:
+        cut_all(s, a, CLUSTER_ZONE, CLUSTER_ZONES, on);
+        break;
+    case TROUBLE_CUT_CLOUD:
+        cut_all(s, a, CLUSTER_CLOUD, 1, on);
+        break;
+    case TROUBLE_OUTAGE:
+        fake_state_outage(state, on);
+        break;
+    case TROUBLE_STATE_HANGS:
+        fake_state_hang(state, on);
+        break;
+    case TROUBLE_LATE_WRITE:
+        delay_write(s, &a->trouble, on);
+        break;
+    case TROUBLE_LOST_ANSWER:
+        if (on)
+            fake_state_swallow(state);
+        break;
+    case TROUBLE_WATCH_TOO_OLD:
+        if (on)
+            fake_state_forget(state);
+        break;
+    case TROUBLE_LATE_MESSAGES:
+        fleet_delay_messages(cluster_fleet(s->cluster), on ? LATE_SHARE : 0, on ? LATE_SHARE : 0);
+        break;
+    case TROUBLE_MACHINE_CUT:
+    case TROUBLE_MACHINE_HANGS:
+        machines(s, &a->trouble, on);
+        break;
+    case TROUBLE_MACHINE_FAILS:
+        if (on)
+            fleet_fail_machine(cluster_fleet(s->cluster));
+        break;
+    case TROUBLE_CANCELLATIONS:
+        if (on)
+            cancel_some(s, &a->trouble);
+        break;
+    case TROUBLE_KINDS:
+        break;
+    }
+}
+
+/* Whether the same trouble goes on already at that controller: ending one must not end both. */
+static bool is_active(const struct soak *s, const struct active *wanted)
+{
+    for (guint i = 0; i < s->active->len; i++) {
+        const struct active *a = &g_array_index(s->active, struct active, i);
+        bool process = a->trouble.kind <= TROUBLE_PAUSE && wanted->trouble.kind <= TROUBLE_PAUSE;
+        if ((a->trouble.kind == wanted->trouble.kind || process) &&
+            a->controller == wanted->controller)
+            return true;
+    }
+    return false;
+}
+
+static bool concerns_controller(enum trouble_kind kind)
+{
+    return kind <= TROUBLE_REFUSED_ALONE;
+}
+
+static void begin_trouble(struct soak *s, const struct trouble *trouble)
+{
+    struct active a = {*trouble, -1, elapsed(s) + trouble->for_s};
+
+    if (concerns_controller(trouble->kind))
+        a.controller = find_target(s, trouble);
+    if (is_active(s, &a))
+        return;
+    switch_trouble(s, &a, true);
+    g_array_append_val(s->active, a);
+}
+
+static void end_troubles(struct soak *s, double now)
+{
+    for (guint i = 0; i < s->active->len;) {
+        struct active a = g_array_index(s->active, struct active, i);
+        if (a.until > now) {
+            i++;
+            continue;
+        }
+        g_array_remove_index(s->active, i);
+        switch_trouble(s, &a, false);
+    }
+}
+
+/* Violations come with the second at which they were seen. */
+static void note_violations(struct soak *s)
+{
+    const char *all = history_violations(cluster_history(s->cluster));
+    char **lines;
+
+    if (strlen(all) == s->said)
+        return;
+    lines = g_strsplit(all + s->said, "\n", -1);
+    s->said = strlen(all);
+    for (char **line = lines; *line; line++) {
+        if (!**line)
+            continue;
+        g_string_append_printf(s->violations, "%.2f s: %s\n", elapsed(s), *line);
+        if (s->log) {
+            fprintf(s->log, "soak %.2f violation %s\n", elapsed(s), *line);
+            fflush(s->log);
+        }
+    }
+    g_strfreev(lines);
+}
+
+static void step(struct soak *s)
+{
+    cluster_run(s->cluster, STEP_S);
+    note_violations(s);
+    end_troubles(s, elapsed(s));
+}
+
+static void play(struct soak *s)
+{
+    guint next = 0;
+    double submit_at = 0;
+
+    while (elapsed(s) < s->settings->seconds) {
+        while (next < s->schedule->len &&
+               g_array_index(s->schedule, struct trouble, next).at_s <= elapsed(s))
+            begin_trouble(s, &g_array_index(s->schedule, struct trouble, next++));
+        if (elapsed(s) >= submit_at && cluster_open_jobs(s->cluster) < OPEN_MOST) {
+            workload_submit(s->cluster, s->random);
+            submit_at = elapsed(s) + g_rand_double(s->random) * 0.8;
+        }
+        step(s);
+    }
+}
+
+/* Troubles are over, services are cancelled: every job is over in time. */
+static void settle(struct soak *s)
+{
+    double until;
+
+    end_troubles(s, INFINITY);
+    cluster_heal(s->cluster);
+    fleet_heal_machines(cluster_fleet(s->cluster));
+    until = elapsed(s) + SETTLE_S;
+    while (elapsed(s) < until && !cluster_is_idle(s->cluster)) {
+        cluster_abort_services(s->cluster);
+        step(s);
+    }
+    history_close(cluster_history(s->cluster));
+    note_violations(s);
+}
+
+static bool has_begun(struct cluster *c)
+{
+    return history_starts(cluster_history(c)) > 0;
+}
+
+static void print_schedule(const GArray *schedule)
+{
+    for (guint i = 0; i < schedule->len; i++) {
+        const struct trouble *t = &g_array_index(schedule, struct trouble, i);
+        printf("  %3u at %6.2f s for %5.2f s: %s, %s, %u\n", i + 1, t->at_s, t->for_s,
+               trouble_name(t->kind), target_name(t->target), t->choice);
+    }
+}
+
+static bool prepare(struct soak *s)
+{
+    const struct soak_settings *settings = s->settings;
+    GRand *draws = g_rand_new_with_seed(settings->seed);
+
+    s->schedule = schedule_draw(draws, settings->seconds);
+    s->random = g_rand_new_with_seed(g_rand_int(draws));
+    g_rand_free(draws);
+    if (settings->print)
+        print_schedule(s->schedule);
+    if (settings->only && !schedule_keep(s->schedule, settings->only))
+        return false;
+    s->active = g_array_new(FALSE, FALSE, sizeof(struct active));
+    s->violations = g_string_new("");
+    s->log = settings->log_file ? fopen(settings->log_file, "a") : NULL;
+    return true;
+}
+
+bool soak_run(const struct soak_settings *settings, struct soak_result *result)
+{
+    struct soak s = {.settings = settings};
+    bool begun;
+
+    if (!prepare(&s))
+        return false;
+    s.cluster = cluster_new(&(struct cluster_settings){
+        .controllers = settings->controllers,
+        .daemon = settings->daemon,
+        .operator= settings->operator? settings->operator: own_operator,
+        .quiet = !settings->log_file,
+        .log_file = settings->log_file,
+        .machines_most = settings->machines,
+        .teams = workload_teams(settings->machines * MACHINE_CPUS),
+        .team_count = WORKLOAD_TEAMS,
+        .random = s.random});
+    workload_submit(s.cluster, s.random);
+    begun = cluster_until(s.cluster, has_begun, BEGIN_S);
+    s.began = pm_clock_steady();
+    if (begun) {
+        play(&s);
+        settle(&s);
+    }
+    *result = (struct soak_result){s.schedule->len, history_starts(cluster_history(s.cluster)),
+                                   cluster_jobs(s.cluster), elapsed(&s),
+                                   g_string_free(s.violations, FALSE)};
+    cluster_free(s.cluster);
+    if (s.log)
+        fclose(s.log);
+    g_array_free(s.schedule, TRUE);
+    g_array_free(s.active, TRUE);
+    return begun;
+}
--- /dev/null
+++ b/src/soak/workload.c
@@ -0,0 +1,61 @@
+#include "soak/workload.h"
+
+#include <string.h>
+
+#define CHAINED 0.1 /* share of jobs that need the one before */
+#define URGENT 0.2
+#define BOUND 0.3 /* share of jobs for one zone only */
+
+static struct cluster_team teams[WORKLOAD_TEAMS] = {
+    {.name = "team-a"}, {.name = "team-b"}, {.name = "team-c"}};
+
+const struct cluster_team *workload_teams(double machine_cpus)
+{
+    /* The limits of two teams together are less than the machines have, so that they bind; for one
+     * of them guarantee and limit are the same. */
+    teams[0].cpus = teams[0].cpus_max = 0.3 * machine_cpus;
+    teams[1].cpus = 0.1 * machine_cpus;
+    teams[1].cpus_max = 0.3 * machine_cpus;
+    teams[2].cpus = 0.2 * machine_cpus;
+    teams[2].cpus_max = 0.5 * machine_cpus;
+    return teams;
+}
+
+/* Mostly arrays; some gangs, and services that are cancelled later. */
+static void draw_form(GRand *random, struct cluster_job *job)
+{
+    double form = g_rand_double(random);
+
+    if (form < 0.75) {
+        job->form = "array";
+        job->tasks = (unsigned)g_rand_int_range(random, 1, 12);
+        job->run_s = g_rand_int_range(random, 5, 60) / 10.0;
+    } else if (form < 0.9) {
+        job->form = "group";
+        job->tasks = (unsigned)g_rand_int_range(random, 2, 4);
+        job->run_s = g_rand_int_range(random, 5, 40) / 10.0;
+    } else {
+        job->form = "standing";
+        job->tasks = (unsigned)g_rand_int_range(random, 1, 3);
+    }
+}
+
+void workload_submit(struct cluster *cluster, GRand *random)
+{
+    static char before[32]; /* the job that the next one may need */
+    struct cluster_job job = {.urgency = "normal", .zone = -1, .cpus = 2};
+
+    draw_form(random, &job);
+    job.team = teams[g_rand_int_range(random, 0, WORKLOAD_TEAMS)].name;
+    if (g_rand_double(random) < URGENT)
+        job.urgency = "urgent";
+    if (!strcmp(job.form, "standing"))
+        job.urgency = "production";
+    if (g_rand_double(random) < BOUND)
+        job.zone = g_rand_int_range(random, 0, CLUSTER_ZONES);
+    if (before[0] && strcmp(job.form, "standing") != 0 && g_rand_double(random) < CHAINED)
+        job.awaits = before;
+    g_strlcpy(before, cluster_submit_job(cluster, &job), sizeof before);
+    if (!strcmp(job.form, "standing"))
+        before[0] = 0; /* nothing can wait for a service */
+}
--- /dev/null
+++ b/src/soak/workload.h
@@ -0,0 +1,14 @@
+/* What the users of a soak submit: more than their teams' limits allow, all the time. */
+#ifndef PM_SOAK_WORKLOAD_H
+#define PM_SOAK_WORKLOAD_H
+
+#include "testing/cluster.h"
+
+enum { WORKLOAD_TEAMS = 3 };
+
+/* The teams: two that are at their limits, and one that lends and borrows. */
+const struct cluster_team *workload_teams(double machine_cpus);
+/* Submits a job drawn by `random` to the cluster. */
+void workload_submit(struct cluster *cluster, GRand *random);
+
+#endif
--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -21,6 +21,11 @@
 #define POLL_S 0.5
 #define RETRY_S 0.5
 #define REQUEST_S 2.0
+#define REPEATS 0.1 /* share of a restless user's questions that repeat the submission */
+#define STRANGE_JOB "job-999999"
+#define STRANGE_S 1.0 /* so often they ask for a job that nobody submitted */
+#define GANG_WAIT_S 10.0
+#define GANG_PEER_S 1.0
 
 enum { MACHINES_MOST = 8, ANSWER_MAX = 64 * 1024, OUTPUT_MAX = 256 * 1024, ADDRESS_SIZE = 64 };
 
@@ -28,8 +33,11 @@
     struct cluster *cluster;
     char id[32];
     unsigned tasks;
-    bool accepted, ended, abort, busy, aborting;
-    int ask; /* the controller asked next */
+    struct cluster_job job;
+    char team[32], awaits[32];
+    bool accepted, ended, abort, busy;
+    bool repeat; /* the submission, though it was accepted */
+    int ask;     /* the controller asked next */
     double next_at;
 };
 
@@ -51,23 +59,31 @@
     struct pm_http_client *client;
     GPtrArray *jobs;
     double load_every_s, load_at;
+    double strange_at; /* steady: a job that nobody submitted was last asked for */
     ev_timer users;
     fake_state_observer *observer;
     void *observer_arg;
 };
 
+/* All of the machines' processors. */
+static const struct cluster_team default_teams[] = {{"team", 64, 64}};
+
 /* ---- users ---- */
 
-static void put_submission(const struct user_job *job, struct pm_buf *out)
+static void put_submission(const struct user_job *user, struct pm_buf *out)
 {
+    const struct cluster_job *job = &user->job;
+    char zone[16];
+
+    snprintf(zone, sizeof zone, "zone-%d", job->zone);
     pm_put_map(out);
-    pm_put_pair_text(out, "name_id", job->id);
+    pm_put_pair_text(out, "name_id", user->id);
     pm_put_pair_text(out, "ledger", "batch");
-    pm_put_pair_text(out, "desk", "team");
-    pm_put_pair_text(out, "form", "array");
-    pm_put_pair_text(out, "urgency", "normal");
-    pm_put_pair_count(out, "entries", job->tasks);
-    pm_put_pair_number(out, "cpus", 2);
+    pm_put_pair_text(out, "desk", user->team);
+    pm_put_pair_text(out, "form", job->form);
+    pm_put_pair_text(out, "urgency", job->urgency);
+    pm_put_pair_count(out, "entries", user->tasks);
+    pm_put_pair_number(out, "cpus", job->cpus);
     pm_put_pair_number(out, "accelerators", 0);
     pm_put_pair_number(out, "ram_gb", 4);
     pm_put_pair_text(out, "bundle", "image");
@@ -75,13 +91,33 @@
     pm_put_pair_flag(out, "same_place", false);
     pm_put_pair_flag(out, "spread", false);
     pm_put_pair_flag(out, "borrowed", true);
-    pm_put_pair_text(out, "room", job->id[strlen("job-000")] % 2 ? "zone-1" : "zone-0");
-    pm_put_pair_number(out, "expected_s", fleet_run_s(job->id));
+    if (job->zone >= 0)
+        pm_put_pair_text(out, "room", zone);
+    pm_put_pair_number(out, "expected_s", job->run_s);
     pm_put_pair_number(out, "bookmark_s", 0);
     pm_put_pair_number(out, "filing_s", 0);
+    if (user->awaits[0]) {
+        pm_put_text(out, "awaits");
+        pm_put_list(out);
+        pm_put_text(out, user->awaits);
+        pm_put_end(out);
+    }
     pm_put_end(out);
 }
 
+/* A restless user asks another controller each time, and now and then repeats the submission. */
+static void choose_next(struct user_job *job)
+{
+    struct cluster *c = job->cluster;
+    GRand *random = c->settings.random;
+
+    if (!random)
+        return;
+    job->ask = g_rand_int_range(random, 0, c->settings.controllers);
+    job->repeat = job->accepted && g_rand_double(random) < REPEATS;
+    job->next_at -= g_rand_double(random) * POLL_S;
+}
+
 static void on_user_answer(void *arg, int status, const unsigned char *body, size_t size)
 {
     struct user_job *job = arg;
@@ -103,6 +139,7 @@
         job->ask = (job->ask + 1) % c->settings.controllers;
         job->next_at = now + RETRY_S;
     }
+    choose_next(job);
     pm_cbor_free(answer);
 }
 
@@ -112,28 +149,44 @@
     struct pm_buf body = {0};
     char target[64] = "/work";
 
-    if (!job->accepted)
+    if (!job->accepted || job->repeat)
         put_submission(job, &body);
     else
         snprintf(target, sizeof target, "/work/%s%s", job->id, job->abort ? "/abort" : "");
     job->busy = true;
-    pm_http_call(c->client, c->front[job->ask], job->accepted && !job->abort ? "GET" : "POST",
-                 target, body.data, body.size, REQUEST_S, ANSWER_MAX, on_user_answer, job);
+    pm_http_call(c->client, c->front[job->ask], body.size || job->abort ? "POST" : "GET", target,
+                 body.data, body.size, REQUEST_S, ANSWER_MAX, on_user_answer, job);
     pm_buf_free(&body);
 }
 
-const char *cluster_submit(struct cluster *c, unsigned tasks, double run_s)
+const char *cluster_submit_job(struct cluster *c, const struct cluster_job *wanted)
 {
     struct user_job *job = g_new0(struct user_job, 1);
 
     job->cluster = c;
-    job->tasks = tasks;
+    job->job = *wanted;
+    job->tasks = wanted->tasks;
+    g_strlcpy(job->team, wanted->team, sizeof job->team);
+    if (wanted->awaits)
+        g_strlcpy(job->awaits, wanted->awaits, sizeof job->awaits);
     job->ask = (int)c->jobs->len % c->settings.controllers;
-    snprintf(job->id, sizeof job->id, "job-%04u%02d", c->jobs->len + 1, (int)(run_s * 10));
+    snprintf(job->id, sizeof job->id, "job-%04u%02d", c->jobs->len + 1, (int)(wanted->run_s * 10));
+    history_submitted(c->history, job->id,
+                      (struct history_job){job->team, wanted->cpus, wanted->zone});
+    fleet_describe(c->fleet, job->id,
+                   (struct fleet_job){wanted->tasks, wanted->cpus, !strcmp(wanted->form, "group")});
     g_ptr_array_add(c->jobs, job);
     return job->id;
 }
 
+const char *cluster_submit(struct cluster *c, unsigned tasks, double run_s)
+{
+    int zone = (int)(c->jobs->len + 1) % CLUSTER_ZONES;
+
+    return cluster_submit_job(c, &(struct cluster_job){default_teams[0].name, "array", "normal",
+                                                       tasks, 2, run_s, zone, NULL});
+}
+
 void cluster_abort(struct cluster *c, const char *id)
 {
     for (guint i = 0; i < c->jobs->len; i++) {
@@ -142,12 +195,67 @@
     }
 }
 
+void cluster_abort_any(struct cluster *c, unsigned choice)
+{
+    unsigned open = cluster_open_jobs(c);
+    unsigned left = open ? choice % open : 0;
+
+    for (guint i = 0; open && i < c->jobs->len; i++) {
+        struct user_job *job = g_ptr_array_index(c->jobs, i);
+        if (job->ended || left--)
+            continue;
+        job->abort = true;
+        return;
+    }
+}
+
+void cluster_abort_services(struct cluster *c)
+{
+    for (guint i = 0; i < c->jobs->len; i++) {
+        struct user_job *job = g_ptr_array_index(c->jobs, i);
+        job->abort |= job->job.run_s <= 0;
+    }
+}
+
+unsigned cluster_jobs(const struct cluster *c)
+{
+    return c->jobs->len;
+}
+
+unsigned cluster_open_jobs(const struct cluster *c)
+{
+    unsigned open = 0;
+
+    for (guint i = 0; i < c->jobs->len; i++)
+        open += !((const struct user_job *)g_ptr_array_index(c->jobs, i))->ended;
+    return open;
+}
+
 void cluster_load(struct cluster *c, double every_s)
 {
     c->load_every_s = every_s;
     c->load_at = 0;
 }
 
+static void on_strange_answer(void *arg, int status, const unsigned char *body, size_t size)
+{
+    struct cluster *c = arg;
+
+    (void)body;
+    (void)size;
+    if (status == 200)
+        history_invented(c->history, STRANGE_JOB);
+}
+
+static void ask_for_strange_job(struct cluster *c, double now)
+{
+    int controller = g_rand_int_range(c->settings.random, 0, c->settings.controllers);
+
+    c->strange_at = now;
+    pm_http_call(c->client, c->front[controller], "GET", "/work/" STRANGE_JOB, NULL, 0, REQUEST_S,
+                 ANSWER_MAX, on_strange_answer, c);
+}
+
 static void on_users_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
     struct cluster *c = w->data;
@@ -159,6 +267,8 @@
         cluster_submit(c, 2, 1);
         c->load_at = now + c->load_every_s;
     }
+    if (c->settings.random && now - c->strange_at > STRANGE_S)
+        ask_for_strange_job(c, now);
     for (guint i = 0; i < c->jobs->len; i++) {
         struct user_job *job = g_ptr_array_index(c->jobs, i);
         if (!job->ended && !job->busy && now >= job->next_at)
@@ -189,17 +299,21 @@
         text,
         "[outside]\ncloud = \"%s\"\nstate = \"%s\"\n"
         "[settings]\nsize = %d\nzones = [\"zone-0\", \"zone-1\"]\ntime_bound_ms = 5.0\n"
-        "[[settings.teams]]\nname = \"team\"\ncpus = 64.0\ncpus_max = 64.0\ngpus = 0.0\n"
-        "gpus_max = 0.0\n"
         "[[settings.objectives]]\nkind = \"wait\"\nclass = \"batch\"\nwithin_s = 2.0\n"
         "share = 0.9\n"
-        "[settings.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = 10.0\n"
-        "gang_peer_s = 1.0\ncancel_s = %g\n"
+        "[settings.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = %g\n"
+        "gang_peer_s = %g\ncancel_s = %g\n"
         "[settings.state]\nrps = 1000.0\nwrite_rps = 200.0\nvalue_kb = 16.0\ntxn_ops = 12\n"
         "[settings.cloud]\nrps = 10.0\nlist_lag_s = 0.5\n"
         "[settings.quota]\ncores = 1.0\nmem_mb = 512.0\nsockets = 900\n",
         fleet_cloud_addr(c->fleet), relay_addr(c->state_relay), c->settings.controllers, REPORT_S,
-        LEASE_S, CANCEL_S);
+        LEASE_S, GANG_WAIT_S, GANG_PEER_S, CANCEL_S);
+    for (int k = 0; k < c->settings.team_count; k++)
+        g_string_append_printf(text,
+                               "[[settings.teams]]\nname = \"%s\"\ncpus = %.1f\n"
+                               "cpus_max = %.1f\ngpus = 0.0\ngpus_max = 0.0\n",
+                               c->settings.teams[k].name, c->settings.teams[k].cpus,
+                               c->settings.teams[k].cpus_max);
     snprintf(c->config[i], sizeof c->config[i], "%s/%s.toml", c->dir, c->name[i]);
     g_file_set_contents(c->config[i], text->str, (gssize)text->len, NULL);
     g_string_free(text, TRUE);
@@ -219,8 +333,9 @@
     pid = fork();
     if (pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL); /* none outlives a test that fails */
-        if (c->settings.quiet) {
-            int fd = open("/dev/null", O_WRONLY);
+        if (c->settings.quiet || c->settings.log_file) {
+            const char *log = c->settings.log_file ? c->settings.log_file : "/dev/null";
+            int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, STDERR_FILENO);
         }
         execv(daemon, argv);
@@ -247,7 +362,8 @@
 
 void cluster_pause(struct cluster *c, int controller, bool paused)
 {
-    kill(c->origins.pid[controller], paused ? SIGSTOP : SIGCONT);
+    if (c->origins.pid[controller]) /* 0 would mean this process's own group */
+        kill(c->origins.pid[controller], paused ? SIGSTOP : SIGCONT);
 }
 
 static void on_state_change(void *arg, const char *key, const cbor_item_t *data, uint64_t revision)
@@ -309,11 +425,19 @@
         all_clusters = g_ptr_array_new();
     g_ptr_array_add(all_clusters, c);
     c->settings = *settings;
+    if (!settings->teams) {
+        c->settings.teams = default_teams;
+        c->settings.team_count = G_N_ELEMENTS(default_teams);
+    }
+    if (!settings->machines_most)
+        c->settings.machines_most = MACHINES_MOST;
     c->origins.count = settings->controllers;
     c->loop = ev_loop_new(EVFLAG_AUTO);
     c->jobs = g_ptr_array_new();
     c->client = pm_http_client_new(c->loop, 64);
     c->history = history_new(CANCEL_S);
+    for (int i = 0; i < c->settings.team_count; i++)
+        history_team(c->history, c->settings.teams[i].name, c->settings.teams[i].cpus_max);
     c->state = fake_state_new(c->loop);
     fake_state_expire_holds(c->state);
     fake_state_observe(c->state, on_state_change, c);
@@ -322,9 +446,17 @@
     c->state_relay = relay_new(c->loop, target, &c->origins);
     make_addresses(c);
     c->fleet = fleet_new(c->loop,
-                         &(struct fleet_settings){settings->controllers, CLUSTER_ZONES,
-                                                  MACHINES_MOST, REPORT_S, LEASE_S, c->front_text,
-                                                  c->name_text, &c->origins},
+                         &(struct fleet_settings){.controllers = settings->controllers,
+                                                  .zones = CLUSTER_ZONES,
+                                                  .machines_most = c->settings.machines_most,
+                                                  .report_s = REPORT_S,
+                                                  .lease_s = LEASE_S,
+                                                  .gang_wait_s = GANG_WAIT_S,
+                                                  .gang_peer_s = GANG_PEER_S,
+                                                  .front = c->front_text,
+                                                  .name = c->name_text,
+                                                  .origins = &c->origins,
+                                                  .random = settings->random},
                          c->history);
     g_strlcpy(c->dir, "/tmp/pumicemount-cluster-XXXXXX", sizeof c->dir);
     if (!g_mkdtemp(c->dir))
@@ -401,6 +533,25 @@
     }
 }
 
+void cluster_refuse(struct cluster *c, int controller, bool refused)
+{
+    fake_state_set_side(c->state, FAKE_REFUSES);
+    relay_set_target(c->state_relay, controller,
+                     refused ? fake_state_side(c->state) : fake_state_addr(c->state));
+}
+
+int cluster_holder(const struct cluster *c)
+{
+    char key[32];
+
+    for (int i = 0; i < c->settings.controllers; i++) {
+        snprintf(key, sizeof key, "p/b/%s", c->name[i]);
+        if (fake_state_revision(c->state, key))
+            return i;
+    }
+    return -1;
+}
+
 void cluster_heal(struct cluster *c)
 {
     struct cut none = {0};
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -14,12 +14,35 @@
 
 struct cluster;
 
+struct cluster_team {
+    const char *name;
+    double cpus, cpus_max; /* its guarantee, and its limit */
+};
+
 struct cluster_settings {
     int controllers;
-    const char *daemon;     /* the program that each controller runs */
-    const char *operator;   /* the operators' settings, as YAML; NULL: none */
-    const char *old_daemon; /* what controller 0 runs in its place, NULL: the same */
-    bool quiet;             /* the processes' logs are thrown away */
+    const char *daemon;               /* the program that each controller runs */
+    const char *operator;             /* the operators' settings, as YAML; NULL: none */
+    const char *old_daemon;           /* what controller 0 runs in its place, NULL: the same */
+    bool quiet;                       /* the processes' logs are thrown away */
+    const char *log_file;             /* where else they go; NULL: to standard error */
+    int machines_most;                /* 0: a few */
+    const struct cluster_team *teams; /* NULL: one, with all that there is */
+    int team_count;
+    /* Users ask another controller each time, repeat submissions and ask for jobs that nobody
+     * submitted; messages to workers arrive late. NULL: none of that. Borrowed. */
+    GRand *random;
+};
+
+/* A job as its user describes it. */
+struct cluster_job {
+    const char *team;
+    const char *form;    /* "array", "group" or "standing" */
+    const char *urgency; /* "normal" and so on */
+    unsigned tasks;
+    double cpus, run_s; /* of each task; run_s 0: until the job is cancelled */
+    int zone;           /* the only allowed one, -1: any */
+    const char *awaits; /* a job that has to be done before, NULL: none */
 };
 
 enum cluster_link { CLUSTER_STATE, CLUSTER_PEER, CLUSTER_ZONE, CLUSTER_CLOUD };
@@ -49,6 +72,19 @@
 void cluster_observe(struct cluster *cluster, fake_state_observer *observer, void *arg);
 /* An array job, each of whose tasks runs for that long; its id. */
 const char *cluster_submit(struct cluster *cluster, unsigned tasks, double run_s);
+/* Any job; its id. */
+const char *cluster_submit_job(struct cluster *cluster, const struct cluster_job *job);
+/* Users cancel one of the jobs that they wait for, chosen by number. */
+void cluster_abort_any(struct cluster *cluster, unsigned choice);
+/* Users cancel every job that runs until it is stopped. */
+void cluster_abort_services(struct cluster *cluster);
+/* How many jobs were submitted, and of those how many users still wait for. */
+unsigned cluster_jobs(const struct cluster *cluster);
+unsigned cluster_open_jobs(const struct cluster *cluster);
+/* The state service answers that controller alone with 503, from now on or no more. */
+void cluster_refuse(struct cluster *cluster, int controller, bool refused);
+/* A controller that holds a block, -1: none does. */
+int cluster_holder(const struct cluster *cluster);
 /* Users cancel the job, from now on until they hear that it is over. */
 void cluster_abort(struct cluster *cluster, const char *id);
 /* Users submit a small job every so often, from now on; 0: no more. */
--- a/src/testing/fleet.h
+++ b/src/testing/fleet.h
@@ -6,15 +6,36 @@
 #include "testing/history.h"
 #include "testing/relay.h"
 
+#include <glib.h>
+
 struct fleet;
 
 struct fleet_settings {
     int controllers, zones, machines_most;
-    double report_s, lease_s;
+    double report_s, lease_s, gang_wait_s, gang_peer_s;
     const char *const *front; /* controllers' addresses for workers, by index */
     const char *const *name;  /* their names */
     const struct relay_origins *origins;
+    GRand *random; /* decides what arrives late; NULL: nothing does. Borrowed */
+};
+
+/* What a worker has to know of a job: of one that it was not told of, each task runs by itself and
+ * takes no room. */
+struct fleet_job {
+    unsigned tasks;
+    double cpus;
+    bool gang;
 };
+void fleet_describe(struct fleet *fleet, const char *id, struct fleet_job job);
+/* One machine, chosen by number: it reaches no controller and none reaches it; it stands still.
+ * False: that one is gone. */
+bool fleet_cut_machine(struct fleet *fleet, unsigned choice, bool cut);
+bool fleet_hang_machine(struct fleet *fleet, unsigned choice, bool hung);
+/* No machine is cut or hangs any more, and nothing new is held up. */
+void fleet_heal_machines(struct fleet *fleet);
+/* Of that share of reports a copy arrives later, at any controller; that share of direct commands
+ * is carried out later, and never answered. */
+void fleet_delay_messages(struct fleet *fleet, double reports, double commands);
 
 /* A request to rent or return that the cloud carries out. */
 struct fleet_call {
--- a/src/testing/history.c
+++ b/src/testing/history.c
@@ -9,6 +9,17 @@
     double cancelled_at;
 };
 
+struct team {
+    double used, most;
+    bool over; /* said once each time */
+};
+
+struct submitted {
+    struct team *team;
+    double cpus;
+    int zone;
+};
+
 struct history {
     double cancel_s;
     GHashTable *leader_of;  /* epoch, as text, to the controller that raised it */
@@ -18,6 +29,9 @@
     GHashTable *done_count; /* job to how many of its tasks completed */
     GHashTable *done;       /* tasks that completed */
     GHashTable *jobs;       /* id to struct job */
+    GHashTable *teams;      /* name to struct team */
+    GHashTable *submitted;  /* id to struct submitted */
+    GHashTable *zones;      /* machine to its zone and one */
     unsigned starts;
     GString *violations;
 };
@@ -44,14 +58,17 @@
     h->done = new_set();
     h->done_count = new_set();
     h->jobs = new_table();
+    h->teams = new_table();
+    h->submitted = new_table();
+    h->zones = new_set();
     h->violations = g_string_new("");
     return h;
 }
 
 void history_free(struct history *h)
 {
-    GHashTable *tables[] = {h->leader_of, h->holders,    h->attempts, h->machine_of,
-                            h->done,      h->done_count, h->jobs};
+    GHashTable *tables[] = {h->leader_of,  h->holders, h->attempts, h->machine_of, h->done,
+                            h->done_count, h->jobs,    h->teams,    h->submitted,  h->zones};
 
     for (size_t i = 0; i < G_N_ELEMENTS(tables); i++)
         g_hash_table_destroy(tables[i]);
@@ -92,6 +109,59 @@
     g_free(key);
 }
 
+void history_team(struct history *h, const char *name, double cpus_max)
+{
+    struct team *team = g_new0(struct team, 1);
+
+    team->most = cpus_max;
+    g_hash_table_replace(h->teams, g_strdup(name), team);
+}
+
+void history_submitted(struct history *h, const char *id, struct history_job job)
+{
+    struct submitted *submitted = g_new0(struct submitted, 1);
+
+    *submitted = (struct submitted){g_hash_table_lookup(h->teams, job.team), job.cpus, job.zone};
+    g_hash_table_replace(h->submitted, g_strdup(id), submitted);
+}
+
+void history_machine(struct history *h, const char *machine, int zone)
+{
+    g_hash_table_replace(h->zones, g_strdup(machine), GINT_TO_POINTER(zone + 1));
+}
+
+void history_invented(struct history *h, const char *id)
+{
+    g_string_append_printf(h->violations, "%s was never submitted and is known\n", id);
+}
+
+/* The team's use after a task started, or ended (`by` -1). */
+static void count_use(struct history *h, const char *id, const char *task, int by)
+{
+    const struct submitted *job = g_hash_table_lookup(h->submitted, id);
+    struct team *team = job ? job->team : NULL;
+    bool over;
+
+    if (!team)
+        return;
+    team->used += by * job->cpus;
+    over = team->used > team->most + 1e-6;
+    if (over && !team->over)
+        g_string_append_printf(h->violations, "quota: with %s its team uses %g of %g\n", task,
+                               team->used, team->most);
+    team->over = over;
+}
+
+static void check_zone(struct history *h, const char *id, const char *task, const char *machine)
+{
+    const struct submitted *job = g_hash_table_lookup(h->submitted, id);
+    int zone = GPOINTER_TO_INT(g_hash_table_lookup(h->zones, machine)) - 1;
+
+    if (job && job->zone >= 0 && zone >= 0 && job->zone != zone)
+        g_string_append_printf(h->violations, "%s starts in zone %d, its job is for %d\n", task,
+                               zone, job->zone);
+}
+
 void history_started(struct history *h, const char *machine, const char *task, unsigned attempt,
                      double now)
 {
@@ -108,6 +178,8 @@
     if (job && job->cancelled_at > 0 && now > job->cancelled_at + h->cancel_s)
         g_string_append_printf(h->violations, "%s starts after its cancellation\n", task);
     g_hash_table_replace(h->machine_of, g_strdup(task), g_strdup(machine));
+    count_use(h, id, task, 1);
+    check_zone(h, id, task, machine);
     h->starts++;
     g_free(id);
     g_free(key);
@@ -127,6 +199,7 @@
 
     if (on && !strcmp(on, machine))
         g_hash_table_remove(h->machine_of, task);
+    count_use(h, id, task, -1);
     if (done && g_hash_table_add(h->done, g_strdup(task)))
         g_hash_table_replace(h->done_count, g_strdup(id), GUINT_TO_POINTER(count_done(h, id) + 1));
     g_free(id);
--- a/src/testing/history.h
+++ b/src/testing/history.h
@@ -3,7 +3,8 @@
  * Rules: no attempt starts twice, and no task while it is on another machine; no accepted job is
  * abandoned, none is called done early, no answer goes back; no task of a job runs on after its
  * cancellation was confirmed and had its time; nobody launches under a token but the controller
- * that raised it, or one that holds a block. */
+ * that raised it, or one that holds a block; no team uses more than its limit, no task starts in a
+ * zone that its job does not allow, and nobody is told of a job that was never submitted. */
 #ifndef PM_TESTING_HISTORY_H
 #define PM_TESTING_HISTORY_H
 
@@ -12,8 +13,22 @@
 
 struct history;
 
+/* A job as its user submitted it. */
+struct history_job {
+    const char *team;
+    double cpus; /* of each task */
+    int zone;    /* the only allowed one, -1: any */
+};
+
 struct history *history_new(double cancel_s);
 void history_free(struct history *history);
+/* A team's tasks may use that many processors at once. */
+void history_team(struct history *history, const char *team, double cpus_max);
+/* Jobs that this was not called for count for no team, and may run in any zone. */
+void history_submitted(struct history *history, const char *id, struct history_job job);
+void history_machine(struct history *history, const char *machine, int zone);
+/* A user asked for a job that nobody submitted, and was told of one. */
+void history_invented(struct history *history, const char *id);
 /* A controller raised the epoch to this. */
 void history_epoch(struct history *history, uint64_t epoch, const char *controller);
 /* A controller was given a block. */
--- a/src/testing/relay.c
+++ b/src/testing/relay.c
@@ -266,6 +266,16 @@
     }
 }
 
+void relay_set_target(struct relay *relay, int origin, const char *target)
+{
+    g_strlcpy(relay->target[origin], target, sizeof relay->target[origin]);
+    for (guint i = relay->connections->len; i > 0; i--) {
+        struct connection *c = g_ptr_array_index(relay->connections, i - 1);
+        if (c->origin == origin)
+            connection_close(c, true);
+    }
+}
+
 struct relay *relay_new(struct ev_loop *loop, const char *const *target,
                         const struct relay_origins *origins)
 {
--- a/src/testing/relay.h
+++ b/src/testing/relay.h
@@ -29,6 +29,8 @@
                         const struct relay_origins *origins);
 void relay_free(struct relay *relay);
 const char *relay_addr(const struct relay *relay);
+/* New connections of that controller go to another address; those that are open are reset. */
+void relay_set_target(struct relay *relay, int origin, const char *target);
 void relay_cut(struct relay *relay, int origin, struct cut cut);
 
 #endif
