--- a/review/2/case.c
+++ b/review/2/case.c
@@ -120,8 +120,9 @@
     int leader;
     int result = 2;
 
-    lab_open(lab);
+    lab->type_count = 1; /* one type, so that each service below has a machine of its own */
     lab->on_start = on_start;
+    lab_open(lab);
     for (int i = 0; i < lab->controllers; i++)
         lab_start(lab, i);
     if (!lab_until(lab, are_ready, NULL, 10))
