--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -956,6 +956,16 @@
     reply_buffer(request, 200, &body);
 }
 
+void lab_take(struct lab *lab, struct lab_machine *machine)
+{
+    lab_say(lab, "%s: ends with %u tasks", machine->name, machine->tasks->len);
+    machine->gone_at = monotonic();
+    g_ptr_array_set_size(machine->tasks, 0);
+    if (machine->server)
+        pm_http_server_free(machine->server);
+    machine->server = NULL;
+}
+
 static void serve_release(struct lab *lab, struct pm_http_request *request)
 {
     cbor_item_t *wanted = pm_cbor_parse(request->body, request->body_size);
@@ -969,12 +979,8 @@
             if (!pm_cbor_read_text(pm_cbor_at(hosts, i), name, sizeof name) || strcmp(name, machine->name) != 0 ||
                 machine->gone_at)
                 continue;
-            lab_say(lab, "%s: released with %u tasks", machine->name, machine->tasks->len);
-            machine->gone_at = monotonic();
-            g_ptr_array_set_size(machine->tasks, 0);
-            if (machine->server)
-                pm_http_server_free(machine->server);
-            machine->server = NULL;
+            lab_say(lab, "%s: released", machine->name);
+            lab_take(lab, machine);
         }
     pm_cbor_free(wanted);
     pm_cbor_put_map(&body);
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -146,6 +146,8 @@
              double timeout_s, struct pm_buffer *out);
 /* The machine that the task is on (not ended), or NULL. */
 struct lab_machine *lab_where(struct lab *lab, const struct lab_job *job, unsigned index);
+/* The cloud takes the machine without notice: it ends with its worker and its tasks. */
+void lab_take(struct lab *lab, struct lab_machine *machine);
 /* Executes the body of a POST /do at the machine once more, as a late copy would. Returns the status. */
 int lab_repeat_do(struct lab *lab, struct lab_machine *machine, const GByteArray *body);
 unsigned lab_free_room(struct lab *lab, const struct lab_job *job); /* tasks that fit on machines that are up */
