--- a/src/cmd/pumicemount/admin.c
+++ b/src/cmd/pumicemount/admin.c
@@ -9,18 +9,14 @@
  * src/cmd/pumicectl decodes. Its version may differ, so the texts in answers must not change. */
 #include "base/clock.h"
 #include "internal.h"
-#include "workers/failures.h"
 
 #include <string.h>
 
 #define ADMIN_PREFIX "/toolbox/"
 #define ADMIN_JOB_PREFIX ADMIN_PREFIX "job/"
 
-enum { NAMED_JOBS_MAX = 20 }; /* the most jobs that are named in one reason */
-
-/* Encodes the fields that begin every answer: the name of this controller, whether it leads, and
- * whether its epoch is confirmed. */
-static void encode_source(struct pm_controller *controller, struct pm_buffer *out, double now)
+void pm_controller_encode_source(struct pm_controller *controller, struct pm_buffer *out,
+                                 double now)
 {
     pm_cbor_put_pair_text(out, "controller", controller->settings->name);
     pm_cbor_put_pair_flag(out, "leads", controller->is_leader);
@@ -87,7 +83,7 @@
                                                : pm_election_other_leader(controller->election);
 
     pm_cbor_put_map(out);
-    encode_source(controller, out, now);
+    pm_controller_encode_source(controller, out, now);
     pm_cbor_put_pair_text(out, "version", PM_VERSION);
     pm_cbor_put_pair_text(out, "process", pm_election_incarnation_id(controller->election));
     pm_cbor_put_pair_uint(out, "protocol_version",
@@ -108,7 +104,7 @@
 static void encode_garbage(struct pm_controller *controller, struct pm_buffer *out, double now)
 {
     pm_cbor_put_map(out);
-    encode_source(controller, out, now);
+    pm_controller_encode_source(controller, out, now);
     pm_cbor_put_pair_flag(out, "cleans",
                           pm_roles_is_holder(controller->roles, PM_ROLE_GARBAGE_COLLECTION, now));
     pm_cbor_put_text(out, "keys");
@@ -116,151 +112,6 @@
     pm_cbor_put_end(out);
 }
 
-/* ---- why a job does not run ---- */
-
-static void encode_reason(struct pm_buffer *out, const char *reason, const char *detail)
-{
-    pm_cbor_put_map(out);
-    pm_cbor_put_pair_text(out, "reason", reason);
-    pm_cbor_put_pair_text(out, "detail", detail);
-    pm_cbor_put_end(out);
-}
-
-static void encode_unmet_dependencies(struct pm_controller *controller, const struct pm_job *job,
-                                      struct pm_buffer *out)
-{
-    GString *names = g_string_new(NULL);
-    unsigned named = 0;
-
-    for (uint32_t i = 0; job->spec && i < job->spec->dependency_count && named < NAMED_JOBS_MAX;
-         i++) {
-        const char *id =
-            pm_names_text(controller->tables.dependency_ids, job->spec->dependencies[i]);
-        const struct pm_job *needed = pm_jobs_find(controller->jobs, id);
-        if (needed && needed->state == PM_JOB_DONE)
-            continue;
-        g_string_append_printf(names, "%s%s", named++ ? ", " : "", id);
-    }
-    if (job->dependencies.unmet_count > named)
-        g_string_append_printf(names, " and %u more", job->dependencies.unmet_count - named);
-    encode_reason(out, "waits-for-jobs", names->str);
-    g_string_free(names, TRUE);
-}
-
-/* Encodes how many tasks of the job fit on the machines that it may use, as far as this controller,
- * the leader or the owner of a shard, knows these machines. */
-static void encode_capacity(struct pm_controller *controller, const struct pm_job *job,
-                            struct pm_buffer *out)
-{
-    GPtrArray *all = pm_workers_all(controller->workers);
-    const struct pm_spec *spec = job->spec;
-    unsigned allowed = 0;
-    unsigned booting = 0;
-    uint32_t fit = 0;
-    char detail[128];
-
-    for (guint i = 0; i < all->len; i++) {
-        const struct pm_machine *machine = g_ptr_array_index(all, i);
-        if (!machine || machine->type < 0 ||
-            !pm_scheduler_is_machine_allowed(&controller->tables, job, machine->type, machine->zone,
-                                             machine->spot))
-            continue;
-        booting += machine->state == PM_MACHINE_BOOTING;
-        if (machine->state != PM_MACHINE_UP || machine->shard.assigned_to)
-            continue;
-        allowed++;
-        fit += pm_spec_tasks_that_fit(spec, machine->free.cpus, machine->free.gpus,
-                                      machine->free.ram_gb);
-    }
-    snprintf(detail, sizeof detail,
-             "%u machines may run it, with room for %u of its tasks; %u boot", allowed, fit,
-             booting);
-    encode_reason(out, fit ? "about-to-be-placed" : "no-room", detail);
-}
-
-static void encode_unreachable_zone(struct pm_controller *controller, const struct pm_job *job,
-                                    struct pm_buffer *out)
-{
-    const struct pm_link_view *own = &pm_links_matrix(controller->links)->view[0];
-    int zone = job->spec->zone;
-
-    if (zone >= 0 && own->zone[zone] != PM_LINK_UNKNOWN && !pm_link_is_usable(own->zone[zone]))
-        encode_reason(out, "zone-not-reached", controller->settings->zone_names[zone]);
-}
-
-static void encode_reasons(struct pm_controller *controller, const struct pm_job *job,
-                           struct pm_buffer *out, double now)
-{
-    if (job->state != PM_JOB_LIVE)
-        return;
-    if (!pm_controller_is_store_writable(controller, now))
-        encode_reason(out, "not-recorded",
-                      "this controller does not reach the state service; it places nothing");
-    if (job->dependencies.incomplete || job->dependencies.unmet_count) {
-        encode_unmet_dependencies(controller, job, out);
-        return;
-    }
-    if (!job->spec) {
-        encode_reason(out, "unreadable", "its value in the state service can't be read");
-        return;
-    }
-    encode_unreachable_zone(controller, job, out);
-    if (job->delegated) {
-        encode_reason(out, "delegated", "another controller places it on its block");
-        return;
-    }
-    if (!controller->is_active) {
-        encode_reason(out, "not-placed-here", "this controller neither leads nor holds the job");
-        return;
-    }
-    if (!pm_job_waiting_tasks(job))
-        return;
-    if (pm_failures_is_job_failing(job)) {
-        encode_reason(out, "failing", "its tasks fail wherever they run; tried one at a time");
-        return;
-    }
-    if (!pm_scheduler_leasable_tasks(controller->scheduler, job->spec, 0))
-        encode_reason(out, "team-limit", controller->settings->teams[job->spec->team].name);
-    else
-        encode_capacity(controller, job, out);
-}
-
-static const char *state_name(const struct pm_job *job, uint32_t running)
-{
-    if (job->state == PM_JOB_DONE)
-        return "done";
-    if (job->state == PM_JOB_CANCELLED)
-        return "cancelled";
-    return running ? "running" : "queued";
-}
-
-static void encode_job(struct pm_controller *controller, const char *id, struct pm_buffer *out,
-                       double now)
-{
-    const struct pm_job *job = pm_jobs_find(controller->jobs, id);
-    uint32_t done = 0;
-    uint32_t running = 0;
-
-    pm_cbor_put_map(out);
-    encode_source(controller, out, now);
-    pm_cbor_put_pair_text(out, "job", id);
-    pm_cbor_put_pair_flag(out, "known", job != NULL);
-    if (job) {
-        pm_job_count_tasks(job, &done, &running);
-        pm_cbor_put_pair_text(out, "state", state_name(job, running));
-        pm_cbor_put_pair_uint(out, "tasks", job->task_count);
-        pm_cbor_put_pair_uint(out, "done", done);
-        pm_cbor_put_pair_uint(out, "running", running);
-    }
-    pm_cbor_put_pair_number(out, "replica_age_s", now - pm_store_last_served_at(controller->store));
-    pm_cbor_put_text(out, "reasons");
-    pm_cbor_put_list(out);
-    if (job)
-        encode_reasons(controller, job, out, now);
-    pm_cbor_put_end(out);
-    pm_cbor_put_end(out);
-}
-
 bool pm_controller_handle_admin_request(struct pm_controller *controller,
                                         struct pm_http_request *request)
 {
@@ -279,7 +130,8 @@
         encode_garbage(controller, &body, now);
     else if (!strncmp(request->path, ADMIN_JOB_PREFIX, strlen(ADMIN_JOB_PREFIX)) &&
              pm_job_id_is_valid(request->path + strlen(ADMIN_JOB_PREFIX)))
-        encode_job(controller, request->path + strlen(ADMIN_JOB_PREFIX), &body, now);
+        pm_controller_encode_job_reasons(controller, request->path + strlen(ADMIN_JOB_PREFIX),
+                                         &body, now);
     else
         return false;
     pm_http_reply(request, 200, body.data, body.size, 0);
--- a/src/cmd/pumicemount/internal.h
+++ b/src/cmd/pumicemount/internal.h
@@ -180,6 +180,15 @@
 /* Returns the hooks for the autoscaler. */
 struct pm_autoscaler_hooks pm_controller_autoscaler_hooks(struct pm_controller *controller);
 
+/* ---- machine_types.c: the machine types of the provider ---- */
+
+/* Applies the provider's list of machine types, and stores it if no list is stored yet. The
+ * autoscaler's hook; `arg` is the controller. */
+void pm_controller_apply_provider_types(void *arg, const cbor_item_t *models);
+/* Applies the value of p/types that was written at `revision`, unless the types are known. */
+void pm_controller_apply_stored_types(struct pm_controller *controller, const cbor_item_t *models,
+                                      uint64_t revision);
+
 /* ---- link_monitor.c: evidence and probes for the links slice, and decisions based on it ---- */
 
 /* Creates the links slice and its trace. */
@@ -208,6 +217,18 @@
 bool pm_controller_handle_admin_request(struct pm_controller *controller,
                                         struct pm_http_request *request);
 
+/* Encodes the fields that begin every answer to an operators' tool: the name of this controller,
+ * whether it leads, and whether its epoch is confirmed. */
+void pm_controller_encode_source(struct pm_controller *controller, struct pm_buffer *out,
+                                 double now);
+
+/* ---- job_reasons.c: why a job does not run ---- */
+
+/* Encodes the answer to GET /toolbox/job/ID: the job's state, and why it does not run. `id` is a
+ * valid job id; the job need not be known. */
+void pm_controller_encode_job_reasons(struct pm_controller *controller, const char *id,
+                                      struct pm_buffer *out, double now);
+
 /* ---- reconciliation.c: periodic work ---- */
 
 struct pm_controller_counts {
--- a/src/cmd/pumicemount/placement_events.c
+++ b/src/cmd/pumicemount/placement_events.c
@@ -1,7 +1,6 @@
 /* Handles changes of placements and machines: the hooks of the workers slice, the write-back and
  * the autoscaler. Runs in the event-loop thread, except that on_placement_ended may also be called
  * from the planner's thread, with the controller's lock held. */
-#include "base/keys.h"
 #include "base/clock.h"
 #include "base/log.h"
 #include "internal.h"
@@ -127,51 +126,10 @@
     pm_controller_plan_soon(arg);
 }
 
-static void on_machine_types_written(void *arg, enum pm_store_result result,
-                                     uint64_t store_revision, const cbor_item_t *conflicting_keys)
-{
-    struct pm_controller *controller = arg;
-
-    (void)result;
-    (void)store_revision;
-    (void)conflicting_keys;
-    controller->machine_types.write_in_flight = false;
-}
-
-/* Writes the machine types to the state service, for controllers that start during an outage of the
- * provider. */
-static void store_machine_types(struct pm_controller *controller, const cbor_item_t *models)
-{
-    struct pm_txn txn = {0};
-
-    controller->machine_types.write_in_flight = true;
-    pm_txn_compare(&txn, PM_KEY_EPOCH, pm_election_epoch_revision(controller->election));
-    pm_txn_compare(&txn, PM_KEY_MACHINE_TYPES, 0);
-    pm_txn_put_begin(&txn, PM_KEY_MACHINE_TYPES);
-    pm_cbor_put_item(&txn.writes, models);
-    pm_txn_put_end(&txn, 0);
-    pm_store_commit(controller->store, &txn, on_machine_types_written, controller);
-}
-
-static void on_machine_types(void *arg, const cbor_item_t *models)
-{
-    struct pm_controller *controller = arg;
-
-    if (!pm_machine_types_decode(&controller->tables, models)) {
-        pm_error("autoscaler.machine_types",
-                 "the provider's list of machine types is empty or malformed");
-        return;
-    }
-    pm_controller_plan_soon(controller);
-    if (controller->is_leader && !controller->machine_types.write_in_flight &&
-        !controller->machine_types.revision)
-        store_machine_types(controller, models);
-}
-
 struct pm_autoscaler_hooks pm_controller_autoscaler_hooks(struct pm_controller *controller)
 {
     return (struct pm_autoscaler_hooks){
-        .machine_types = on_machine_types,
+        .machine_types = pm_controller_apply_provider_types,
         .machine_terminated = on_machine_terminated,
         .changed = on_machines_changed,
         .arg = controller,
--- a/src/cmd/pumicemount/replica_feed.c
+++ b/src/cmd/pumicemount/replica_feed.c
@@ -41,15 +41,6 @@
     pm_cbor_put_item(&controller->ledger.value, value);
 }
 
-static void apply_machine_types_put(struct pm_controller *controller, const cbor_item_t *value,
-                                    uint64_t revision)
-{
-    controller->machine_types.revision = revision;
-    if (!controller->tables.type_count && !pm_machine_types_decode(&controller->tables, value))
-        pm_error("autoscaler.machine_types",
-                 "the stored list of machine types (p/types) is empty or malformed");
-}
-
 static void apply_job_put(struct pm_controller *controller, const char *key,
                           const cbor_item_t *value, uint64_t revision)
 {
@@ -82,7 +73,7 @@
     } else if (!strcmp(key, PM_KEY_LEDGER)) {
         apply_ledger_put(controller, value, revision);
     } else if (!strcmp(key, PM_KEY_MACHINE_TYPES)) {
-        apply_machine_types_put(controller, value, revision);
+        pm_controller_apply_stored_types(controller, value, revision);
     } else {
         apply_job_put(controller, key, value, revision);
     }
