Keep machine types that a job names until they are known

Cause: the names were resolved once, when the job's value was decoded, and a name that was not in the table of types yet was dropped. After a restart the jobs are read before the types, which come from the provider, or from p/types at the end of the listing. Nothing decoded the value again.

Class: a stored name that is resolved against a table which may be filled later.

A stored description keeps the names that are not known, they are resolved whenever types become known, and written back. This works in whichever order the two arrive. The stored value of a live job was always right, so jobs that production accepted run after the upgrade as well.

--- a/src/cmd/pumicemount/machine_types.c
+++ b/src/cmd/pumicemount/machine_types.c
@@ -4,22 +4,26 @@
 #include "base/log.h"
 #include "internal.h"
 
-/* Decodes the list of machine types. Returns false if it is empty or malformed. */
+/* Decodes the list of machine types, and resolves their names in the jobs that were read before.
+ * Returns false if the list is empty or malformed. */
 static bool learn_types(struct pm_controller *controller, const cbor_item_t *models,
                         const char *source)
 {
     int known_before = controller->tables.type_count;
+    unsigned resolved;
 
     if (!pm_machine_types_decode(&controller->tables, models)) {
         pm_error("autoscaler.machine_types", "%s: the list of machine types is empty or malformed",
                  source);
         return false;
     }
+    resolved = pm_jobs_resolve_types(controller->jobs);
     if (controller->tables.type_count != known_before)
         pm_info("autoscaler.machine_types_known",
-                "%s: %d machine types are known, %d before; %u active jobs were read until now",
+                "%s: %d machine types are known, %d before; %u active jobs were read until now, "
+                "and %u of them had named types that were not known",
                 source, controller->tables.type_count, known_before,
-                pm_jobs_active(controller->jobs)->len);
+                pm_jobs_active(controller->jobs)->len, resolved);
     return true;
 }
 
--- a/src/jobs/internal.h
+++ b/src/jobs/internal.h
@@ -129,6 +129,27 @@
  * value does not have it. */
 void pm_job_end_time_decode(const cbor_item_t *value, double *ended_wall);
 
+/* ---- allowed_types.c: the machine types that a job allows ---- */
+
+/* Reads the list of allowed machine types into `*out`: bit i is set if type i is allowed, and all
+ * bits if `list` is NULL. Skips types that are not known. Returns false if the list is malformed.
+ */
+bool pm_allowed_types_decode(const struct pm_name_tables *tables, const cbor_item_t *list,
+                             uint64_t *out);
+
+/* Keeps the names in the list that pm_allowed_types_decode skips, in place of those that the
+ * description had. */
+void pm_unknown_types_decode(const struct pm_name_tables *tables, const cbor_item_t *list,
+                             struct pm_spec *spec);
+
+/* Frees the names of the types that are not known. */
+void pm_spec_clear_unknown_types(struct pm_spec *spec);
+
+/* Adds the field with the names of the allowed types, known or not, to the map that is being
+ * written to `out`; adds nothing if all types are allowed. */
+void pm_allowed_types_encode(const struct pm_name_tables *tables, const struct pm_spec *spec,
+                             struct pm_buffer *out);
+
 /* ---- dependency_codec.c ---- */
 
 /* Reads the number of p/n values that list the job's dependencies; 0 if the p/j value lists them
--- a/src/jobs/job_codec.c
+++ b/src/jobs/job_codec.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #define AMOUNT_MAX 1e12
-#define ANY_TYPE (~(uint64_t)0)
 
 enum { STATE_TEXT_MAX = 16 };
 
@@ -71,31 +70,6 @@
     return true;
 }
 
-/* Reads the list of allowed machine types. Unknown types are skipped, since the provider may have
- * withdrawn them. */
-static bool read_allowed_types(const struct pm_name_tables *tables, const cbor_item_t *list,
-                               uint64_t *out)
-{
-    char name[NAME_SIZE_MAX];
-
-    if (!list) {
-        *out = ANY_TYPE;
-        return true;
-    }
-    if (!cbor_isa_array(list))
-        return false;
-    *out = 0;
-    for (size_t i = 0; i < pm_cbor_length(list); i++) {
-        int type;
-        if (!pm_cbor_read_text(pm_cbor_at(list, i), name, sizeof name))
-            return false;
-        type = pm_names_find(tables->type_names, name);
-        if (type >= 0 && type < PM_MACHINE_TYPES_MAX)
-            *out |= (uint64_t)1 << type;
-    }
-    return true;
-}
-
 /* ---- descriptions ---- */
 
 static bool read_names(const cbor_item_t *body, struct pm_submitted_names *names,
@@ -145,7 +119,8 @@
         !read_flag(body, FIELD_SPOT, &spec->spot, reason))
         return false;
     *reason = FIELD_ALLOWED_TYPES;
-    if (!read_allowed_types(tables, pm_cbor_get(body, FIELD_ALLOWED_TYPES), &spec->allowed_types))
+    if (!pm_allowed_types_decode(tables, pm_cbor_get(body, FIELD_ALLOWED_TYPES),
+                                 &spec->allowed_types))
         return false;
     names->zone[0] = 0;
     return !pm_cbor_has(body, FIELD_ZONE) || read_name(body, FIELD_ZONE, names->zone, reason);
@@ -187,6 +162,7 @@
 
     if (!pm_spec_decode(tables, value, spec, &names, &reason))
         return false;
+    pm_unknown_types_decode(tables, pm_cbor_get(value, FIELD_ALLOWED_TYPES), spec);
     spec->team = pm_spec_find_team(tables->settings, &names);
     if (spec->team < 0)
         return false;
@@ -224,17 +200,6 @@
     pm_cbor_read_number(pm_cbor_get(value, FIELD_ENDED_WALL), ended_wall);
 }
 
-static void write_allowed_types(const struct pm_name_tables *tables, const struct pm_spec *spec,
-                                struct pm_buffer *out)
-{
-    pm_cbor_put_text(out, FIELD_ALLOWED_TYPES);
-    pm_cbor_put_list(out);
-    for (int i = 0; i < tables->type_count; i++)
-        if (spec->allowed_types >> i & 1)
-            pm_cbor_put_text(out, pm_names_text(tables->type_names, i));
-    pm_cbor_put_end(out);
-}
-
 static void write_amounts(const struct pm_spec *spec, struct pm_buffer *out)
 {
     pm_cbor_put_pair_number(out, FIELD_CPUS, spec->cpus);
@@ -254,8 +219,7 @@
     pm_cbor_put_pair_flag(out, FIELD_SAME_ZONE, spec->same_zone);
     pm_cbor_put_pair_flag(out, FIELD_SPREAD_ZONES, spec->spread_zones);
     pm_cbor_put_pair_flag(out, FIELD_SPOT, spec->spot);
-    if (spec->allowed_types != ANY_TYPE)
-        write_allowed_types(tables, spec, out);
+    pm_allowed_types_encode(tables, spec, out);
     if (spec->zone >= 0)
         pm_cbor_put_pair_text(out, FIELD_ZONE, tables->settings->zone_names[spec->zone]);
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -70,6 +70,10 @@
  * watch after it shows them. */
 void pm_jobs_snapshot_begin(struct pm_jobs *jobs);
 
+/* Lets jobs use the machine types that they name and that the tables did not have when the jobs
+ * were read. Called whenever the tables have learned types. Returns how many jobs gained any. */
+unsigned pm_jobs_resolve_types(struct pm_jobs *jobs);
+
 /* ---- cancellations ----
  *
  * A controller may learn of a durable cancellation before the feed shows it, from its own write or
--- a/src/jobs/spec.c
+++ b/src/jobs/spec.c
@@ -10,8 +10,10 @@
 
 void pm_spec_free(struct pm_spec *spec)
 {
-    if (spec)
-        g_free(spec->dependencies);
+    if (!spec)
+        return;
+    g_free(spec->dependencies);
+    pm_spec_clear_unknown_types(spec);
     g_free(spec);
 }
 
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -1,7 +1,8 @@
 /* Job specs: descriptions of jobs, as users submit them.
  *
- * A description does not change once it is accepted, except for `overflow_list_count`. It is owned
- * by its creator; one that belongs to a job is guarded by `struct pm_controller.lock`. */
+ * A description does not change once it is accepted, except for `overflow_list_count` and for the
+ * machine types that become known later. It is owned by its creator; one that belongs to a job is
+ * guarded by `struct pm_controller.lock`. */
 #ifndef PM_JOBS_SPEC_H
 #define PM_JOBS_SPEC_H
 
@@ -31,7 +32,8 @@
     uint32_t task_count;
     double cpus, gpus, ram_gb; /* required by each task */
     double image_gb;
-    uint64_t allowed_types; /* bit i is set if machine type i is allowed */
+    uint64_t allowed_types;   /* bit i is set if machine type i is allowed */
+    GPtrArray *unknown_types; /* of char *, owned: allowed types that are not known; NULL: none */
     /* Whether all tasks have to run in one zone, whether they have to be spread over the zones, and
      * whether they may run on spot machines. */
     bool same_zone, spread_zones, spot;
@@ -45,7 +47,7 @@
                                    * own value lists them */
 };
 
-/* Frees the description and the list of its dependencies; NULL is allowed. */
+/* Frees the description and the lists that it owns; NULL is allowed. */
 void pm_spec_free(struct pm_spec *spec);
 
 /* Sets the dependencies to the jobs with these ids (texts), which are interned. May be called only
--- a/src/soak/workload.c
+++ b/src/soak/workload.c
@@ -13,6 +13,9 @@
 /* Task counts of jobs. The counts are less than the _END value. */
 enum { ARRAY_TASKS_END = 12, GANG_TASKS_MIN = 2, GANG_TASKS_END = 4, SERVICE_TASKS_END = 3 };
 
+/* One job in this many names its machine type. */
+enum { TYPE_BOUND_EVERY = 2 };
+
 /* Run times of tasks in tenths of a second. The run times are less than the _END value. */
 enum { RUN_TENTHS_MIN = 5, ARRAY_RUN_TENTHS_END = 60, GANG_RUN_TENTHS_END = 40 };
 
@@ -83,6 +86,8 @@
         job.priority = "production";
     if (g_rand_double(random) < ZONE_BOUND_SHARE)
         job.zone = g_rand_int_range(random, 0, CLUSTER_ZONES);
+    if (cluster_job_count(cluster) % TYPE_BOUND_EVERY == 0)
+        job.machine_type = FAKE_PROVIDER_MACHINE_TYPE;
     if (previous[0] && !is_service && g_rand_double(random) < DEPENDENT_SHARE)
         job.dependency = previous;
     g_strlcpy(previous, cluster_submit_job(cluster, &job), sizeof previous);
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -50,10 +50,11 @@
     const char *kind;     /* "array", "group" or "standing" */
     const char *priority; /* a priority of the API, such as "normal" */
     unsigned task_count;
-    double cpus, run_s;     /* of each task; run_s 0: it runs until the job is cancelled */
-    double accelerators;    /* of each task */
-    int zone;               /* the only zone it may run in; -1: any zone */
-    const char *dependency; /* id of a job that must be done first; NULL: none */
+    double cpus, run_s;       /* of each task; run_s 0: it runs until the job is cancelled */
+    double accelerators;      /* of each task */
+    int zone;                 /* the only zone it may run in; -1: any zone */
+    const char *dependency;   /* id of a job that must be done first; NULL: none */
+    const char *machine_type; /* the only allowed machine type; NULL: any type */
 };
 
 /* The network links of a controller, in which faults can be injected. */
@@ -130,8 +131,8 @@
 /* Submits an array job of the default team, whose tasks run for `run_s` seconds each. Returns the
  * job's id, borrowed from the cluster. */
 const char *cluster_submit_array(struct cluster *cluster, unsigned tasks, double run_s);
-/* Submits a job. `kind` and `priority` are borrowed and must stay valid until the process ends; the
- * rest is copied. Returns the job's id, borrowed from the cluster. */
+/* Submits a job. `kind`, `priority` and `machine_type` are borrowed and must stay valid until the
+ * process ends; the rest is copied. Returns the job's id, borrowed from the cluster. */
 const char *cluster_submit_job(struct cluster *cluster, const struct cluster_job *wanted);
 /* From now on submits a small job every `every_s` seconds; 0 stops this. */
 void cluster_set_load(struct cluster *cluster, double every_s);
--- a/src/testing/cluster_users.c
+++ b/src/testing/cluster_users.c
@@ -74,6 +74,12 @@
     pm_cbor_put_pair_flag(out, "borrowed", true);
     if (wanted->zone >= 0)
         pm_cbor_put_pair_text(out, "room", zone);
+    if (wanted->machine_type) {
+        pm_cbor_put_text(out, "models");
+        pm_cbor_put_list(out);
+        pm_cbor_put_text(out, wanted->machine_type);
+        pm_cbor_put_end(out);
+    }
     pm_cbor_put_pair_number(out, "expected_s", wanted->run_s);
     pm_cbor_put_pair_number(out, "bookmark_s", 0);
     pm_cbor_put_pair_number(out, "filing_s", 0);
--- a/src/testing/fake_machine.c
+++ b/src/testing/fake_machine.c
@@ -62,7 +62,7 @@
 
     snprintf(zone, sizeof zone, "zone-%d", machine->zone);
     pm_cbor_put_pair_text(out, "endpoint", machine->addr);
-    pm_cbor_put_pair_text(out, "model", "m8");
+    pm_cbor_put_pair_text(out, "model", FAKE_PROVIDER_MACHINE_TYPE);
     pm_cbor_put_pair_text(out, "room", zone);
     pm_cbor_put_pair_flag(out, "borrowed", false);
 }
--- a/src/testing/fake_provider.h
+++ b/src/testing/fake_provider.h
@@ -12,6 +12,9 @@
 
 #include <glib.h>
 
+/* The name of the only machine type. */
+#define FAKE_PROVIDER_MACHINE_TYPE "m8"
+
 struct fake_provider;
 
 /* All pointers are borrowed and outlive the provider. */
--- a/src/testing/fake_provider_api.c
+++ b/src/testing/fake_provider_api.c
@@ -214,7 +214,7 @@
     char zone[ZONE_NAME_SIZE];
 
     pm_cbor_put_map(out);
-    pm_cbor_put_pair_text(out, "sku", "m8");
+    pm_cbor_put_pair_text(out, "sku", FAKE_PROVIDER_MACHINE_TYPE);
     pm_cbor_put_pair_number(out, "cpus", FAKE_MACHINE_CPUS);
     pm_cbor_put_pair_number(out, "accelerators", FAKE_MACHINE_ACCELERATORS);
     pm_cbor_put_pair_number(out, "ram_gb", TYPE_RAM_GB);
