Do not run a stored job in any zone when its own zone is unknown

What users would see: after a restart with settings that no longer list a job's zone, its tasks start in other zones (wrong_place).

Cause: pm_spec_find_zone answers -1 both for "no zone named" and for "not listed", and the stored description kept -1, which means any zone.

Change: such a description counts as unreadable, as one with an unknown team does: it is logged, the job stays known and live, and is not run until a controller starts with settings that list the zone. Submissions are not concerned, since they are answered 422.

Test: a_job_of_an_unlisted_zone_is_not_run, on a value that version 1 wrote, failed before and passes.

--- a/src/jobs/internal.h
+++ b/src/jobs/internal.h
@@ -114,7 +114,8 @@
 int pm_spec_find_zone(const struct pm_settings *settings, const struct pm_submitted_names *names);
 
 /* Reads the description from a stored value, except for its dependencies. Returns false if the
- * value is malformed or the settings do not list its team; `spec` is then partly overwritten. */
+ * value is malformed or the settings do not list its team or its zone; `spec` is then partly
+ * overwritten. */
 bool pm_stored_spec_decode(struct pm_name_tables *tables, const cbor_item_t *value,
                            struct pm_spec *spec);
 
--- a/src/jobs/job_codec.c
+++ b/src/jobs/job_codec.c
@@ -167,6 +167,8 @@
     if (spec->team < 0)
         return false;
     spec->zone = pm_spec_find_zone(tables->settings, &names);
+    if (names.zone[0] && spec->zone < 0)
+        return false;
     spec->class_index = pm_names_intern(tables->class_names, names.class_name);
     spec->image = pm_names_intern(tables->image_names, names.image);
     pm_cbor_read_number(pm_cbor_get(value, FIELD_SUBMITTED_WALL), &spec->submitted_wall);
--- a/src/jobs/tests/test_recorded_jobs.c
+++ b/src/jobs/tests/test_recorded_jobs.c
@@ -55,6 +55,19 @@
     assert_int_equal(job->state, PM_JOB_DONE);
 }
 
+/* A job that is bound to a zone which the settings do not list was allowed to run in any zone. */
+static void a_job_of_an_unlisted_zone_is_not_run(void **state)
+{
+    const struct pm_job *job;
+
+    (void)state;
+    strcpy(settings.zone_names[0], "b");
+    job = put_recorded("p/j/job-1", RECORDED_V1_LIVE); /* bound to zone "a" */
+    assert_int_equal(job->state, PM_JOB_LIVE);
+    assert_null(job->spec);
+    assert_int_equal(pm_jobs_active(jobs)->len, 0);
+}
+
 /* Protocol version 2: jobs with dependencies, dependency lists, and a half of a chunk. */
 static void reads_and_writes_as_protocol_version_2(void **state)
 {
@@ -100,6 +113,7 @@
         cmocka_unit_test_setup_teardown(end_times_are_written_once_all_read_them, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(reads_and_writes_as_protocol_version_1, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_job_of_an_unlisted_zone_is_not_run, set_up, tear_down),
         cmocka_unit_test_setup_teardown(reads_and_writes_as_protocol_version_2, set_up, tear_down),
     };
 
