Log the fencing tokens of launches and of what workers are told to forget

Change: two debug events, worker.launch_pushed with the launch's fencing token, and worker.forget with the highest token that the worker has seen.

--- a/src/workers/commands.c
+++ b/src/workers/commands.c
@@ -1,4 +1,5 @@
 /* Encodes the commands that are due for a machine. Defines the field names of commands. */
+#include "base/log.h"
 #include "workers/internal.h"
 
 #include <stdio.h>
@@ -110,12 +111,29 @@
 
 /* ---- encoding ---- */
 
-static void add_pushed_commands(struct command_list *list, struct pm_machine *machine)
+static void log_launch(const struct pm_machine *machine, const struct pm_placement *placement,
+                       uint64_t token)
+{
+    pm_debug("worker.launch_pushed", "%s/%u attempt %u to %s with fencing token %llu",
+             placement->job->id, placement->task_index, placement->attempt, machine->name,
+             (unsigned long long)token);
+}
+
+static void log_forget(const struct pm_machine *machine, const struct pm_task_ref *task)
+{
+    pm_debug("worker.forget", "%s/%u attempt %u on %s, which has seen fencing token %llu",
+             task->job->id, task->task_index, task->attempt, machine->name,
+             (unsigned long long)machine->heartbeat.fencing_token);
+}
+
+static void add_pushed_commands(struct command_list *list, struct pm_machine *machine,
+                                uint64_t epoch)
 {
     for (guint i = 0; i < machine->placements->len && !is_full(list); i++) {
         struct pm_placement *placement = g_ptr_array_index(machine->placements, i);
         if (is_launch_push_due(placement, machine)) {
             add_launch(list, placement);
+            log_launch(machine, placement, epoch);
             placement->launch_push_number = machine->push.in_flight_number;
             machine->push.has_launches = true;
         } else if (is_kill_push_due(placement, machine)) {
@@ -154,9 +172,11 @@
 
     for (guint i = 0; i < exited->len && !is_full(list); i++) {
         const struct pm_task_ref *task = &g_array_index(exited, struct pm_task_ref, i);
-        if (may_forget(machine, task, epoch))
-            add_command(list, "forget", task->job->id, task->task_index, task->attempt,
-                        NO_GRACE_PERIOD);
+        if (!may_forget(machine, task, epoch))
+            continue;
+        add_command(list, "forget", task->job->id, task->task_index, task->attempt,
+                    NO_GRACE_PERIOD);
+        log_forget(machine, task);
     }
 }
 
@@ -167,7 +187,7 @@
 
     pm_cbor_put_list(out);
     if (push) {
-        add_pushed_commands(&list, machine);
+        add_pushed_commands(&list, machine, epoch);
     } else {
         add_reply_commands(&list, machine);
         add_orphan_kills(&list, machine);
