Let a worker forget an exited task only once it refuses copies of the launch

Cause: a worker that has been told to forget an attempt starts it anew when a copy of the POST /do arrives with its token and incarnation. may_forget asked that no push is in flight or of unknown outcome, that the worker has seen the current epoch, and that the exit is durable. It did not ask that the worker refuses the token of the launch: a push that was answered counted as over.

Change: the list of a machine's exited tasks (workers/exited_tasks.c) keeps the highest token with which a launch may have been pushed: our own pushes', none if only answers to heartbeats carried it (a worker drops late ones), and for an attempt that another controller launched the token that the worker had seen when it first reported it. The worker is told to forget it under a higher token only.

--- a/src/jobs/task.h
+++ b/src/jobs/task.h
@@ -39,7 +39,9 @@
     double running_since;        /* when it was first reported running; 0 if it was not */
     uint64_t launch_push_number; /* number of the last push that carried the launch; 0 if there is
                                   * none, or once a push has been answered */
-    bool launch_outcome_unknown; /* a push that carried the launch got no answer */
+    uint64_t
+        launch_token; /* highest fencing token with which the launch was pushed; 0: it was not */
+    bool launch_outcome_unknown;    /* a push that carried the launch got no answer */
     uint64_t launch_reply_sequence; /* sequence number of the heartbeat whose answer carried the
                                      * launch; 0 if none did */
 };
--- a/src/workers/commands.c
+++ b/src/workers/commands.c
@@ -93,15 +93,16 @@
 
 /* Whether the worker may be told to forget the exited task. Returns false while a delayed launch
  * could start the task again: a push is in flight or has an unknown outcome, or the worker still
- * obeys an earlier token. Also returns false until the exit is durable, since the exit would
- * otherwise be lost with this controller. */
-static bool may_forget(const struct pm_machine *machine, const struct pm_task_ref *task,
+ * obeys an earlier token, or the token of the launch, of which a copy may arrive. Also returns
+ * false until the exit is durable, since the exit would otherwise be lost with this controller. */
+static bool may_forget(const struct pm_machine *machine, const struct pm_exited_task *exited,
                        uint64_t epoch)
 {
+    const struct pm_task_ref *task = &exited->task;
     const struct pm_chunk *chunk;
 
     if (machine->push.in_flight_number || machine->push.unknown_outcome_epoch ||
-        machine->heartbeat.fencing_token < epoch)
+        machine->heartbeat.fencing_token < epoch || epoch <= exited->launch_token)
         return false;
     if (!task->job->chunks)
         return true; /* the final state of the job is durable */
@@ -135,6 +136,7 @@
             add_launch(list, placement);
             log_launch(machine, placement, epoch);
             placement->launch_push_number = machine->push.in_flight_number;
+            placement->launch_token = epoch;
             machine->push.has_launches = true;
         } else if (is_kill_push_due(placement, machine)) {
             add_kill(list, placement);
@@ -168,11 +170,12 @@
 
 static void add_forgets(struct command_list *list, const struct pm_machine *machine, uint64_t epoch)
 {
-    const GArray *exited = machine->heartbeat.exited_tasks;
+    const GArray *listed = machine->heartbeat.exited.listed;
 
-    for (guint i = 0; i < exited->len && !is_full(list); i++) {
-        const struct pm_task_ref *task = &g_array_index(exited, struct pm_task_ref, i);
-        if (!may_forget(machine, task, epoch))
+    for (guint i = 0; i < listed->len && !is_full(list); i++) {
+        const struct pm_exited_task *exited = &g_array_index(listed, struct pm_exited_task, i);
+        const struct pm_task_ref *task = &exited->task;
+        if (!may_forget(machine, exited, epoch))
             continue;
         add_command(list, "forget", task->job->id, task->task_index, task->attempt,
                     NO_GRACE_PERIOD);
--- a/src/workers/heartbeat.c
+++ b/src/workers/heartbeat.c
@@ -61,11 +61,20 @@
     return placement;
 }
 
+/* Returns the highest fencing token of a launch of which a copy may still arrive. */
+static uint64_t launch_token_of(const struct pm_placement *placement)
+{
+    if (placement->launch_token || placement->launch_reply_sequence)
+        return placement->launch_token; /* 0 if only answers to heartbeats carried the launch */
+    /* Another controller launched it, with no higher token than the worker has seen. */
+    return placement->machine->heartbeat.fencing_token;
+}
+
 static void apply_orphan(struct pm_machine *machine, const struct pm_reported_task *task,
                          const struct pm_task_ref *ref)
 {
     if (task->state == PM_WORKER_TASK_ENDED) {
-        g_array_append_val(machine->heartbeat.exited_tasks, *ref);
+        pm_exited_tasks_add(&machine->heartbeat.exited, ref, machine->heartbeat.fencing_token);
         return;
     }
     g_array_append_val(machine->heartbeat.orphan_tasks, *ref);
@@ -80,7 +89,7 @@
     bool checkpointed;
     enum pm_task_exit end = pm_reported_task_exit(task, &checkpointed);
 
-    g_array_append_val(placement->machine->heartbeat.exited_tasks, *ref);
+    pm_exited_tasks_add(&placement->machine->heartbeat.exited, ref, launch_token_of(placement));
     pm_workers_end_placement(workers, placement, end, checkpointed, now);
 }
 
@@ -309,7 +318,7 @@
         struct pm_placement *placement = g_ptr_array_index(machine->placements, i);
         placement->seen_in_message = false;
     }
-    g_array_set_size(machine->heartbeat.exited_tasks, 0);
+    pm_exited_tasks_begin(&machine->heartbeat.exited);
     g_array_set_size(machine->heartbeat.orphan_tasks, 0);
     for (size_t i = 0; i < pm_cbor_length(tasks); i++)
         apply_task(workers, machine, pm_cbor_at(tasks, i), now);
--- a/src/workers/machine_health.c
+++ b/src/workers/machine_health.c
@@ -72,8 +72,8 @@
 bool pm_machine_is_drained(const struct pm_machine *machine, uint64_t epoch)
 {
     const struct pm_machine_heartbeat *heartbeat = &machine->heartbeat;
-    bool is_empty =
-        !machine->placements->len && !heartbeat->exited_tasks->len && !heartbeat->orphan_tasks->len;
+    bool is_empty = !machine->placements->len && !heartbeat->exited.listed->len &&
+                    !heartbeat->orphan_tasks->len;
     bool may_get_commands = machine->push.in_flight_number || machine->push.unknown_outcome_epoch ||
                             heartbeat->fencing_token < epoch;
 
--- a/src/workers/machines.c
+++ b/src/workers/machines.c
@@ -48,7 +48,7 @@
     machine->type = machine->zone = -1;
     machine->state = PM_MACHINE_BOOTING;
     machine->placements = g_ptr_array_new_with_free_func(g_free);
-    machine->heartbeat.exited_tasks = g_array_new(FALSE, FALSE, sizeof(struct pm_task_ref));
+    pm_exited_tasks_init(&machine->heartbeat.exited);
     machine->heartbeat.orphan_tasks = g_array_new(FALSE, FALSE, sizeof(struct pm_task_ref));
     g_ptr_array_index(workers->machines, index) = machine;
     return machine;
@@ -57,7 +57,7 @@
 static void free_machine(struct pm_machine *machine)
 {
     g_ptr_array_free(machine->placements, TRUE);
-    g_array_free(machine->heartbeat.exited_tasks, TRUE);
+    pm_exited_tasks_free(&machine->heartbeat.exited);
     g_array_free(machine->heartbeat.orphan_tasks, TRUE);
     if (machine->failures.records)
         g_array_free(machine->failures.records, TRUE);
--- a/src/workers/placements.c
+++ b/src/workers/placements.c
@@ -104,7 +104,7 @@
     while (placements->len)
         pm_workers_end_placement(workers, g_ptr_array_index(placements, placements->len - 1),
                                  PM_TASK_EXIT_LOST, false, now);
-    g_array_set_size(machine->heartbeat.exited_tasks, 0);
+    pm_exited_tasks_clear(&machine->heartbeat.exited);
     g_array_set_size(machine->heartbeat.orphan_tasks, 0);
     machine->heartbeat.min_incarnation = machine->heartbeat.incarnation + 1;
     machine->push.unknown_outcome_epoch = 0;
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -14,6 +14,7 @@
 
 #include "base/http.h"
 #include "jobs/jobs.h"
+#include "workers/exited_tasks.h"
 
 enum pm_machine_state {
     PM_MACHINE_BOOTING,    /* rented; no message from its worker yet */
@@ -64,8 +65,7 @@
     double last_stale_at; /* monotonic: when a duplicate or outdated report last arrived */
     /* Monotonic: when the provider will reclaim the spot machine. 0 if it gave no notice. */
     double spot_interruption_at;
-    /* Of struct pm_task_ref: tasks that exited there, and that the worker is to forget. */
-    GArray *exited_tasks;
+    struct pm_exited_tasks exited; /* tasks that exited there, and that the worker is to forget */
     /* Of struct pm_task_ref: tasks that run there without a placement, and are to be killed. */
     GArray *orphan_tasks;
 };
@@ -181,12 +181,6 @@
     char endpoint[64];
 };
 
-/* One attempt of a task, as a worker identifies it. */
-struct pm_task_ref {
-    struct pm_job *job;
-    uint32_t task_index, attempt;
-};
-
 struct pm_workers;
 
 struct pm_workers_hooks {
