--- a/src/base/protocol.h
+++ b/src/base/protocol.h
@@ -9,11 +9,12 @@
 
 enum pm_protocol_version {
     PM_PROTOCOL_FIRST = 1,
-    PM_PROTOCOL_DEPENDENCIES = 2, /* jobs with dependencies; chunks of tasks stored in halves */
-    PM_PROTOCOL_END_TIMES = 3,    /* the value of a finished job has its end time */
-    PM_PROTOCOL_LINKS = 4,        /* values of p/links, and views in the responses of peers */
-    PM_PROTOCOL_ROLES = 5,        /* values of p/duty, p/drain and p/intent */
-    PM_PROTOCOL_VERSION = PM_PROTOCOL_ROLES /* the version of this program */
+    PM_PROTOCOL_DEPENDENCIES = 2,   /* jobs with dependencies; chunks of tasks stored in halves */
+    PM_PROTOCOL_END_TIMES = 3,      /* the value of a finished job has its end time */
+    PM_PROTOCOL_LINKS = 4,          /* values of p/links, and views in the responses of peers */
+    PM_PROTOCOL_ROLES = 5,          /* values of p/duty, p/drain and p/intent */
+    PM_PROTOCOL_FENCING_RANGES = 6, /* epochs that own several fencing tokens (base/fencing.h) */
+    PM_PROTOCOL_VERSION = PM_PROTOCOL_FENCING_RANGES /* the version of this program */
 };
 
 #endif
--- a/src/cmd/plan-bench/main.c
+++ b/src/cmd/plan-bench/main.c
@@ -179,7 +179,8 @@
 
     put_heartbeat(machine, &buf);
     item = pm_cbor_parse(buf.data, buf.size);
-    pm_workers_apply_report(bench.workers, item, PM_REPORT_HEARTBEAT, 1, bench.now, &is_new);
+    pm_workers_apply_report(bench.workers, item, PM_REPORT_HEARTBEAT,
+                            (struct pm_fencing_range){1, 1}, bench.now, &is_new);
     pm_cbor_free(item);
     pm_buffer_free(&buf);
 }
--- a/src/cmd/pumicemount/reconciliation.c
+++ b/src/cmd/pumicemount/reconciliation.c
@@ -144,10 +144,10 @@
 static bool needs_epoch_advance(const struct pm_controller *controller,
                                 const struct pm_machine *machine, double now)
 {
-    uint64_t epoch = machine->push.unknown_outcome_epoch;
+    uint64_t token = machine->push.unknown_outcome_token;
 
-    return epoch && machine->heartbeat.fencing_token <= epoch &&
-           epoch >= pm_election_epoch(controller->election) &&
+    return token && machine->heartbeat.fencing_token <= token &&
+           token >= pm_election_tokens(controller->election).first &&
            now - machine->heartbeat.last_message_at < RECENT_MESSAGE_S;
 }
 
--- a/src/cmd/pumicemount/worker_endpoint.c
+++ b/src/cmd/pumicemount/worker_endpoint.c
@@ -29,7 +29,8 @@
 struct push {
     struct pm_controller *controller;
     int machine; /* the machine's index, because the machine may be removed meanwhile */
-    uint64_t number, epoch;
+    uint64_t number;
+    uint64_t token;  /* the fencing token that it carries */
     double deadline; /* monotonic: the request is not written after this time */
     double sent_at;  /* monotonic */
 };
@@ -59,7 +60,7 @@
     bool is_newest;
 
     pm_workers_apply_report(controller->workers, report, PM_REPORT_PUSH_REPLY,
-                            pm_election_epoch(controller->election), pm_clock_monotonic(),
+                            pm_election_tokens(controller->election), pm_clock_monotonic(),
                             &is_newest);
     pm_controller_plan_soon(controller);
     pm_controller_commit(controller);
@@ -73,7 +74,7 @@
     struct pm_controller *controller = push->controller;
     int outcome = status > 0 && !report ? PM_HTTP_NO_RESPONSE : status;
 
-    if (!pm_worker_push_done(machine, push->number, push->epoch, outcome))
+    if (!pm_worker_push_done(machine, push->number, push->token, outcome))
         return;
     if (status < 0 && !has_missed_deadline(push, status))
         note_push_failure(controller, machine);
@@ -118,16 +119,17 @@
 }
 
 /* Encodes the body of POST /do with the commands that are due, and returns their number. */
-static int encode_push(struct pm_machine *machine, uint64_t epoch, struct pm_buffer *body)
+static int encode_push(struct pm_machine *machine, struct pm_fencing_range tokens, uint64_t token,
+                       struct pm_buffer *body)
 {
     uint64_t incarnation = machine->heartbeat.incarnation;
     int commands;
 
     pm_cbor_put_map(body);
-    pm_cbor_put_pair_uint(body, "mandate", epoch);
+    pm_cbor_put_pair_uint(body, "mandate", token);
     pm_cbor_put_pair_uint(body, "shift", incarnation ? incarnation : FIRST_INCARNATION);
     pm_cbor_put_text(body, "orders");
-    commands = pm_workers_encode_commands(machine, true, epoch, body);
+    commands = pm_workers_encode_commands(machine, PM_COMMAND_PUSH, tokens, token, body);
     pm_cbor_put_end(body);
     return commands;
 }
@@ -135,6 +137,7 @@
 void pm_controller_push_commands(struct pm_controller *controller, struct pm_machine *machine,
                                  bool probe)
 {
+    struct pm_fencing_range tokens = pm_election_tokens(controller->election);
     struct pm_buffer body = {0};
     struct push *push;
     int commands;
@@ -145,10 +148,10 @@
     push->controller = controller;
     push->machine = machine->index;
     push->number = pm_worker_push_begin(controller->workers, machine);
-    push->epoch = pm_election_epoch(controller->election);
+    push->token = pm_machine_issue_token(machine, PM_COMMAND_PUSH, tokens);
     push->deadline = pm_election_confirmation_deadline(controller->election);
     push->sent_at = pm_clock_monotonic();
-    commands = encode_push(machine, push->epoch, &body);
+    commands = encode_push(machine, tokens, push->token, &body);
     controller->pushes_in_flight++;
     pm_http_call_until(controller->http, machine->endpoint, "POST", "/do", body.data, body.size,
                        commands ? PUSH_TIMEOUT_S : PROBE_TIMEOUT_S, PUSH_ANSWER_BYTES,
@@ -195,36 +198,36 @@
     pm_buffer_free(&body);
 }
 
-/* Answers 200 with the commands that are due for the machine. If `machine` is NULL, the answer
- * renews the lease and its only commands are to kill those tasks in the report whose jobs are known
- * to be cancelled. */
-static void reply_commands(struct pm_controller *controller, struct pm_http_request *request,
-                           struct pm_machine *machine, const cbor_item_t *report)
+/* A heartbeat that is being handled. */
+struct heartbeat {
+    struct pm_http_request *request;
+    const cbor_item_t *report;
+    char machine[PM_NAME_MAX]; /* the machine's name */
+    uint64_t fencing_token;    /* the highest that the worker has seen */
+    double now;                /* monotonic */
+};
+
+/* Answers 200 with this fencing token. If `is_newest`, with the commands that are due for the
+ * machine; otherwise the answer renews the lease, and its only commands are to kill those tasks in
+ * the report whose jobs are known to be cancelled. */
+static void reply_commands(struct pm_controller *controller, const struct heartbeat *heartbeat,
+                           struct pm_machine *machine, bool is_newest, uint64_t token)
 {
-    uint64_t epoch = pm_election_epoch(controller->election);
     struct pm_buffer body = {0};
 
     pm_cbor_put_map(&body);
-    pm_cbor_put_pair_uint(&body, "mandate", epoch);
+    pm_cbor_put_pair_uint(&body, "mandate", token);
     pm_cbor_put_text(&body, "orders");
-    if (machine)
-        pm_workers_encode_commands(machine, false, epoch, &body);
+    if (is_newest)
+        pm_workers_encode_commands(machine, PM_COMMAND_REPLY,
+                                   pm_election_tokens(controller->election), token, &body);
     else
-        pm_workers_encode_cancel_kills(controller->workers, report, &body);
+        pm_workers_encode_cancel_kills(controller->workers, heartbeat->report, &body);
     pm_cbor_put_end(&body);
-    pm_http_reply(request, 200, body.data, body.size, 0);
+    pm_http_reply(heartbeat->request, 200, body.data, body.size, 0);
     pm_buffer_free(&body);
 }
 
-/* A heartbeat that is being handled. */
-struct heartbeat {
-    struct pm_http_request *request;
-    const cbor_item_t *report;
-    char machine[PM_NAME_MAX]; /* the machine's name */
-    uint64_t fencing_token;    /* the highest that the worker has seen */
-    double now;                /* monotonic */
-};
-
 /* Whether another controller is responsible for the machine. That holds for every machine while
  * this controller is not active, because it then has no working state. */
 static bool is_managed_elsewhere(const struct pm_controller *controller,
@@ -243,14 +246,15 @@
                                             const struct heartbeat *heartbeat)
 {
     struct pm_election *election = controller->election;
+    struct pm_fencing_range tokens = pm_election_tokens(election);
 
     if (!pm_election_may_renew_in_outage(election, heartbeat->now) ||
-        heartbeat->fencing_token > pm_election_epoch(election)) {
+        heartbeat->fencing_token > tokens.last) {
         reply_redirect(controller, heartbeat->request, heartbeat->machine);
         return;
     }
     heartbeat->request->deadline = pm_election_outage_renewal_deadline(election);
-    reply_commands(controller, heartbeat->request, NULL, heartbeat->report);
+    reply_commands(controller, heartbeat, NULL, false, MAX(tokens.first, heartbeat->fencing_token));
 }
 
 /* Enforces safety invariant 5: a worker is answered 200 only under an epoch that was confirmed
@@ -276,14 +280,14 @@
 
 static void answer_own_worker(struct pm_controller *controller, const struct heartbeat *heartbeat)
 {
-    uint64_t epoch = pm_election_epoch(controller->election);
+    struct pm_fencing_range tokens = pm_election_tokens(controller->election);
     struct pm_machine *machine;
     bool is_newest;
 
     if (!check_epoch(controller, heartbeat))
         return;
     machine = pm_workers_apply_report(controller->workers, heartbeat->report, PM_REPORT_HEARTBEAT,
-                                      epoch, heartbeat->now, &is_newest);
+                                      tokens, heartbeat->now, &is_newest);
     if (!machine) {
         pm_http_reply(heartbeat->request, 400, NULL, 0, 0);
         return;
@@ -299,14 +303,16 @@
         return;
     }
     heartbeat->request->deadline = pm_election_confirmation_deadline(controller->election);
-    reply_commands(controller, heartbeat->request, is_newest ? machine : NULL, heartbeat->report);
-    pm_machine_note_heartbeat_ack(machine, epoch, heartbeat->now);
+    reply_commands(controller, heartbeat, machine, is_newest,
+                   pm_machine_issue_token(machine, PM_COMMAND_REPLY, tokens));
+    pm_machine_note_heartbeat_ack(machine, tokens, heartbeat->now);
     pm_controller_plan_soon(controller);
     pm_controller_commit(controller);
 }
 
 static void answer_heartbeat(struct pm_controller *controller, const struct heartbeat *heartbeat)
 {
+    struct pm_fencing_range tokens = pm_election_tokens(controller->election);
     uint64_t token = heartbeat->fencing_token;
     struct pm_machine *machine = NULL;
 
@@ -320,8 +326,7 @@
         machine = pm_workers_find(controller->workers, heartbeat->machine);
     if (machine)
         pm_links_record_heartbeat(controller->links, machine->zone,
-                                  token && token == pm_election_epoch(controller->election),
-                                  heartbeat->now);
+                                  token && pm_fencing_range_has(tokens, token), heartbeat->now);
     if (is_managed_elsewhere(controller, machine))
         answer_other_controllers_worker(controller, heartbeat);
     else
--- a/src/leadership/campaign.c
+++ b/src/leadership/campaign.c
@@ -50,6 +50,7 @@
 
     term->is_leader = true;
     term->epoch = election->replica.epoch = epoch_txn->epoch;
+    term->first_token = election->replica.first_token = epoch_txn->first_token;
     term->epoch_revision = election->replica.epoch_revision = revision;
     term->lease_id = epoch_txn->lease_id;
     term->lease_renewed_at = term->epoch_advanced_at = now;
@@ -86,15 +87,17 @@
 {
     struct pm_txn txn = {0};
     struct pm_epoch_txn *epoch_txn = g_new0(struct pm_epoch_txn, 1);
+    struct pm_fencing_range tokens = pm_election_next_tokens(election, election->replica.epoch);
     char shard_key[PM_SHARD_KEY_SIZE];
 
     epoch_txn->election = election;
-    epoch_txn->epoch = MAX(election->replica.epoch, election->poll.highest_epoch) + 1;
+    epoch_txn->epoch = tokens.last;
+    epoch_txn->first_token = tokens.first;
     epoch_txn->lease_id = lease_id;
     epoch_txn->sent_at = pm_clock_monotonic();
     pm_txn_compare(&txn, PM_KEY_EPOCH, election->replica.epoch_revision);
     pm_txn_compare(&txn, PM_KEY_LEADER_LOCK, election->replica.lock_revision);
-    pm_election_put_epoch(election, &txn, epoch_txn->epoch);
+    pm_election_put_epoch(election, &txn, tokens);
     pm_election_put_lock(election, &txn, lease_id);
     /* A leader owns no shard. Deleting this controller's shard in the same transaction puts the
      * shard's machines under the new leader. */
--- a/src/leadership/election.c
+++ b/src/leadership/election.c
@@ -45,6 +45,14 @@
     return election->term.is_leader ? election->term.epoch : election->replica.epoch;
 }
 
+struct pm_fencing_range pm_election_tokens(const struct pm_election *election)
+{
+    uint64_t first =
+        election->term.is_leader ? election->term.first_token : election->replica.first_token;
+
+    return (struct pm_fencing_range){first, pm_election_epoch(election)};
+}
+
 uint64_t pm_election_epoch_revision(const struct pm_election *election)
 {
     return election->term.is_leader ? election->term.epoch_revision
--- a/src/leadership/election.h
+++ b/src/leadership/election.h
@@ -1,4 +1,5 @@
-/* Leader election, and the epoch: the fencing token under which controllers command workers.
+/* Leader election, and the epoch, which owns the fencing tokens under which controllers command
+ * workers.
  *
  * Owns who leads, in which epoch, how long that counts as confirmed, and which protocol version all
  * controllers run. Controllers exchange this by POST /peer.
@@ -10,7 +11,7 @@
  *
  * Keys, all read from the replica's feed and written by the transactions of this slice:
  *   p/epoch        the epoch, and the controller that advanced it. Changes only by
- *                  compare-and-swap. Its number is the fencing token that workers obey, and every
+ *                  compare-and-swap. Workers obey its fencing tokens (base/fencing.h), and every
  *                  placement is written on the condition of its revision.
  *   p/lead         the leader's lock, attached to a lease: while it exists, the other controllers
  *                  do not campaign. It only avoids needless campaigns; safety depends on p/epoch
@@ -23,6 +24,7 @@
 #ifndef PM_LEADERSHIP_ELECTION_H
 #define PM_LEADERSHIP_ELECTION_H
 
+#include "base/fencing.h"
 #include "base/http.h"
 #include "base/settings.h"
 #include "store/store.h"
@@ -107,6 +109,8 @@
 /* The epoch that this controller acts in: the leader's own, or for others the latest in the
  * replica; 0 if there is none. */
 uint64_t pm_election_epoch(const struct pm_election *election);
+/* The fencing tokens of that epoch. */
+struct pm_fencing_range pm_election_tokens(const struct pm_election *election);
 /* The revision of p/epoch that belongs to pm_election_epoch, for comparison in transactions. */
 uint64_t pm_election_epoch_revision(const struct pm_election *election);
 /* The id of this process, different from that of any other process that has run or will run.
--- a/src/leadership/internal.h
+++ b/src/leadership/internal.h
@@ -25,6 +25,7 @@
  * epoch.c, which record this controller's own writes before the watch reports them. */
 struct pm_election_replica {
     uint64_t epoch;
+    uint64_t first_token; /* of the epoch */
     uint64_t epoch_revision;
     uint64_t lock_revision; /* of p/lead; 0 while the lock is free */
     char lock_holder[PM_NAME_MAX];
@@ -45,6 +46,7 @@
     bool is_leader;
     uint64_t lease_id;           /* of the leader's lock */
     uint64_t epoch;              /* the latest that this controller wrote */
+    uint64_t first_token;        /* of that epoch */
     uint64_t epoch_revision;     /* revision of p/epoch after that write */
     uint64_t catch_up_revision;  /* the replica must reach it before we act; 0 once reached */
     double epoch_advanced_at;    /* when the current epoch began */
@@ -144,7 +146,8 @@
 struct pm_epoch_txn {
     struct pm_election *election;
     uint64_t epoch;
-    uint64_t lease_id; /* of the leader's lock; set only for a campaign */
+    uint64_t first_token; /* of the epoch; not set for a check */
+    uint64_t lease_id;    /* of the leader's lock; set only for a campaign */
     double sent_at;
     bool sent_as_leader; /* whether this controller led when it sent the transaction */
 };
@@ -180,9 +183,12 @@
 
 /* ---- epoch.c ---- */
 
-/* Continues the term in an epoch that this controller has durably written, at this revision of
- * p/epoch, and calls the hook `epoch_advanced`. */
-void pm_election_adopt_epoch(struct pm_election *election, uint64_t epoch, uint64_t revision);
+/* Returns the tokens of the epoch that follows `epoch` and all that any peer has reported. */
+struct pm_fencing_range pm_election_next_tokens(const struct pm_election *election, uint64_t epoch);
+/* Continues the term in the epoch with these tokens, which this controller has durably written at
+ * this revision of p/epoch, and calls the hook `epoch_advanced`. */
+void pm_election_adopt_epoch(struct pm_election *election, struct pm_fencing_range tokens,
+                             uint64_t revision);
 
 /* ---- epoch_acks.c ---- */
 
@@ -254,16 +260,18 @@
 
 /* ---- records.c ---- */
 
-/* Adds a put of p/epoch to `txn`, with this process as its author. */
-void pm_election_put_epoch(const struct pm_election *election, struct pm_txn *txn, uint64_t epoch);
+/* Adds a put of p/epoch to `txn`, for the epoch with these tokens and with this process as its
+ * author. */
+void pm_election_put_epoch(const struct pm_election *election, struct pm_txn *txn,
+                           struct pm_fencing_range tokens);
 /* Adds a put of p/lead to `txn`, with this process as the holder, attached to that lease. */
 void pm_election_put_lock(const struct pm_election *election, struct pm_txn *txn,
                           uint64_t lease_id);
 /* Adds a put of `key`, which is p/speaks or p/speaks/NAME, to `txn`. */
 void pm_election_put_version(struct pm_txn *txn, const char *key, unsigned version);
-/* Decodes p/epoch: the epoch, and the incarnation of the process that advanced it ("" if that can't
- * be read). Returns false when the value has no epoch. */
-bool pm_election_decode_epoch(const cbor_item_t *value, uint64_t *epoch,
+/* Decodes p/epoch: the tokens of the epoch, and the incarnation of the process that advanced it (""
+ * if that can't be read). Returns false when the value has no epoch. */
+bool pm_election_decode_epoch(const cbor_item_t *value, struct pm_fencing_range *tokens,
                               char incarnation_id[PM_INCARNATION_ID_SIZE]);
 /* Decodes p/lead: name and incarnation of the holder, each "" if it can't be read. */
 void pm_election_decode_lock(const cbor_item_t *value, char holder[PM_NAME_MAX],
--- a/src/leadership/records.c
+++ b/src/leadership/records.c
@@ -1,7 +1,8 @@
 /* Encoding and decoding of the election's keys. Each value is a CBOR map. The field names must not
  * change, since earlier versions have stored them:
  *   p/epoch        epoch: the number; leader: name of the controller that advanced it; boot: that
- *                  controller's incarnation
+ *                  controller's incarnation; tokens: how many fencing tokens it owns, the last of
+ *                  which is its number; absent if it owns one
  *   p/lead         leader: name of the holder of the lock; boot: that controller's incarnation
  *   p/speaks/NAME  version: the protocol version that the controller NAME runs
  *   p/speaks       version: a lower bound of the protocol versions that the controllers run
@@ -15,6 +16,7 @@
 #define LEADER_FIELD "leader"
 #define INCARNATION_FIELD "boot"
 #define VERSION_FIELD "version"
+#define TOKEN_COUNT_FIELD "tokens"
 
 enum { NO_LEASE = 0 };
 
@@ -24,12 +26,17 @@
     pm_cbor_put_pair_text(&txn->writes, INCARNATION_FIELD, election->incarnation_id);
 }
 
-void pm_election_put_epoch(const struct pm_election *election, struct pm_txn *txn, uint64_t epoch)
+void pm_election_put_epoch(const struct pm_election *election, struct pm_txn *txn,
+                           struct pm_fencing_range tokens)
 {
+    uint64_t token_count = tokens.last - tokens.first + 1;
+
     pm_txn_put_begin(txn, PM_KEY_EPOCH);
     pm_cbor_put_map(&txn->writes);
-    pm_cbor_put_pair_uint(&txn->writes, EPOCH_FIELD, epoch);
+    pm_cbor_put_pair_uint(&txn->writes, EPOCH_FIELD, tokens.last);
     put_author(election, txn);
+    if (token_count > 1)
+        pm_cbor_put_pair_uint(&txn->writes, TOKEN_COUNT_FIELD, token_count);
     pm_cbor_put_end(&txn->writes);
     pm_txn_put_end(txn, NO_LEASE);
 }
@@ -60,11 +67,19 @@
     pm_cbor_read_text(pm_cbor_get(value, field), out, size);
 }
 
-bool pm_election_decode_epoch(const cbor_item_t *value, uint64_t *epoch,
+bool pm_election_decode_epoch(const cbor_item_t *value, struct pm_fencing_range *tokens,
                               char incarnation_id[PM_INCARNATION_ID_SIZE])
 {
+    uint64_t token_count;
+
     read_text(value, INCARNATION_FIELD, incarnation_id, PM_INCARNATION_ID_SIZE);
-    return pm_cbor_read_uint(pm_cbor_get(value, EPOCH_FIELD), epoch);
+    if (!pm_cbor_read_uint(pm_cbor_get(value, EPOCH_FIELD), &tokens->last))
+        return false;
+    tokens->first = tokens->last;
+    if (pm_cbor_read_uint(pm_cbor_get(value, TOKEN_COUNT_FIELD), &token_count) && token_count > 1 &&
+        token_count <= tokens->last)
+        tokens->first = tokens->last - token_count + 1;
+    return true;
 }
 
 void pm_election_decode_lock(const cbor_item_t *value, char holder[PM_NAME_MAX],
--- a/src/leadership/replica_feed.c
+++ b/src/leadership/replica_feed.c
@@ -9,18 +9,19 @@
 {
     struct pm_election_replica *replica = &election->replica;
     char incarnation_id[PM_INCARNATION_ID_SIZE];
-    uint64_t epoch;
+    struct pm_fencing_range tokens;
     bool is_ours;
 
     if (revision < replica->epoch_revision ||
-        !pm_election_decode_epoch(value, &epoch, incarnation_id))
+        !pm_election_decode_epoch(value, &tokens, incarnation_id))
         return;
     is_ours = !strcmp(incarnation_id, election->incarnation_id);
-    replica->epoch = epoch;
+    replica->epoch = tokens.last;
+    replica->first_token = tokens.first;
     replica->epoch_revision = revision;
-    if (election->term.is_leader && epoch > election->term.epoch) {
+    if (election->term.is_leader && tokens.last > election->term.epoch) {
         if (is_ours) /* written by a transaction whose response was lost */
-            pm_election_adopt_epoch(election, epoch, revision);
+            pm_election_adopt_epoch(election, tokens, revision);
         else
             pm_election_end_term(election, "another controller has advanced the epoch and leads");
         return;
--- a/src/leadership/tests/test_election_versions.c
+++ b/src/leadership/tests/test_election_versions.c
@@ -213,6 +213,94 @@
     assert_true(event_loop_run_until(loop, is_confirmed, &cluster[0]));
 }
 
+/* The state that wait_for_epoch() waits for. */
+struct expected_epoch {
+    const struct controller *controller;
+    uint64_t after;
+};
+
+static bool is_epoch_after(void *arg)
+{
+    const struct expected_epoch *expected = arg;
+
+    return pm_election_epoch(expected->controller->election) > expected->after;
+}
+
+/* Waits until the controller knows an epoch after `after`. Returns the tokens of its epoch. */
+static struct pm_fencing_range wait_for_epoch(const struct controller *controller, uint64_t after)
+{
+    struct expected_epoch expected = {controller, after};
+
+    assert_true(event_loop_run_until(loop, is_epoch_after, &expected));
+    return pm_election_tokens(controller->election);
+}
+
+/* Has the leader advance its epoch. Returns the tokens of the new epoch. */
+static struct pm_fencing_range advance_epoch(const struct controller *leader)
+{
+    uint64_t before = pm_election_epoch(leader->election);
+
+    pm_election_advance_epoch(leader->election, NULL, 0);
+    return wait_for_epoch(leader, before);
+}
+
+static void on_epoch_written(void *arg, enum pm_store_result result, uint64_t store_revision,
+                             const cbor_item_t *conflicting_keys)
+{
+    (void)store_revision;
+    (void)conflicting_keys;
+    *(int *)arg = result == PM_STORE_OK ? 200 : 0;
+}
+
+/* Writes p/epoch as a leader of an earlier version does, which adds 1 to the number. */
+static void advance_as_old_version(struct controller *writer, uint64_t epoch)
+{
+    struct pm_txn txn = {0};
+    int status = 0;
+
+    pm_txn_put_begin(&txn, "p/epoch");
+    pm_cbor_put_map(&txn.writes);
+    pm_cbor_put_pair_uint(&txn.writes, "epoch", epoch + 1);
+    pm_cbor_put_pair_text(&txn.writes, "leader", "n2");
+    pm_cbor_put_pair_text(&txn.writes, "boot", "earlier version");
+    pm_cbor_put_end(&txn.writes);
+    pm_txn_put_end(&txn, 0);
+    pm_store_commit(writer->store, &txn, on_epoch_written, &status);
+    assert_true(event_loop_run_until(loop, has_status, &status));
+}
+
+/* An epoch owns several fencing tokens only once every controller reads that. Its tokens are above
+ * those of all epochs before, also of one that an earlier version has begun since, and at most its
+ * number, so that an earlier version which leads next has a higher token. */
+static void epochs_own_several_tokens_once_all_read_it(void **arg)
+{
+    struct controller *cluster = g_new0(struct controller, 3);
+    struct pm_http_server *old_version = start_mixed_versions(cluster);
+    struct pm_fencing_range single = advance_epoch(&cluster[0]);
+    struct pm_fencing_range range;
+    struct pm_fencing_range next;
+
+    (void)arg;
+    assert_int_equal(single.first, single.last);
+    pm_http_server_free(old_version);
+    start_controller(&cluster[2]);
+    for (int i = 0; i < 3; i++)
+        assert_true(event_loop_run_until(loop, has_common_version, &cluster[i]));
+    range = advance_epoch(&cluster[0]);
+    assert_int_equal(range.first, single.last + 1);
+    assert_int_equal(range.last, single.last + PM_TOKENS_PER_EPOCH);
+    next = wait_for_epoch(&cluster[1], single.last); /* the followers read the same tokens */
+    assert_int_equal(next.first, range.first);
+    advance_as_old_version(&cluster[1], range.last);
+    next = wait_for_epoch(&cluster[1], range.last);
+    assert_int_equal(next.first, range.last + 1);
+    assert_int_equal(next.last, range.last + 1);
+    fake_store_revoke_all_leases(state_service);
+    next = wait_for_epoch(&cluster[1], range.last + 1);
+    assert_int_equal(next.first, range.last + 2);
+    assert_int_equal(next.last, range.last + 1 + PM_TOKENS_PER_EPOCH);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -222,6 +310,7 @@
         cmocka_unit_test_setup(restart_in_the_old_version, set_up),
         cmocka_unit_test_setup(leader_lost_in_the_middle_of_an_upgrade, set_up),
         cmocka_unit_test_setup(old_version_votes_in_an_outage, set_up),
+        cmocka_unit_test_setup(epochs_own_several_tokens_once_all_read_it, set_up),
     };
 
     cmocka_set_test_filter(g_getenv("PM_TEST_FILTER"));
--- a/src/leadership/timer.c
+++ b/src/leadership/timer.c
@@ -9,11 +9,10 @@
 #include <glib.h>
 
 #define FIRST_TICK_S 0.05
-/* The age at which the epoch is advanced, as a share of a worker's lease. A duplicate of a launch
- * command may arrive more than one lease after the command was carried out. If the task has ended
- * and its worker has forgotten it, the duplicate would start it again. Since this share is below 1,
- * the worker has in the meantime either accepted a later fencing token, so that it refuses the
- * duplicate, or lost its lease and become a new incarnation. */
+/* The age at which the epoch is advanced, as a share of a worker's lease. In an epoch that owns one
+ * fencing token, a worker is told to forget an exited task only after the next advance. Since this
+ * share is below 1, a worker with an earlier token than the current one has also lost its lease
+ * soon, and refuses old commands as a new incarnation. */
 #define LEASES_PER_EPOCH 0.7
 /* Interval of attempts to advance the epoch. */
 #define ADVANCE_RETRY_S 1.0
--- a/src/scheduler/quota.c
+++ b/src/scheduler/quota.c
@@ -60,8 +60,8 @@
     /* A delayed copy of a heartbeat may list tasks that have ended since. They count as orphaned,
      * but do not prove a violation. A heartbeat is no such copy if its worker has seen at least the
      * epoch under which a heartbeat was last acknowledged. */
-    bool is_current = machine->delivery.acked_epoch &&
-                      machine->heartbeat.fencing_token >= machine->delivery.acked_epoch;
+    bool is_current = machine->delivery.acked_first_token &&
+                      machine->heartbeat.fencing_token >= machine->delivery.acked_first_token;
 
     for (guint i = 0; i < orphans->len; i++) {
         const struct pm_spec *spec = g_array_index(orphans, struct pm_task_ref, i).job->spec;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -104,10 +104,10 @@
  * used. */
 uint32_t pm_scheduler_claim_guaranteed_tasks(struct pm_scheduler *scheduler,
                                              const struct pm_job *job);
-/* Finds the usable machines that run nothing and are proven to be drained under this epoch. The
- * scheduler owns the array, which is valid until the next call. */
-GPtrArray *pm_scheduler_find_idle_machines(struct pm_scheduler *scheduler, uint64_t epoch,
-                                           double now);
+/* Finds the usable machines that run nothing and are proven to be drained under the epoch with
+ * these tokens. The scheduler owns the array, which is valid until the next call. */
+GPtrArray *pm_scheduler_find_idle_machines(struct pm_scheduler *scheduler,
+                                           struct pm_fencing_range tokens, double now);
 /* Whether an idle machine may be leased for the job without using the reserve for services. */
 bool pm_scheduler_is_machine_leasable(struct pm_scheduler *scheduler,
                                       const struct pm_machine *machine, const struct pm_job *job,
--- a/src/scheduler/shard_leasing.c
+++ b/src/scheduler/shard_leasing.c
@@ -29,8 +29,8 @@
     return tasks;
 }
 
-GPtrArray *pm_scheduler_find_idle_machines(struct pm_scheduler *scheduler, uint64_t epoch,
-                                           double now)
+GPtrArray *pm_scheduler_find_idle_machines(struct pm_scheduler *scheduler,
+                                           struct pm_fencing_range tokens, double now)
 {
     GPtrArray *machines = pm_workers_all(scheduler->workers);
     GPtrArray *idle = scheduler->leasing.idle_machines;
@@ -41,7 +41,7 @@
         struct pm_machine *machine = g_ptr_array_index(machines, i);
         if (machine && machine->type >= 0 && machine->zone >= 0 && !machine->placements->len &&
             pm_scheduler_is_machine_usable(scheduler, machine, now) &&
-            pm_machine_is_drained(machine, epoch))
+            pm_machine_is_drained(machine, tokens))
             g_ptr_array_add(idle, machine);
     }
     return idle;
--- a/src/scheduler/tests/test_scale.c
+++ b/src/scheduler/tests/test_scale.c
@@ -145,7 +145,9 @@
 
     for (guint i = 0; i < machine->placements->len; i++)
         placement_at(machine, i)->state = PM_PLACEMENT_DURABLE;
-    assert_int_equal(pm_workers_encode_commands(machine, true, 1, &buf), 4);
+    assert_int_equal(pm_workers_encode_commands(machine, PM_COMMAND_PUSH,
+                                                (struct pm_fencing_range){1, 1}, 1, &buf),
+                     4);
     assert_true(json_size(&buf) <= ANSWER_BYTES_MAX);
 }
 
--- a/src/scheduler/tests/trace_checks.h
+++ b/src/scheduler/tests/trace_checks.h
@@ -30,17 +30,23 @@
     pm_buffer_free(buf);
 }
 
-/* commands MACHINE [push]: the commands in the answer to a heartbeat; with `push`, those of a push
- * that starts now */
+/* commands MACHINE [push] [token]: the commands in the answer to a heartbeat; with `push`, those of
+ * a push that starts now; with `token`, the fencing token of the message first */
 static void run_commands(struct trace_world *world, char **words)
 {
     struct pm_machine *machine = trace_machine(world, words);
     bool is_push = words[2] && !strcmp(words[2], "push");
+    bool shows_token = words[2] && !strcmp(words[is_push && words[3] ? 3 : 2], "token");
+    enum pm_command_message message = is_push ? PM_COMMAND_PUSH : PM_COMMAND_REPLY;
     struct pm_buffer buf = {0};
+    uint64_t token;
 
     if (is_push)
         pm_worker_push_begin(world->workers, machine);
-    pm_workers_encode_commands(machine, is_push, world->epoch, &buf);
+    token = pm_machine_issue_token(machine, message, world->tokens);
+    if (shows_token)
+        g_string_append_printf(world->output, "> token %llu\n", (unsigned long long)token);
+    pm_workers_encode_commands(machine, message, world->tokens, token, &buf);
     print_commands(world, &buf);
 }
 
--- a/src/scheduler/tests/trace_inputs.h
+++ b/src/scheduler/tests/trace_inputs.h
@@ -148,10 +148,14 @@
     pm_scheduler_reset(world->scheduler);
 }
 
-/* epoch N: sets the current epoch */
+/* epoch N [first=M]: sets the current epoch, which owns the fencing tokens from M to N; by default
+ * it owns one, N */
 static void run_epoch(struct trace_world *world, char **words)
 {
-    world->epoch = strtoul(words[1], NULL, 10);
+    uint64_t last = strtoul(words[1], NULL, 10);
+
+    world->tokens.last = last;
+    world->tokens.first = (uint64_t)trace_number(words, "first", (double)last);
 }
 
 /* peer_cancellation JOB: another controller reports that the job is cancelled; prints "known" if
@@ -181,7 +185,7 @@
     struct pm_machine *machine;
     bool is_fresh;
 
-    machine = pm_workers_apply_report(world->workers, message, source, world->epoch, world->now,
+    machine = pm_workers_apply_report(world->workers, message, source, world->tokens, world->now,
                                       &is_fresh);
     if (machine && !trace_number(words, "unlisted", 0))
         machine->provider.is_listed = true; /* the machine is in the provider's inventory */
@@ -209,7 +213,7 @@
 /* ack MACHINE: the worker's heartbeat is answered with 200 */
 static void run_ack(struct trace_world *world, char **words)
 {
-    pm_machine_note_heartbeat_ack(trace_machine(world, words), world->epoch, world->now);
+    pm_machine_note_heartbeat_ack(trace_machine(world, words), world->tokens, world->now);
 }
 
 /* Ends a push with the HTTP status `status`: push N if the line has push=N, otherwise the push that
@@ -219,7 +223,7 @@
     struct pm_machine *machine = trace_machine(world, words);
     uint64_t push = (uint64_t)trace_number(words, "push", (double)machine->push.in_flight_number);
 
-    if (!pm_worker_push_done(machine, push, world->epoch, status))
+    if (!pm_worker_push_done(machine, push, machine->push.issued_token, status))
         g_string_append(world->output, "> not in flight\n");
     else if (status == PM_HTTP_NO_RESPONSE)
         pm_machine_note_delivery_failure(machine, "a push has no answer", world->now);
--- a/src/scheduler/tests/trace_parser.h
+++ b/src/scheduler/tests/trace_parser.h
@@ -103,8 +103,9 @@
 
 /* Reads the worker's message from a line
  *   COMMAND MACHINE INCARNATION.SEQUENCE token=N type=T zone=Z spot=0|1 [interruption=S] [TASK]...
- * token: the fencing token, by default the current epoch; interruption: the seconds until the
- * announced spot interruption; TASK: see trace_put_reported_task(). Freed by the caller. */
+ * token: the fencing token, by default the first of the current epoch; interruption: the seconds
+ * until the announced spot interruption; TASK: see trace_put_reported_task(). Freed by the caller.
+ */
 static inline cbor_item_t *trace_read_message(struct trace_world *world, char **words)
 {
     struct pm_buffer buf = {0};
@@ -122,7 +123,7 @@
     pm_cbor_put_pair_uint(&buf, "shift", incarnation);
     pm_cbor_put_pair_uint(&buf, "tally", sequence);
     pm_cbor_put_pair_uint(&buf, "mandate",
-                          (uint64_t)trace_number(words, "token", (double)world->epoch));
+                          (uint64_t)trace_number(words, "token", (double)world->tokens.first));
     if (trace_text(words, "interruption", NULL))
         pm_cbor_put_pair_number(&buf, "recall_s", trace_number(words, "interruption", 0));
     pm_cbor_put_text(&buf, "entries");
--- a/src/scheduler/tests/trace_world.h
+++ b/src/scheduler/tests/trace_world.h
@@ -15,8 +15,9 @@
     struct pm_jobs *jobs;
     struct pm_workers *workers;
     struct pm_scheduler *scheduler;
-    double now; /* monotonic, in seconds */
-    uint64_t epoch, revision;
+    double now;                     /* monotonic, in seconds */
+    struct pm_fencing_range tokens; /* of the current epoch */
+    uint64_t revision;
     GString *output; /* of the current command: lines that begin with "> " */
 };
 
@@ -68,7 +69,7 @@
                        &(struct pm_workers_hooks){trace_print_ended, trace_ignore_running, world});
     world->scheduler =
         pm_scheduler_new(&world->tables, world->jobs, world->workers, &world->operator_settings);
-    world->epoch = 1;
+    world->tokens = (struct pm_fencing_range){1, 1};
     world->revision = 1;
     world->now = 100;
     world->output = g_string_new("");
--- a/src/shards/job_assignment.c
+++ b/src/shards/job_assignment.c
@@ -183,7 +183,7 @@
 {
     GPtrArray *active = pm_jobs_active(shards->jobs);
     struct idle_machines idle = {.machines = pm_scheduler_find_idle_machines(
-                                     shards->scheduler, pm_election_epoch(shards->election), now)};
+                                     shards->scheduler, pm_election_tokens(shards->election), now)};
 
     idle.is_reserved = g_new0(bool, idle.machines->len + 1);
     raise_all_parallelism(shards);
--- a/src/shards/machine_assignment.c
+++ b/src/shards/machine_assignment.c
@@ -254,7 +254,7 @@
     plan.task_counts = g_new0(uint32_t, machine_count + 1);
     plan.is_reserved = g_new0(bool, machine_count + 1);
     compute_free_capacity(&plan);
-    pm_scheduler_find_idle_machines(shards->scheduler, pm_election_epoch(shards->election), now);
+    pm_scheduler_find_idle_machines(shards->scheduler, pm_election_tokens(shards->election), now);
     queue = rank_jobs(shards);
     collect_waiting_jobs(&plan, queue);
     assign_within_guarantee(&plan, may_revoke);
--- a/src/shards/owner_response.c
+++ b/src/shards/owner_response.c
@@ -31,7 +31,7 @@
         preempt_all(machine);
     /* A machine that was reported as drained stays drained, because this controller no longer
      * answers its worker. */
-    if (pm_machine_is_drained(machine, pm_election_epoch(shards->election)))
+    if (pm_machine_is_drained(machine, pm_election_tokens(shards->election)))
         machine->shard.returned_to_leader = true;
     if (machine->shard.returned_to_leader)
         pm_shard_message_add_name(&response->drained, &response->n_drained, machine->name);
@@ -52,9 +52,9 @@
 static void report_machine(const struct pm_shards *shards, const struct pm_machine *machine,
                            double now, Pm__ShardResponse *response)
 {
-    uint64_t unknown_epoch = machine->push.unknown_outcome_epoch;
+    uint64_t unknown_token = machine->push.unknown_outcome_token;
 
-    if (unknown_epoch && unknown_epoch >= pm_election_epoch(shards->election))
+    if (unknown_token && unknown_token >= pm_election_tokens(shards->election).first)
         response->launch_outcome_unknown = true;
     if (pm_failures_is_machine_faulty(machine))
         pm_shard_message_add_name(&response->quarantined, &response->n_quarantined, machine->name);
--- a/src/shards/tests/shard_fixtures.h
+++ b/src/shards/tests/shard_fixtures.h
@@ -205,8 +205,8 @@
     pm_cbor_put_end(&buf);
     item = pm_cbor_parse(buf.data, buf.size);
     machine = pm_workers_apply_report(controller->workers, item, PM_REPORT_HEARTBEAT,
-                                      pm_election_epoch(controller->election), pm_clock_monotonic(),
-                                      &is_new);
+                                      pm_election_tokens(controller->election),
+                                      pm_clock_monotonic(), &is_new);
     assert_non_null(machine);
     machine->provider.is_listed = true;
     pm_cbor_free(item);
--- a/src/shards/tests/test_shards.c
+++ b/src/shards/tests/test_shards.c
@@ -52,12 +52,12 @@
     g_free(written);
 }
 
-/* Asserts that the value at `key` is {"version": 5}. */
+/* Asserts that the value at `key` is {"version": 6}. */
 static void assert_version_written(const char *key)
 {
     char *written = fake_store_value_hex(state_service, key);
 
-    assert_string_equal(written, "bf6776657273696f6e05ff");
+    assert_string_equal(written, "bf6776657273696f6e06ff");
     g_free(written);
 }
 
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -180,7 +180,10 @@
         .lease_s = soak->lease_s,
         .teams = workload_teams(settings->max_machines * MACHINE_CPUS),
         .team_count = WORKLOAD_TEAMS,
-        .random = soak->random};
+        .random = soak->random,
+        /* Versions before protocol version 6 start a task anew when a copy of its launch arrives.
+         */
+        .copies_pushes = !settings->old_daemon};
 
     return cluster_new(&cluster_settings);
 }
--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -28,15 +28,18 @@
 {
     struct cluster *cluster = arg;
     char name[64] = "";
-    uint64_t epoch = 0;
+    struct pm_fencing_range tokens;
+    uint64_t token_count = 1;
 
     if (cluster->observer)
         cluster->observer(cluster->observer_arg, key, data, revision);
     if (!data)
         return;
     pm_cbor_read_text(pm_cbor_get(data, "leader"), name, sizeof name);
-    if (!strcmp(key, EPOCH_KEY) && pm_cbor_read_uint(pm_cbor_get(data, "epoch"), &epoch)) {
-        history_epoch_advanced(cluster->history, epoch, name);
+    if (!strcmp(key, EPOCH_KEY) && pm_cbor_read_uint(pm_cbor_get(data, "epoch"), &tokens.last)) {
+        pm_cbor_read_uint(pm_cbor_get(data, "tokens"), &token_count);
+        tokens.first = tokens.last - token_count + 1;
+        history_epoch_advanced(cluster->history, tokens, name);
         g_strlcpy(cluster->leader_name, name, sizeof cluster->leader_name);
     }
     if (g_str_has_prefix(key, SHARD_PREFIX))
@@ -143,18 +146,19 @@
 
 static void start_provider(struct cluster *cluster)
 {
-    const struct fake_provider_settings settings = {.controller_count =
-                                                        cluster->settings.controller_count,
-                                                    .zone_count = CLUSTER_ZONES,
-                                                    .max_machines = cluster->settings.max_machines,
-                                                    .heartbeat_s = CLUSTER_HEARTBEAT_S,
-                                                    .lease_s = cluster->settings.lease_s,
-                                                    .gang_wait_s = CLUSTER_GANG_WAIT_S,
-                                                    .gang_peer_s = CLUSTER_GANG_PEER_S,
-                                                    .worker_addrs = cluster->worker_addrs,
-                                                    .controller_names = cluster->node_names,
-                                                    .controllers = &cluster->controllers,
-                                                    .random = cluster->settings.random};
+    const struct fake_provider_settings settings = {
+        .controller_count = cluster->settings.controller_count,
+        .zone_count = CLUSTER_ZONES,
+        .max_machines = cluster->settings.max_machines,
+        .heartbeat_s = CLUSTER_HEARTBEAT_S,
+        .lease_s = cluster->settings.lease_s,
+        .gang_wait_s = CLUSTER_GANG_WAIT_S,
+        .gang_peer_s = CLUSTER_GANG_PEER_S,
+        .worker_addrs = cluster->worker_addrs,
+        .controller_names = cluster->node_names,
+        .controllers = &cluster->controllers,
+        .random = cluster->settings.random,
+        .copies_pushes = cluster->settings.copies_pushes};
 
     cluster->provider = fake_provider_new(cluster->loop, &settings, cluster->history);
 }
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -42,6 +42,7 @@
      * users ask for a job that nobody submitted, and messages to and from workers can be delayed.
      * NULL: none of these. */
     GRand *random;
+    bool copies_pushes; /* workers receive a late copy of each push that they have executed */
 };
 
 /* A job as its user submits it. */
--- a/src/testing/fake_provider.h
+++ b/src/testing/fake_provider.h
@@ -29,6 +29,7 @@
     const struct relay_controllers *controllers;
     /* Selects the messages that are delayed, and for how long. NULL: no message is delayed. */
     GRand *random;
+    bool copies_pushes; /* workers receive a late copy of each push that they have executed */
 };
 
 /* Creates a provider without machines, owned by the caller. `settings` is copied; what it points to
--- a/src/testing/fake_provider_internal.h
+++ b/src/testing/fake_provider_internal.h
@@ -106,7 +106,7 @@
     GPtrArray *unanswered_requests; /* they never get an answer */
     unsigned answered_heartbeats[RELAY_CONTROLLERS_MAX];
     /* Of struct delayed_message. Written by fake_worker_delays.c. */
-    GPtrArray *delayed_heartbeats, *delayed_commands;
+    GPtrArray *delayed_heartbeats, *delayed_commands, *copied_pushes;
     struct fake_provider_api api;
     struct fake_provider_faults faults;
 };
@@ -180,6 +180,9 @@
 /* If this heartbeat is randomly selected, schedules a copy for later delivery. */
 void fake_worker_maybe_copy_heartbeat(struct fake_machine *machine, int controller,
                                       const struct pm_buffer *body, double now);
+/* Schedules a copy of the executed push for later delivery, if settings.copies_pushes is set. */
+void fake_worker_copy_push(struct fake_machine *machine, int controller,
+                           const struct pm_http_request *request);
 /* Delays a pushed command if it is randomly selected or the machine is suspended. Returns false if
  * the caller must execute the command now. */
 bool fake_worker_maybe_delay_command(struct fake_machine *machine, int controller,
--- a/src/testing/fake_worker.c
+++ b/src/testing/fake_worker.c
@@ -189,6 +189,8 @@
         return HTTP_OK;
     body = pm_cbor_parse(request->body, request->body_size);
     status = fake_worker_execute_pushed_commands(machine, controller, body);
+    if (status == HTTP_OK)
+        fake_worker_copy_push(machine, controller, request);
     pm_cbor_free(body);
     return status;
 }
--- a/src/testing/fake_worker_delays.c
+++ b/src/testing/fake_worker_delays.c
@@ -1,11 +1,12 @@
-/* Delayed messages: copies of heartbeats that arrive late, and pushed commands that are executed
- * late. */
+/* Delayed messages: copies of heartbeats and of executed pushes that arrive late, and pushed
+ * commands that are executed late. */
 #include "testing/fake_provider_internal.h"
 #include "base/clock.h"
 
 #define MIN_DELAY_S 1
 #define MAX_HEARTBEAT_DELAY_LEASES 2
 #define MAX_COMMAND_DELAY_S 8
+#define COPY_DELAY_S 1.2 /* long enough for a short task to end and be forgotten */
 
 /* A message that is delivered once `due_at` has passed. A command also waits until its machine is
  * not suspended. */
@@ -73,6 +74,16 @@
     return true;
 }
 
+void fake_worker_copy_push(struct fake_machine *machine, int controller,
+                           const struct pm_http_request *request)
+{
+    struct fake_provider *provider = machine->provider;
+
+    if (provider->settings.copies_pushes)
+        delay_message(provider->copied_pushes, machine, controller, request->body,
+                      request->body_size, pm_clock_monotonic() + COPY_DELAY_S);
+}
+
 /* ---- delivery ---- */
 
 /* Ignores the answer: no worker waits for it. */
@@ -136,4 +147,5 @@
     deliver(provider, provider->delayed_heartbeats, is_heartbeat_deliverable, deliver_heartbeat,
             now);
     deliver(provider, provider->delayed_commands, is_command_deliverable, deliver_command, now);
+    deliver(provider, provider->copied_pushes, is_command_deliverable, deliver_command, now);
 }
--- a/src/testing/history.c
+++ b/src/testing/history.c
@@ -5,7 +5,13 @@
 
 #define QUOTA_TOLERANCE 1e-6
 
-enum { STATUS_SIZE = 16 };
+enum { STATUS_SIZE = 16, CONTROLLER_NAME_SIZE = 64 };
+
+/* An epoch, and the controller that wrote it. */
+struct written_epoch {
+    struct pm_fencing_range tokens;
+    char controller[CONTROLLER_NAME_SIZE];
+};
 
 /* A job as controllers have reported it to users. */
 struct reported_job {
@@ -32,7 +38,7 @@
 struct history {
     /* How long after a job was first reported as cancelled its tasks may still start or run. */
     double cancel_limit_s;
-    GHashTable *epoch_writers;    /* maps an epoch (decimal text) to the controller that wrote it */
+    GArray *epochs;               /* of struct written_epoch */
     GHashTable *shard_owners;     /* set of the controllers that were ever assigned a shard */
     GHashTable *attempts;         /* set of "TASK ATTEMPT", one for each started attempt */
     GHashTable *machines_by_task; /* maps a task that has not ended to the machine it is on */
@@ -61,7 +67,7 @@
     struct history *history = g_new0(struct history, 1);
 
     history->cancel_limit_s = cancel_limit_s;
-    history->epoch_writers = new_table();
+    history->epochs = g_array_new(FALSE, FALSE, sizeof(struct written_epoch));
     history->shard_owners = new_table();
     history->attempts = new_set();
     history->machines_by_task = new_table();
@@ -77,33 +83,43 @@
 
 void history_free(struct history *history)
 {
-    GHashTable *tables[] = {history->epoch_writers,  history->shard_owners,
-                            history->attempts,       history->machines_by_task,
-                            history->completed,      history->completed_counts,
-                            history->reported_jobs,  history->teams,
-                            history->submitted_jobs, history->zones};
+    GHashTable *tables[] = {
+        history->shard_owners, history->attempts,         history->machines_by_task,
+        history->completed,    history->completed_counts, history->reported_jobs,
+        history->teams,        history->submitted_jobs,   history->zones};
 
     for (size_t i = 0; i < G_N_ELEMENTS(tables); i++)
         g_hash_table_destroy(tables[i]);
+    g_array_free(history->epochs, TRUE);
     g_string_free(history->violations, TRUE);
     g_free(history);
 }
 
-static char *epoch_key(uint64_t epoch)
+/* Returns the epoch that owns the token, or NULL if none does. */
+static const struct written_epoch *find_epoch(const struct history *history, uint64_t token)
 {
-    return g_strdup_printf("%llu", (unsigned long long)epoch);
+    for (guint i = history->epochs->len; i > 0; i--) {
+        const struct written_epoch *epoch =
+            &g_array_index(history->epochs, struct written_epoch, i - 1);
+        if (pm_fencing_range_has(epoch->tokens, token))
+            return epoch;
+    }
+    return NULL;
 }
 
-void history_epoch_advanced(struct history *history, uint64_t epoch, const char *controller)
+void history_epoch_advanced(struct history *history, struct pm_fencing_range tokens,
+                            const char *controller)
 {
-    char *key = epoch_key(epoch);
-    const char *before = g_hash_table_lookup(history->epoch_writers, key);
-
-    if (before && strcmp(before, controller) != 0)
-        g_string_append_printf(history->violations, "epoch %s was written by both %s and %s\n", key,
-                               before, controller);
-    /* The table takes ownership of `key`. */
-    g_hash_table_replace(history->epoch_writers, key, g_strdup(controller));
+    const struct written_epoch *before = find_epoch(history, tokens.first);
+    struct written_epoch epoch = {.tokens = tokens};
+
+    if (!before)
+        before = find_epoch(history, tokens.last);
+    if (before && strcmp(before->controller, controller) != 0)
+        g_string_append_printf(history->violations, "epoch %llu was written by both %s and %s\n",
+                               (unsigned long long)tokens.last, before->controller, controller);
+    g_strlcpy(epoch.controller, controller, sizeof epoch.controller);
+    g_array_append_val(history->epochs, epoch);
 }
 
 void history_shard_assigned(struct history *history, const char *controller)
@@ -114,16 +130,14 @@
 void history_launch_received(struct history *history, uint64_t fencing_token,
                              const char *controller)
 {
-    char *key = epoch_key(fencing_token);
-    const char *leader = g_hash_table_lookup(history->epoch_writers, key);
+    const struct written_epoch *epoch = find_epoch(history, fencing_token);
 
-    if ((!leader || strcmp(leader, controller) != 0) &&
+    if ((!epoch || strcmp(epoch->controller, controller) != 0) &&
         !g_hash_table_contains(history->shard_owners, controller))
         g_string_append_printf(
             history->violations,
-            "controller %s sent a launch with fencing token %s; that epoch was written by %s\n",
-            controller, key, leader ? leader : "nobody");
-    g_free(key);
+            "controller %s sent a launch with fencing token %llu; that epoch was written by %s\n",
+            controller, (unsigned long long)fencing_token, epoch ? epoch->controller : "nobody");
 }
 
 void history_add_team(struct history *history, const char *name, double cpus_max,
--- a/src/testing/history.h
+++ b/src/testing/history.h
@@ -18,6 +18,8 @@
 #ifndef PM_TESTING_HISTORY_H
 #define PM_TESTING_HISTORY_H
 
+#include "base/fencing.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -50,12 +52,13 @@
 
 /* ---- events of controllers ---- */
 
-/* Records that a controller wrote this epoch. */
-void history_epoch_advanced(struct history *history, uint64_t epoch, const char *controller);
+/* Records that a controller wrote the epoch that owns these fencing tokens. */
+void history_epoch_advanced(struct history *history, struct pm_fencing_range tokens,
+                            const char *controller);
 /* Records that a controller was assigned a shard. */
 void history_shard_assigned(struct history *history, const char *controller);
-/* Records that a worker received a launch command from a controller. The fencing token is the
- * epoch in which the command was sent. */
+/* Records that a worker received a launch command from a controller. The fencing token
+ * belongs to the epoch in which the command was sent. */
 void history_launch_received(struct history *history, uint64_t fencing_token,
                              const char *controller);
 
--- a/src/testing/tests/test_history.c
+++ b/src/testing/tests/test_history.c
@@ -17,12 +17,12 @@
 {
     (void)arg;
     history = history_new(CANCEL_LIMIT_S);
-    history_epoch_advanced(history, 1, "node-0");
+    history_epoch_advanced(history, (struct pm_fencing_range){1, 1}, "node-0");
     history_status_reported(history, "job-1", 1, "queued", 1);
     history_launch_received(history, 1, "node-0");
     history_task_started(history, "i-1", "job-1/0", 1, 2);
     history_task_ended(history, "i-1", "job-1/0", false);
-    history_epoch_advanced(history, 2, "node-1");
+    history_epoch_advanced(history, (struct pm_fencing_range){2, 2}, "node-1");
     history_launch_received(history, 2, "node-1");
     history_task_started(history, "i-2", "job-1/0", 2, 5);
     return 0;
@@ -130,7 +130,7 @@
 static void epoch_written_by_two_controllers_is_found(void **arg)
 {
     (void)arg;
-    history_epoch_advanced(history, 2, "node-2");
+    history_epoch_advanced(history, (struct pm_fencing_range){2, 2}, "node-2");
     assert_violation("epoch 2 was written by both node-1 and node-2");
 }
 
--- a/src/workers/commands.c
+++ b/src/workers/commands.c
@@ -96,13 +96,13 @@
  * obeys an earlier token, or the token of the launch, of which a copy may arrive. Also returns
  * false until the exit is durable, since the exit would otherwise be lost with this controller. */
 static bool may_forget(const struct pm_machine *machine, const struct pm_exited_task *exited,
-                       uint64_t epoch)
+                       struct pm_fencing_range tokens, uint64_t token)
 {
     const struct pm_task_ref *task = &exited->task;
     const struct pm_chunk *chunk;
 
-    if (machine->push.in_flight_number || machine->push.unknown_outcome_epoch ||
-        machine->heartbeat.fencing_token < epoch || epoch <= exited->launch_token)
+    if (machine->push.in_flight_number || machine->push.unknown_outcome_token ||
+        machine->heartbeat.fencing_token < tokens.first || token <= exited->launch_token)
         return false;
     if (!task->job->chunks)
         return true; /* the final state of the job is durable */
@@ -120,23 +120,25 @@
              (unsigned long long)token);
 }
 
-static void log_forget(const struct pm_machine *machine, const struct pm_task_ref *task)
+static void log_forget(const struct pm_machine *machine, const struct pm_exited_task *exited,
+                       uint64_t token)
 {
-    pm_debug("worker.forget", "%s/%u attempt %u on %s, which has seen fencing token %llu",
-             task->job->id, task->task_index, task->attempt, machine->name,
-             (unsigned long long)machine->heartbeat.fencing_token);
+    pm_debug("worker.forget",
+             "%s/%u attempt %u on %s, launched with fencing token %llu at most, under token %llu",
+             exited->task.job->id, exited->task.task_index, exited->task.attempt, machine->name,
+             (unsigned long long)exited->launch_token, (unsigned long long)token);
 }
 
 static void add_pushed_commands(struct command_list *list, struct pm_machine *machine,
-                                uint64_t epoch)
+                                uint64_t token)
 {
     for (guint i = 0; i < machine->placements->len && !is_full(list); i++) {
         struct pm_placement *placement = g_ptr_array_index(machine->placements, i);
         if (is_launch_push_due(placement, machine)) {
             add_launch(list, placement);
-            log_launch(machine, placement, epoch);
+            log_launch(machine, placement, token);
             placement->launch_push_number = machine->push.in_flight_number;
-            placement->launch_token = epoch;
+            placement->launch_token = machine->push.launch_token = token;
             machine->push.has_launches = true;
         } else if (is_kill_push_due(placement, machine)) {
             add_kill(list, placement);
@@ -168,33 +170,35 @@
     }
 }
 
-static void add_forgets(struct command_list *list, const struct pm_machine *machine, uint64_t epoch)
+static void add_forgets(struct command_list *list, const struct pm_machine *machine,
+                        struct pm_fencing_range tokens, uint64_t token)
 {
     const GArray *listed = machine->heartbeat.exited.listed;
 
     for (guint i = 0; i < listed->len && !is_full(list); i++) {
         const struct pm_exited_task *exited = &g_array_index(listed, struct pm_exited_task, i);
         const struct pm_task_ref *task = &exited->task;
-        if (!may_forget(machine, exited, epoch))
+        if (!may_forget(machine, exited, tokens, token))
             continue;
         add_command(list, "forget", task->job->id, task->task_index, task->attempt,
                     NO_GRACE_PERIOD);
-        log_forget(machine, task);
+        log_forget(machine, exited, token);
     }
 }
 
-int pm_workers_encode_commands(struct pm_machine *machine, bool push, uint64_t epoch,
+int pm_workers_encode_commands(struct pm_machine *machine, enum pm_command_message message,
+                               struct pm_fencing_range tokens, uint64_t token,
                                struct pm_buffer *out)
 {
     struct command_list list = {.out = out};
 
     pm_cbor_put_list(out);
-    if (push) {
-        add_pushed_commands(&list, machine, epoch);
+    if (message == PM_COMMAND_PUSH) {
+        add_pushed_commands(&list, machine, token);
     } else {
         add_reply_commands(&list, machine);
         add_orphan_kills(&list, machine);
-        add_forgets(&list, machine, epoch);
+        add_forgets(&list, machine, tokens, token);
     }
     pm_cbor_put_end(out);
     return list.count;
--- a/src/workers/heartbeat.c
+++ b/src/workers/heartbeat.c
@@ -70,11 +70,19 @@
     return placement->machine->heartbeat.fencing_token;
 }
 
+static void add_exited_task(struct pm_machine *machine, const struct pm_task_ref *ref,
+                            uint64_t launch_token)
+{
+    uint64_t token = pm_exited_tasks_add(&machine->heartbeat.exited, ref, launch_token);
+
+    machine->push.launch_token = MAX(machine->push.launch_token, token);
+}
+
 static void apply_orphan(struct pm_machine *machine, const struct pm_reported_task *task,
                          const struct pm_task_ref *ref)
 {
     if (task->state == PM_WORKER_TASK_ENDED) {
-        pm_exited_tasks_add(&machine->heartbeat.exited, ref, machine->heartbeat.fencing_token);
+        add_exited_task(machine, ref, machine->heartbeat.fencing_token);
         return;
     }
     g_array_append_val(machine->heartbeat.orphan_tasks, *ref);
@@ -89,7 +97,7 @@
     bool checkpointed;
     enum pm_task_exit end = pm_reported_task_exit(task, &checkpointed);
 
-    pm_exited_tasks_add(&placement->machine->heartbeat.exited, ref, launch_token_of(placement));
+    add_exited_task(placement->machine, ref, launch_token_of(placement));
     pm_workers_end_placement(workers, placement, end, checkpointed, now);
 }
 
@@ -181,28 +189,28 @@
          machine->heartbeat.sequence <= placement->launch_reply_sequence))
         return true;
     return (placement->launch_push_number && machine->push.in_flight_number) ||
-           (placement->launch_outcome_unknown && machine->push.unknown_outcome_epoch);
+           (placement->launch_outcome_unknown && machine->push.unknown_outcome_token);
 }
 
 /* Whether the task's absence from the latest message proves that the task does not run there. The
  * worker must have seen the current epoch, and no message with the launch must be on its way. */
 static bool is_absence_proven(const struct pm_placement *placement,
                               const struct pm_machine *machine, enum pm_report_source source,
-                              uint64_t epoch)
+                              struct pm_fencing_range tokens)
 {
     return !placement->seen_in_message && placement->state != PM_PLACEMENT_PROPOSED &&
-           machine->heartbeat.fencing_token >= epoch &&
+           machine->heartbeat.fencing_token >= tokens.first &&
            !may_launch_arrive(placement, machine, source);
 }
 
 /* Ends the placements whose tasks are absent from the machine and can no longer be started there. A
  * launch that never arrived is made due again instead. */
 static void apply_absence(struct pm_workers *workers, struct pm_machine *machine,
-                          enum pm_report_source source, uint64_t epoch, double now)
+                          enum pm_report_source source, struct pm_fencing_range tokens, double now)
 {
     for (guint i = 0; i < machine->placements->len;) {
         struct pm_placement *placement = g_ptr_array_index(machine->placements, i);
-        if (!is_absence_proven(placement, machine, source, epoch)) {
+        if (!is_absence_proven(placement, machine, source, tokens)) {
             i++;
             continue;
         }
@@ -241,11 +249,12 @@
     const struct pm_machine_heartbeat *heartbeat = &machine->heartbeat;
     const struct pm_machine_delivery *delivery = &machine->delivery;
 
-    if (is_new_incarnation && delivery->acked_epoch && now - machine->lease.last_acked_at < lease_s)
+    if (is_new_incarnation && delivery->acked_first_token &&
+        now - machine->lease.last_acked_at < lease_s)
         pm_machine_note_delivery_failure(
             machine, "its lease expired though its heartbeats were answered", now);
-    else if (delivery->acked_epoch && heartbeat->sequence > delivery->acked_sequence &&
-             heartbeat->fencing_token < delivery->acked_epoch)
+    else if (delivery->acked_first_token && heartbeat->sequence > delivery->acked_sequence &&
+             heartbeat->fencing_token < delivery->acked_first_token)
         pm_machine_note_delivery_failure(
             machine, "it reports an older fencing token than an earlier answer carried", now);
     else if (is_launch_missing(machine))
@@ -306,9 +315,9 @@
 {
     struct pm_machine_push *push = &machine->push;
 
-    if (machine->heartbeat.fencing_token > push->unknown_outcome_epoch ||
+    if (machine->heartbeat.fencing_token > push->unknown_outcome_token ||
         machine->heartbeat.incarnation > push->unknown_outcome_incarnation)
-        push->unknown_outcome_epoch = 0;
+        push->unknown_outcome_token = 0;
 }
 
 static void apply_task_list(struct pm_workers *workers, struct pm_machine *machine,
@@ -351,7 +360,8 @@
 }
 
 struct pm_machine *pm_workers_apply_report(struct pm_workers *workers, const cbor_item_t *item,
-                                           enum pm_report_source source, uint64_t epoch, double now,
+                                           enum pm_report_source source,
+                                           struct pm_fencing_range tokens, double now,
                                            bool *is_newest)
 {
     struct pm_report_header report;
@@ -369,6 +379,6 @@
     }
     *is_newest = true;
     apply_report(workers, machine, &report, source, now);
-    apply_absence(workers, machine, source, epoch, now);
+    apply_absence(workers, machine, source, tokens, now);
     return machine;
 }
--- a/src/workers/machine_health.c
+++ b/src/workers/machine_health.c
@@ -62,20 +62,21 @@
     delivery->failed_at = now;
 }
 
-void pm_machine_note_heartbeat_ack(struct pm_machine *machine, uint64_t epoch, double now)
+void pm_machine_note_heartbeat_ack(struct pm_machine *machine, struct pm_fencing_range tokens,
+                                   double now)
 {
     machine->lease.last_acked_at = now;
-    machine->delivery.acked_epoch = epoch;
+    machine->delivery.acked_first_token = tokens.first;
     machine->delivery.acked_sequence = machine->heartbeat.sequence;
 }
 
-bool pm_machine_is_drained(const struct pm_machine *machine, uint64_t epoch)
+bool pm_machine_is_drained(const struct pm_machine *machine, struct pm_fencing_range tokens)
 {
     const struct pm_machine_heartbeat *heartbeat = &machine->heartbeat;
     bool is_empty = !machine->placements->len && !heartbeat->exited.listed->len &&
                     !heartbeat->orphan_tasks->len;
-    bool may_get_commands = machine->push.in_flight_number || machine->push.unknown_outcome_epoch ||
-                            heartbeat->fencing_token < epoch;
+    bool may_get_commands = machine->push.in_flight_number || machine->push.unknown_outcome_token ||
+                            heartbeat->fencing_token < tokens.first;
 
     return is_empty && !may_get_commands && heartbeat->has_reported;
 }
--- a/src/workers/placements.c
+++ b/src/workers/placements.c
@@ -107,5 +107,5 @@
     pm_exited_tasks_clear(&machine->heartbeat.exited);
     g_array_set_size(machine->heartbeat.orphan_tasks, 0);
     machine->heartbeat.min_incarnation = machine->heartbeat.incarnation + 1;
-    machine->push.unknown_outcome_epoch = 0;
+    machine->push.unknown_outcome_token = 0;
 }
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -12,6 +12,7 @@
 #ifndef PM_WORKERS_WORKERS_H
 #define PM_WORKERS_WORKERS_H
 
+#include "base/fencing.h"
 #include "base/http.h"
 #include "jobs/jobs.h"
 #include "workers/exited_tasks.h"
@@ -77,8 +78,9 @@
 struct pm_machine_delivery {
     uint32_t failures;               /* failures since the worker last answered a push */
     double failing_since, failed_at; /* monotonic: the first and the last of these failures */
-    uint64_t acked_epoch;            /* epoch under which a heartbeat was last answered with 200 */
-    uint64_t acked_sequence;         /* sequence number of that heartbeat */
+    /* First token of the epoch under which a heartbeat was last answered with 200. */
+    uint64_t acked_first_token;
+    uint64_t acked_sequence; /* sequence number of that heartbeat */
 };
 
 /* Bounds on when the worker's lease was last renewed. This controller's own messages are recorded
@@ -104,9 +106,12 @@
     bool has_launches;         /* the push in flight carries launches */
     double retry_at;           /* monotonic: no push is sent before this */
     double failed_at;          /* monotonic: when a push last failed */
-    /* Epoch and incarnation of a push that carried launches and got no answer. The epoch is 0 if
-     * there is none. */
-    uint64_t unknown_outcome_epoch;
+    uint64_t issued_token;     /* highest fencing token in any message to the worker */
+    /* No copy of a launch that has been pushed has a higher fencing token. */
+    uint64_t launch_token;
+    /* Fencing token and incarnation of a push that carried launches and got no answer. The token is
+     * 0 if there is none. */
+    uint64_t unknown_outcome_token;
     uint64_t unknown_outcome_incarnation;
 };
 
@@ -230,9 +235,10 @@
 bool pm_machine_is_unreachable(const struct pm_machine *machine, double now);
 /* Records a sign that an answer or a command did not reach the worker. `why` is logged. */
 void pm_machine_note_delivery_failure(struct pm_machine *machine, const char *why, double now);
-/* Records that the latest heartbeat was answered with 200 under that epoch, which renews the
- * worker's lease. */
-void pm_machine_note_heartbeat_ack(struct pm_machine *machine, uint64_t epoch, double now);
+/* Records that the latest heartbeat was answered with 200 under the epoch with these tokens, which
+ * renews the worker's lease. */
+void pm_machine_note_heartbeat_ack(struct pm_machine *machine, struct pm_fencing_range tokens,
+                                   double now);
 /* Whether the worker answers pushes but its heartbeats do not arrive here, so that its lease is not
  * renewed. */
 bool pm_machine_only_answers_pushes(const struct pm_machine *machine,
@@ -240,9 +246,10 @@
 /* Whether no message of the worker has arrived for longer than the longest heartbeat interval. */
 bool pm_machine_missed_heartbeat(const struct pm_machine *machine,
                                  const struct pm_settings *settings, double now);
-/* Whether the machine is empty and stays so: it has no placements, its worker has seen `epoch` and
- * reports no tasks, and no command to it is in flight or has an unknown outcome. */
-bool pm_machine_is_drained(const struct pm_machine *machine, uint64_t epoch);
+/* Whether the machine is empty and stays so: it has no placements, its worker has seen the epoch
+ * with these tokens and reports no tasks, and no command to it is in flight or has an unknown
+ * outcome. */
+bool pm_machine_is_drained(const struct pm_machine *machine, struct pm_fencing_range tokens);
 /* Whether the worker's lease has certainly expired, so that the worker has killed its tasks.
  * `exclusive_since` is the monotonic time after which no other controller can have renewed the
  * lease, INFINITY if that is not known. */
@@ -273,18 +280,29 @@
 /* Applies a worker's report. Returns the worker's machine, which is added if it is not in the
  * table, or NULL if the report is malformed; a malformed report may have added the machine too.
  * `*is_newest` is set to whether the report is newer than all earlier ones; if not, its tasks and
- * its header are not applied. `epoch` is the current one. */
+ * its header are not applied. `tokens` are those of the current epoch. */
 struct pm_machine *pm_workers_apply_report(struct pm_workers *workers, const cbor_item_t *item,
-                                           enum pm_report_source source, uint64_t epoch, double now,
+                                           enum pm_report_source source,
+                                           struct pm_fencing_range tokens, double now,
                                            bool *is_newest);
 
 /* ---- commands.c, push.c ---- */
 
-/* Encodes the commands that are due for the machine as a CBOR list, and returns their number. With
- * `push`, these are the launches and kills that were not sent yet, and their placements are marked
- * as sent by the push in flight. Otherwise these are all commands that the answer to a heartbeat
- * has to carry. */
-int pm_workers_encode_commands(struct pm_machine *machine, bool push, uint64_t epoch,
+/* A message that carries commands to a worker: a push, or the answer to a heartbeat. */
+enum pm_command_message { PM_COMMAND_PUSH, PM_COMMAND_REPLY };
+
+/* Returns the fencing token for such a message in the epoch with these tokens. An answer to a
+ * heartbeat gets a token above those of all launches that were pushed before and have an outcome,
+ * if the range has one, so that the worker refuses late copies of them. A push gets the highest
+ * token so far: if it had a higher one and overtook an answer, the worker would drop the answer. */
+uint64_t pm_machine_issue_token(struct pm_machine *machine, enum pm_command_message message,
+                                struct pm_fencing_range tokens);
+/* Encodes the commands that are due for the machine as a CBOR list, and returns their number. In a
+ * push, these are the launches and kills that were not sent yet, and their placements are marked as
+ * sent by the push in flight. In an answer to a heartbeat, these are all that are due. `token` was
+ * issued for the message. */
+int pm_workers_encode_commands(struct pm_machine *machine, enum pm_command_message message,
+                               struct pm_fencing_range tokens, uint64_t token,
                                struct pm_buffer *out);
 /* Encodes a kill of the reported attempt for each task in the report whose job is known to be
  * cancelled, and no other command. Even a controller that does not own the machine may send this
@@ -296,9 +314,9 @@
 /* Begins a push and returns its number, which is never 0 and never reused, not even after a reset.
  * Called before pm_workers_encode_commands. */
 uint64_t pm_worker_push_begin(struct pm_workers *workers, struct pm_machine *machine);
-/* Records the result of the push of that number, which was sent under `epoch`. `status` is the HTTP
+/* Records the result of the push of that number, which carried `token`. `status` is the HTTP
  * status, PM_HTTP_NO_RESPONSE (its launches have an unknown outcome) or PM_HTTP_NOT_SENT. Returns
  * false and does nothing if the push is not the one in flight, but from before a reset. */
-bool pm_worker_push_done(struct pm_machine *machine, uint64_t number, uint64_t epoch, int status);
+bool pm_worker_push_done(struct pm_machine *machine, uint64_t number, uint64_t token, int status);
 
 #endif
