Report the signal that ends a controller, and detect in tests that one has ended

Cause: in the incident controllers ended by themselves, and no log told by which signal, where, or in which role. The test cluster waited only for processes that it had killed itself, so an end passed unseen while the others served. The soak names the end of the planted daemon (SIGSEGV).

--- a/src/base/writer.c
+++ b/src/base/writer.c
@@ -1,4 +1,5 @@
 #include "base/writer.h"
+#include "base/crash_report.h"
 
 #include <glib.h>
 
@@ -23,6 +24,7 @@
     struct pm_writer *writer = data;
     gpointer item;
 
+    pm_crash_report_protect_thread();
     while ((item = next_item(writer)) != writer) {
         if (!item) {
             writer->hooks.idle(writer->hooks.arg);
--- a/src/cmd/pumicemount/leadership_events.c
+++ b/src/cmd/pumicemount/leadership_events.c
@@ -2,6 +2,7 @@
  * loses a shard: the hooks of the election, the cancellation quorum and the shards. Runs in the
  * event-loop thread. */
 #include "base/clock.h"
+#include "base/crash_report.h"
 #include "base/log.h"
 #include "internal.h"
 #include "workers/failures.h"
@@ -98,6 +99,7 @@
     double now = pm_clock_monotonic();
     int placements;
 
+    pm_crash_report_set_term(true, epoch);
     reset_working_state(controller);
     pm_jobs_set_delegated(controller->jobs, false);
     pm_autoscaler_reset(controller->autoscaler, epoch);
@@ -127,6 +129,7 @@
 {
     struct pm_controller *controller = arg;
 
+    pm_crash_report_set_term(false, 0);
     controller->is_active = false;
     controller->is_leader = false;
     pm_controller_set_follower_write_share(controller);
@@ -138,7 +141,7 @@
 
 static void on_epoch_advanced(void *arg, uint64_t epoch)
 {
-    (void)epoch;
+    pm_crash_report_set_term(true, epoch);
     pm_controller_tick_roles(arg, pm_clock_monotonic());
     pm_controller_plan_soon(arg);
 }
--- a/src/cmd/pumicemount/planner.c
+++ b/src/cmd/pumicemount/planner.c
@@ -2,6 +2,7 @@
  * autoscaler. The longer plans, write-backs and autoscaler runs take, the less often they are run,
  * so that workers and users are still answered in time with a large fleet or on a slow machine. */
 #include "base/clock.h"
+#include "base/crash_report.h"
 #include "internal.h"
 
 /* The interval from the start of a plan to the start of the next is the mean duration of a plan
@@ -41,11 +42,31 @@
 
 /* ---- the planner's thread ---- */
 
+/* One build for tests overflows this thread's stack once the cluster's first leader has led for a
+ * while. src/soak must detect that its process ends. */
+#ifdef PM_PLANTED_STACK_OVERFLOW
+#define PLANTED_OVERFLOW_AFTER_S 2.0
+enum { FIRST_EPOCH = 1 };
+
+static int overflow_stack(int depth)
+{
+    volatile char frame[4096];
+
+    frame[0] = (char)depth;
+    return depth < G_MAXINT ? overflow_stack(depth + 1) + frame[0] : 0;
+}
+#endif
+
 static void plan(struct pm_controller *controller)
 {
     struct pm_scheduler *scheduler = controller->scheduler;
     double now = pm_clock_monotonic();
 
+#ifdef PM_PLANTED_STACK_OVERFLOW
+    if (controller->is_leader && pm_election_epoch(controller->election) == FIRST_EPOCH &&
+        now - controller->elected_at > PLANTED_OVERFLOW_AFTER_S)
+        overflow_stack(0);
+#endif
     pm_scheduler_set_sees_all_teams(scheduler, controller->is_leader);
     pm_scheduler_set_writable(scheduler, pm_controller_is_store_writable(controller, now));
     pm_scheduler_begin_plan(scheduler, now, pm_clock_wall());
@@ -71,6 +92,7 @@
     struct pm_controller *controller = data;
     struct pm_controller_planning *planning = &controller->planning;
 
+    pm_crash_report_protect_thread();
     for (;;) {
         wait_until_due(planning);
         g_mutex_lock(&controller->lock);
--- a/src/soak/tests/test_soak.c
+++ b/src/soak/tests/test_soak.c
@@ -1,5 +1,6 @@
 /* Checks that a short soak finds no violation, that a soak detects a daemon which undercounts a
- * team's usage by one task, and that the soak program rejects bad input. */
+ * team's usage by one task, and one which ends by itself, and that the soak program rejects bad
+ * input. */
 #include "soak/soak.h"
 
 #include <glib/gstdio.h>
@@ -62,6 +63,19 @@
     g_free(violations);
 }
 
+static void end_of_a_controller_by_itself_is_found(void **arg)
+{
+    struct soak_settings settings = default_settings;
+    char *violations;
+
+    (void)arg;
+    settings.daemon = PM_ENDING_DAEMON;
+    settings.seconds = 8;
+    violations = run_soak(settings, "cancellations");
+    assert_non_null(strstr(violations, " ended by itself: signal SIGSEGV"));
+    g_free(violations);
+}
+
 /* Runs the program and returns its exit code. Sets `is_one_line_error` to whether standard error is
  * one line that begins with "soak: ". */
 static int run_program(const char *const *argv, bool *is_one_line_error)
@@ -127,6 +141,7 @@
         cmocka_unit_test(schedule_is_reproducible_and_selectable),
         cmocka_unit_test(bad_input_is_refused_in_one_line),
         cmocka_unit_test(quota_off_by_one_is_found),
+        cmocka_unit_test(end_of_a_controller_by_itself_is_found),
         cmocka_unit_test(short_soak_is_clean),
     };
 
--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -179,16 +179,14 @@
     start_nodes(cluster);
     start_provider(cluster);
     cluster_write_files(cluster);
-    for (int i = 0; i < settings->controller_count; i++)
-        cluster_start_controller(cluster, i);
+    cluster_processes_start(cluster);
     cluster_users_start(cluster);
     return cluster;
 }
 
 void cluster_free(struct cluster *cluster)
 {
-    for (int i = 0; i < cluster->settings.controller_count; i++)
-        cluster_kill_controller(cluster, i);
+    cluster_processes_stop(cluster);
     cluster_remove_files(cluster);
     cluster_users_stop(cluster);
     fake_provider_free(cluster->provider);
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -100,11 +100,18 @@
 /* Whether every submitted job has ended as far as users know, and there is a leader. */
 bool cluster_is_idle(struct cluster *cluster);
 
-/* ---- processes ---- */
+/* ---- processes ----
+ *
+ * A process that ends by itself is recorded as a violation in the history, and started again after
+ * a second. */
 
 /* Kills a controller's process with SIGKILL; does nothing if it is not running. */
 void cluster_kill_controller(struct cluster *cluster, int controller);
-/* Starts a controller's process, which must not be running. */
+/* Sends a signal to a controller's process; does nothing if it is not running. */
+void cluster_signal_controller(struct cluster *cluster, int controller, int signal_number);
+/* Returns the id of a controller's process, or 0 if it is not running. */
+pid_t cluster_controller_pid(const struct cluster *cluster, int controller);
+/* Starts a controller's process; does nothing if it is running. */
 void cluster_start_controller(struct cluster *cluster, int controller);
 /* Kills controller 0, which runs `old_daemon`, and restarts it with `daemon`. */
 void cluster_upgrade_controller(struct cluster *cluster);
--- a/src/testing/cluster_internal.h
+++ b/src/testing/cluster_internal.h
@@ -49,6 +49,9 @@
     struct relay_controllers controllers; /* the processes (cluster_processes.c) */
     struct cluster_node nodes[CLUSTER_CONTROLLERS_MAX];
     /* Each node's worker_addr and name, in the form that fake_provider_settings needs. */
+    ev_timer process_timer; /* checks for processes that have ended by themselves */
+    /* Monotonic: when a process that has ended by itself is started again; 0: not at all. */
+    double restart_at[CLUSTER_CONTROLLERS_MAX];
     const char *worker_addrs[CLUSTER_CONTROLLERS_MAX], *node_names[CLUSTER_CONTROLLERS_MAX];
     char directory[64], operator_path[CLUSTER_PATH_SIZE];
     char leader_name[64]; /* the controller that wrote the current epoch */
@@ -69,6 +72,13 @@
 /* Removes the settings files and their directory. */
 void cluster_remove_files(struct cluster *cluster);
 
+/* ---- cluster_processes.c ---- */
+
+/* Starts the processes of all controllers, and watches for those that end by themselves. */
+void cluster_processes_start(struct cluster *cluster);
+/* Kills the processes of all controllers, and stops watching them. */
+void cluster_processes_stop(struct cluster *cluster);
+
 /* ---- cluster_users.c ---- */
 
 /* The team of clusters whose settings have no teams, and of cluster_submit_array; it is never
--- a/src/testing/cluster_processes.c
+++ b/src/testing/cluster_processes.c
@@ -1,13 +1,19 @@
-/* Starts and stops the processes of controllers and of command-line tools. */
+/* Starts and stops the processes of controllers and of command-line tools, and detects controllers
+ * that end by themselves. */
 #include "testing/cluster_internal.h"
+#include "base/clock.h"
 
 #include <fcntl.h>
 #include <signal.h>
+#include <stdio.h>
+#include <string.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #define TOOL_POLL_S 0.05
+#define PROCESS_POLL_S 0.05
+#define RESTART_DELAY_S 1.0 /* from the end of a process by itself to its restart */
 
 enum { OUTPUT_MAX = 256 * 1024, EXIT_NOT_STARTED = 127, LOG_MODE = 0644 };
 
@@ -34,6 +40,9 @@
         (char *)program, "--config", cluster->nodes[controller].settings_path, NULL, NULL, NULL};
     pid_t pid;
 
+    if (cluster->controllers.pid[controller])
+        return;
+    cluster->restart_at[controller] = 0;
     /* The old program may not support --operator. */
     if (settings->operator_yaml && program == settings->daemon) {
         argv[3] = "--operator";
@@ -53,6 +62,7 @@
 {
     pid_t pid = cluster->controllers.pid[controller];
 
+    cluster->restart_at[controller] = 0;
     if (!pid)
         return;
     kill(pid, SIGKILL);
@@ -75,6 +85,72 @@
         kill(pid, paused ? SIGSTOP : SIGCONT);
 }
 
+void cluster_signal_controller(struct cluster *cluster, int controller, int signal_number)
+{
+    pid_t pid = cluster->controllers.pid[controller];
+
+    if (pid) /* kill(0) would signal this process's own group */
+        kill(pid, signal_number);
+}
+
+pid_t cluster_controller_pid(const struct cluster *cluster, int controller)
+{
+    return cluster->controllers.pid[controller];
+}
+
+/* ---- ends of processes ---- */
+
+static void record_end(struct cluster *cluster, int controller, int status)
+{
+    char cause[64];
+
+    if (WIFSIGNALED(status))
+        snprintf(cause, sizeof cause, "signal SIG%s", sigabbrev_np(WTERMSIG(status)));
+    else
+        snprintf(cause, sizeof cause, "exit status %d", WEXITSTATUS(status));
+    history_controller_ended(cluster->history, cluster->nodes[controller].name, cause);
+    cluster->controllers.pid[controller] = 0;
+    cluster->restart_at[controller] = pm_clock_monotonic() + RESTART_DELAY_S;
+}
+
+static void check_process(struct cluster *cluster, int controller)
+{
+    pid_t pid = cluster->controllers.pid[controller];
+    double restart_at = cluster->restart_at[controller];
+    int status;
+
+    if (pid && waitpid(pid, &status, WNOHANG) == pid)
+        record_end(cluster, controller, status);
+    else if (!pid && restart_at > 0 && pm_clock_monotonic() >= restart_at)
+        cluster_start_controller(cluster, controller);
+}
+
+static void on_process_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    struct cluster *cluster = timer->data;
+
+    (void)loop;
+    (void)events;
+    for (int i = 0; i < cluster->settings.controller_count; i++)
+        check_process(cluster, i);
+}
+
+void cluster_processes_start(struct cluster *cluster)
+{
+    for (int i = 0; i < cluster->settings.controller_count; i++)
+        cluster_start_controller(cluster, i);
+    ev_timer_init(&cluster->process_timer, on_process_timer, PROCESS_POLL_S, PROCESS_POLL_S);
+    cluster->process_timer.data = cluster;
+    ev_timer_start(cluster->loop, &cluster->process_timer);
+}
+
+void cluster_processes_stop(struct cluster *cluster)
+{
+    ev_timer_stop(cluster->loop, &cluster->process_timer);
+    for (int i = 0; i < cluster->settings.controller_count; i++)
+        cluster_kill_controller(cluster, i);
+}
+
 /* ---- command-line tools ---- */
 
 static pid_t start_tool(const char *const *argv, int output)
--- a/src/testing/history.c
+++ b/src/testing/history.c
@@ -127,6 +127,12 @@
     g_hash_table_replace(history->shard_owners, g_strdup(controller), g_strdup(""));
 }
 
+void history_controller_ended(struct history *history, const char *controller, const char *cause)
+{
+    g_string_append_printf(history->violations, "controller %s ended by itself: %s\n", controller,
+                           cause);
+}
+
 void history_launch_received(struct history *history, uint64_t fencing_token,
                              const char *controller)
 {
--- a/src/testing/history.h
+++ b/src/testing/history.h
@@ -11,6 +11,7 @@
  *   been assigned a shard.
  * - No team uses more than its quota. No task starts in a zone that its job does not allow.
  * - No controller reports a job that was never submitted.
+ * - No controller's process ends by itself.
  *
  * The fake provider and the simulated users (fake_provider.h, cluster.h) record the events in the
  * thread that runs the event loop; there is no lock. All strings are copied. Times are monotonic
@@ -57,6 +58,9 @@
                             const char *controller);
 /* Records that a controller was assigned a shard. */
 void history_shard_assigned(struct history *history, const char *controller);
+/* Records that a controller's process has ended although nobody ended it, which is a violation.
+ * `cause` is its exit status or the signal that ended it. */
+void history_controller_ended(struct history *history, const char *controller, const char *cause);
 /* Records that a worker received a launch command from a controller. The fencing token
  * belongs to the epoch in which the command was sent. */
 void history_launch_received(struct history *history, uint64_t fencing_token,
