Log the allocated memory and the longest plan and autoscaler run

Cause: in the incident each leader took its memory within about two seconds and was killed, and no line of its log hinted at memory or at where its time went. Change: controller.state tells the heap, and the longest plan and the longest autoscaler run since the line before. A process that takes all of its memory within one run still ends without a line.

--- a/src/cmd/pumicemount/internal.h
+++ b/src/cmd/pumicemount/internal.h
@@ -59,6 +59,7 @@
     ev_timer timer;         /* active while a plan is requested and not yet due */
     double woken_at;        /* monotonic: when the planner's thread was last woken for a plan */
     double mean_duration_s; /* of a plan, as a moving average */
+    double longest_s;       /* the longest plan since controller.state was last logged */
 };
 
 /* The schedule of write-backs, which commit changes of the working state to the state service
@@ -74,6 +75,7 @@
 struct pm_controller_autoscaler_schedule {
     double ended_at;        /* monotonic: when the last run ended */
     double last_duration_s; /* of the last run */
+    double longest_s;       /* the longest run since controller.state was last logged */
 };
 
 struct pm_controller {
--- a/src/cmd/pumicemount/planner.c
+++ b/src/cmd/pumicemount/planner.c
@@ -98,9 +98,11 @@
         g_mutex_lock(&controller->lock);
         if (controller->is_active && controller->tables.type_count) {
             double started_at = pm_clock_monotonic();
+            double duration_s;
             plan(controller);
-            planning->mean_duration_s =
-                update_mean(planning->mean_duration_s, pm_clock_monotonic() - started_at);
+            duration_s = pm_clock_monotonic() - started_at;
+            planning->mean_duration_s = update_mean(planning->mean_duration_s, duration_s);
+            planning->longest_s = MAX(planning->longest_s, duration_s);
         }
         g_mutex_unlock(&controller->lock);
         ev_async_send(controller->loop, &planning->done);
@@ -206,6 +208,8 @@
     pm_autoscaler_run(controller->autoscaler, now, pm_clock_wall());
     autoscaler_schedule->ended_at = pm_clock_monotonic();
     autoscaler_schedule->last_duration_s = autoscaler_schedule->ended_at - now;
+    autoscaler_schedule->longest_s =
+        MAX(autoscaler_schedule->longest_s, autoscaler_schedule->last_duration_s);
 }
 
 static void on_plan_done(struct ev_loop *loop, ev_async *watcher, int events)
--- a/src/cmd/pumicemount/reconciliation.c
+++ b/src/cmd/pumicemount/reconciliation.c
@@ -6,10 +6,13 @@
 #include "base/log.h"
 #include "internal.h"
 
+#include <malloc.h>
 #include <math.h>
 
 #define LEDGER_INTERVAL_S 5.0
 #define LOG_INTERVAL_S 10.0
+#define MS_PER_S 1000
+#define BYTES_PER_MB (1024 * 1024)
 /* The shortest interval between advances of the epoch that make workers refuse launches whose push
  * was not answered. */
 #define ADVANCE_EPOCH_INTERVAL_S 6.0
@@ -224,6 +227,14 @@
     return counts;
 }
 
+/* Returns the size of the allocated memory. */
+static double heap_mb(void)
+{
+    struct mallinfo2 info = mallinfo2();
+
+    return (double)(info.uordblks + info.hblkhd) / BYTES_PER_MB;
+}
+
 static void log_state(struct pm_controller *controller, double now)
 {
     struct pm_controller_counts counts;
@@ -234,10 +245,15 @@
     counts = pm_controller_count(controller, now);
     pm_info("controller.state",
             "machines up %d (%d silent), assigned to shards %d, booting %d; cpus %.0f, idle %.0f; "
-            "active jobs %u; tasks placed %u, waiting %u, delegated to shards %u",
+            "active jobs %u; tasks placed %u, waiting %u, delegated to shards %u; "
+            "heap %.0f MB; longest plan %.0f ms, longest autoscaler run %.0f ms",
             counts.machines_up, counts.machines_silent, counts.machines_assigned,
             counts.machines_booting, counts.cpus, counts.idle_cpus, counts.jobs,
-            counts.tasks_placed, counts.tasks_waiting, counts.tasks_delegated);
+            counts.tasks_placed, counts.tasks_waiting, counts.tasks_delegated, heap_mb(),
+            controller->planning.longest_s * MS_PER_S,
+            controller->autoscaler_schedule.longest_s * MS_PER_S);
+    controller->planning.longest_s = 0;
+    controller->autoscaler_schedule.longest_s = 0;
     pm_scheduler_log_quota_usage(controller->scheduler);
 }
 
