Do not count a gang's tasks as waiting while they are both done and placed

What callers saw: controller.state and the ranking counted waiting tasks for a gang of four, from the report of its first done task until those of the others. Cause: all tasks of a gang count as done with the first, and those that are still placed were subtracted a second time, from an unsigned number. Change: pm_job_waiting_tasks is never below 0. Measured: gang_that_is_done_but_still_placed_does_not_wait failed before (0xfffffffd != 0), and passes.

--- a/src/jobs/tests/test_jobs.c
+++ b/src/jobs/tests/test_jobs.c
@@ -272,9 +272,24 @@
     pm_buffer_free(&buf);
 }
 
+/* The other tasks of a gang are both done and placed until their workers report them. */
+static void gang_that_is_done_but_still_placed_does_not_wait(void **state)
+{
+    struct pm_spec spec = {.kind = PM_WORKLOAD_GANG, .task_count = 4};
+    const struct pm_job gang = {.state = PM_JOB_LIVE,
+                                .spec = &spec,
+                                .task_count = 4,
+                                .work = {.done_count = 4, .placed_count = 3}};
+
+    (void)state;
+    assert_int_equal(pm_job_waiting_tasks(&gang), 0);
+    assert_int_equal(pm_job_startable_tasks(&gang, 0), 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(gang_that_is_done_but_still_placed_does_not_wait),
         cmocka_unit_test_setup_teardown(submissions_are_validated, set_up, tear_down),
         cmocka_unit_test_setup_teardown(chunks_survive_a_new_leader, set_up, tear_down),
         cmocka_unit_test_setup_teardown(final_states_stay, set_up, tear_down),
--- a/src/jobs/work.c
+++ b/src/jobs/work.c
@@ -56,9 +56,14 @@
 
 uint32_t pm_job_waiting_tasks(const struct pm_job *job)
 {
+    uint32_t ended_or_placed;
+
+    /* When one task of a gang is done, all count as done, though the workers of the others have yet
+     * to report them: until then they are both done and placed. */
     if (job->state != PM_JOB_LIVE || !job->spec || job->dependencies.unmet_count)
         return 0;
-    return job->task_count - job->work.done_count - job->work.placed_count;
+    ended_or_placed = job->work.done_count + job->work.placed_count;
+    return job->task_count - MIN(job->task_count, ended_or_placed);
 }
 
 /* Returns how many waiting tasks of the chunk back off. */
