Bound the machines that one sizing adds

What callers saw: the leader takes all of its memory within a second or two and is killed, and so does each successor, a few seconds after controller.active; accepted jobs hardly get a task. Cause: a loop whose length is an amount that a user chose. The steady demand of array work is a sum of entries * expected_s * cpus, and the sizing appends one machine for each machine's worth of it, before any request is sent. A valid job with a huge estimate, or of 100,000 long tasks, makes that millions of machines. The job is stored, so every new leader sizes for it as soon as it has read the inventory. Conversions of such amounts to int were undefined as well: x86-64 yields a negative number, arm64 the largest one. Change: each source of demand (waiting tasks, steady demand, headroom) adds at most 8,192 machines to one sizing, several times what a run can request; the rest is sized again in the next run, and autoscaler.sizing_limited says so. A source that is cut leaves the others their full number. A task counts with at most 300 s in the steady demand, so that one wrong estimate does not rent the whole market. Numbers of tasks are limited before they become integers. Mended. - steady demand: the fault. Headroom: bounded now. Mended. - int of a large double in batch_backlog.c, headroom.c, demand_rate.c: mended. - tasks of a job in memory: entries are at most 100,000, chunks are allocated when touched. Bounded. - a gang's search for machines: ends at the first task that fits nowhere, but costs entries * machines where much is free. Open, docs/ROADMAP.md. - preemption: 16 tasks a job and plan; for a gang as above. Open. - inventory: 500 machines a page, one page a request. Bounded. - a report's task list: 64 KiB a message, CBOR counts checked against the bytes that are left. Bounded. - transactions in flight: 4. Cancellations between peers: paged. Bounded. - a stored value: limited by the state service; overflow lists by their number.

--- a/src/autoscaler/batch_backlog.c
+++ b/src/autoscaler/batch_backlog.c
@@ -153,7 +153,7 @@
     bool can_use_existing;
 
     if (!pm_sizing_is_spot_array(job))
-        return (int)demand->tasks;
+        return pm_sizing_task_count(demand->tasks);
     if (pm_sizing_is_opportunistic(sizing->autoscaler, job))
         return backlog->capacity_cpus < job_cpus ? 1 : 0;
     backlog->work_cpu_s += demand->tasks * task_duration_s * work_share * job_cpus;
@@ -168,7 +168,7 @@
     if (backlog->capacity_cpus < job_cpus || !can_use_existing)
         tasks = MAX(tasks, 1);
     backlog->capacity_cpus += tasks * job_cpus;
-    return (int)tasks;
+    return pm_sizing_task_count(tasks);
 }
 
 void pm_sizing_add_unmet_demand(struct pm_sizing *sizing)
--- a/src/autoscaler/demand_rate.c
+++ b/src/autoscaler/demand_rate.c
@@ -9,6 +9,9 @@
 /* The work counted so far is divided by at least this span, so that the rate is not overestimated
  * shortly after the start of the measurement. */
 #define MEASURED_SPAN_MIN_S 30.0
+/* A task counts with at most this run time. Longer tasks are no stream of short jobs, and their job
+ * never uses more processors than all its tasks together. */
+#define STREAM_TASK_RUN_MAX_S 300.0
 
 void pm_autoscaler_measure_demand(struct pm_autoscaler *autoscaler, double now, double wall_now)
 {
@@ -25,15 +28,16 @@
     for (guint i = 0; i < active->len; i++) {
         struct pm_job *job = g_ptr_array_index(active, i);
         double weight;
+        double run_s;
         if (job->scheduling.counted_in_demand || !pm_sizing_is_spot_array(job))
             continue;
         job->scheduling.counted_in_demand = true;
         if (pm_sizing_is_opportunistic(autoscaler, job))
             continue;
         weight = exp(-MAX(0, wall_now - job->spec->submitted_wall) / DECAY_S);
+        run_s = MIN(pm_scheduler_estimate_run_s(autoscaler->scheduler, job), STREAM_TASK_RUN_MAX_S);
         rate->jobs += weight;
-        rate->cpu_s += weight * job->task_count *
-                       pm_scheduler_estimate_run_s(autoscaler->scheduler, job) * job->spec->cpus;
+        rate->cpu_s += weight * job->task_count * run_s * job->spec->cpus;
     }
 }
 
@@ -88,8 +92,9 @@
 
     sizing->late_kinds = PM_LATE_KINDS_PROBED;
     while (sample_job && missing >= sample_job->spec->cpus &&
-           pm_sizing_choose_kind(sizing, sample_job, (int)(missing / sample_job->spec->cpus), -1,
-                                 true, &kind)) {
+           pm_sizing_choose_kind(sizing, sample_job,
+                                 pm_sizing_task_count(missing / sample_job->spec->cpus), -1, true,
+                                 &kind)) {
         pm_sizing_add_machine(sizing, &kind);
         missing -= sizing->autoscaler->tables->types[kind.type].cpus;
     }
--- a/src/autoscaler/headroom.c
+++ b/src/autoscaler/headroom.c
@@ -77,5 +77,5 @@
         return;
     missing = MAX(0, target - free_cpus(sizing));
     pm_sizing_pack(sizing, usage.sample_service,
-                   (int)ceil(missing / usage.sample_service->spec->cpus), INT_MAX);
+                   pm_sizing_task_count(ceil(missing / usage.sample_service->spec->cpus)), INT_MAX);
 }
--- a/src/autoscaler/internal.h
+++ b/src/autoscaler/internal.h
@@ -126,6 +126,7 @@
     struct pm_intent_times intent_times;
     struct pm_store_writability writability;
     struct pm_handover handover;
+    double limit_logged_at;  /* monotonic: a limited sizing was last logged; written by sizing.c */
     double consolidated_at;  /* monotonic time of the last consolidation; written by scale_in.c */
     GHashTable *terminated;  /* owned set of machine names; written by termination.c */
     GArray *sizing_machines; /* of struct pm_sizing_machine; scratch space for one sizing */
--- a/src/autoscaler/kind_choice.c
+++ b/src/autoscaler/kind_choice.c
@@ -66,6 +66,8 @@
     int last_zone = zone >= 0 ? zone : tables->settings->zone_count - 1;
     double least = INFINITY;
 
+    if (sizing->new_machines_left <= 0)
+        return false;
     for (int index = 0; index < tables->type_count; index++) {
         const struct pm_machine_type *type = &tables->types[index];
         int capacity = (int)pm_spec_tasks_that_fit(job->spec, type->cpus, type->gpus, type->ram_gb);
@@ -96,6 +98,7 @@
     struct pm_scale_out_request *request = find_request(sizing, kind->type, kind->zone, kind->spot);
 
     g_array_append_val(sizing->machines, machine);
+    sizing->new_machines_left--;
     autoscaler->kinds[kind->type][kind->zone][kind->spot].cpus += type->cpus;
     if (request)
         request->count++;
--- a/src/autoscaler/sizing.c
+++ b/src/autoscaler/sizing.c
@@ -1,7 +1,10 @@
 /* Runs a sizing: sums the existing capacity, then adds the demands one after the other. */
 #include "autoscaler/sizing.h"
+#include "base/log.h"
 #include "workers/failures.h"
 
+#define LIMIT_LOG_INTERVAL_S 60.0 /* between two log lines that a sizing was limited */
+
 /* Whether the machine counts as capacity: it is up or booting, and neither being terminated nor
  * about to be interrupted by the provider. */
 static bool counts_as_capacity(const struct pm_machine *machine)
@@ -76,6 +79,23 @@
     }
 }
 
+/* Lets the next source of demand add machines. Logs if the one before it was limited. */
+static void begin_source(struct pm_sizing *sizing, const char *previous)
+{
+    struct pm_autoscaler *autoscaler = sizing->autoscaler;
+
+    bool is_log_due = !autoscaler->limit_logged_at ||
+                      sizing->now - autoscaler->limit_logged_at >= LIMIT_LOG_INTERVAL_S;
+
+    if (previous && !sizing->new_machines_left && is_log_due) {
+        autoscaler->limit_logged_at = sizing->now;
+        pm_info("autoscaler.sizing_limited",
+                "the %s asks for more than %d new machines; the rest is sized again later",
+                previous, PM_SIZING_NEW_MACHINES_MAX);
+    }
+    sizing->new_machines_left = PM_SIZING_NEW_MACHINES_MAX;
+}
+
 int pm_autoscaler_size(struct pm_autoscaler *autoscaler, double now, double wall_now,
                        struct pm_scale_out_request *out, int max)
 {
@@ -89,8 +109,11 @@
     pm_autoscaler_measure_demand(autoscaler, now, wall_now);
     pm_autoscaler_track_boots(autoscaler, now);
     collect_capacity(&sizing);
+    begin_source(&sizing, NULL);
     pm_sizing_add_unmet_demand(&sizing);
+    begin_source(&sizing, "unmet demand of waiting tasks");
     pm_sizing_add_steady_demand(&sizing);
+    begin_source(&sizing, "steady demand of array work");
     pm_sizing_add_headroom(&sizing);
     record_probe_times(&sizing);
     return sizing.request_count;
--- a/src/autoscaler/sizing.h
+++ b/src/autoscaler/sizing.h
@@ -16,6 +16,11 @@
 /* Tolerance for rounding errors when amounts of processors are compared. */
 #define PM_SIZING_CPUS_EPSILON 1e-6
 
+/* Each source of demand adds at most this many machines to one sizing, far more than one run can
+ * request. What is left is sized again in the next run. Without a limit, the memory that a sizing
+ * takes would depend on amounts that users choose, such as a job's estimated run time. */
+enum { PM_SIZING_NEW_MACHINES_MAX = 8192 };
+
 /* Whether machines may be rented of kinds whose boots are late. */
 enum pm_late_kinds {
     PM_LATE_KINDS_EXCLUDED,
@@ -38,14 +43,23 @@
     struct pm_scale_out_request *requests;
     int request_count, request_max;
     enum pm_late_kinds late_kinds;
+    int new_machines_left; /* how many more machines the current source of demand may add */
     double now, wall_now;
 };
 
+/* Converts a number of tasks to an integer. A number that is above the largest job's is limited to
+ * that, since a large floating-point number has no defined integer value. */
+static inline int pm_sizing_task_count(double tasks)
+{
+    return (int)CLAMP(tasks, 0, PM_JOB_TASKS_MAX);
+}
+
 /* ---- kind_choice.c ---- */
 
 /* Chooses the machine kind with the lowest cost per task of the job, when `task_count` tasks need a
  * machine, and sets `out` to a request for one machine of that kind. `zone` is the only zone
- * allowed, or -1 for any zone. Returns false if no kind can be requested. */
+ * allowed, or -1 for any zone. Returns false if no kind can be requested, or if the current source
+ * of demand has added as many machines as it may. */
 bool pm_sizing_choose_kind(const struct pm_sizing *sizing, const struct pm_job *job, int task_count,
                            int zone, bool spot_only, struct pm_scale_out_request *out);
 /* Adds one machine of the kind to the sizing's machines and to its requests. The request is left
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -52,6 +52,7 @@
     const char *priority; /* a priority of the API, such as "normal" */
     unsigned task_count;
     double cpus, run_s;       /* of each task; run_s 0: it runs until the job is cancelled */
+    double estimated_run_s;   /* the user's estimate of `run_s`; 0: the same */
     double accelerators;      /* of each task */
     int zone;                 /* the only zone it may run in; -1: any zone */
     const char *dependency;   /* id of a job that must be done first; NULL: none */
--- a/src/testing/cluster_processes.c
+++ b/src/testing/cluster_processes.c
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -24,6 +25,13 @@
     return controller == 0 && settings->old_daemon ? settings->old_daemon : settings->daemon;
 }
 
+/* Lets the address sanitizer end a controller that uses too much memory, as the platform does. The
+ * limit is several times that of the platform, since the sanitizer keeps freed memory. */
+static void limit_memory(void)
+{
+    setenv("ASAN_OPTIONS", "detect_leaks=0:hard_rss_limit_mb=800", 1);
+}
+
 static void redirect_log(const struct cluster_settings *settings)
 {
     const char *path = settings->log_file ? settings->log_file : "/dev/null";
@@ -52,6 +60,7 @@
     if (pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL); /* so that no controller outlives a failed test */
         redirect_log(settings);
+        limit_memory();
         execv(program, argv);
         _exit(EXIT_NOT_STARTED);
     }
--- a/src/testing/cluster_users.c
+++ b/src/testing/cluster_users.c
@@ -80,7 +80,8 @@
         pm_cbor_put_text(out, wanted->machine_type);
         pm_cbor_put_end(out);
     }
-    pm_cbor_put_pair_number(out, "expected_s", wanted->run_s);
+    pm_cbor_put_pair_number(out, "expected_s",
+                            wanted->estimated_run_s > 0 ? wanted->estimated_run_s : wanted->run_s);
     pm_cbor_put_pair_number(out, "bookmark_s", 0);
     pm_cbor_put_pair_number(out, "filing_s", 0);
     if (job->dependency[0]) {
