Let the soak draw jobs over the whole range of the protocol's fields

Cause: the soak's jobs were alike, had true estimates and met one machine type in two zones with ample limits, so the fault of the incident could not occur in it. The history checks type, kind and the zones of a job's other tasks.

--- a/src/soak/fault_injection.c
+++ b/src/soak/fault_injection.c
@@ -88,7 +88,7 @@
     else if (active->fault.kind == FAULT_CUT_PEERS)
         set_link_faults(soak, active, CLUSTER_LINK_PEER, soak->settings->controller_count, begins);
     else if (active->fault.kind == FAULT_CUT_WORKERS)
-        set_link_faults(soak, active, CLUSTER_LINK_ZONE, CLUSTER_ZONES, begins);
+        set_link_faults(soak, active, CLUSTER_LINK_ZONE, cluster_zone_count(soak->cluster), begins);
     else
         set_link_faults(soak, active, CLUSTER_LINK_PROVIDER, 1, begins);
 }
--- a/src/soak/main.c
+++ b/src/soak/main.c
@@ -16,7 +16,7 @@
 struct options {
     int seed, count, controllers, machines;
     double seconds, lease_s;
-    gboolean with_roles;
+    gboolean with_roles, with_varied_jobs;
     char *daemon, *old_daemon, *selected_faults, *kinds, *operator_file, *log_directory;
 };
 
@@ -35,6 +35,8 @@
         {"daemon", 'd', 0, G_OPTION_ARG_FILENAME, &options->daemon,
          "daemon that the controllers run", "FILE"},
         {"duties", 0, 0, G_OPTION_ARG_NONE, &options->with_roles, "enable links and duties", NULL},
+        {"varied", 0, 0, G_OPTION_ARG_NONE, &options->with_varied_jobs,
+         "draw jobs over the whole range of the protocol's fields", NULL},
         {"old-daemon", 0, 0, G_OPTION_ARG_FILENAME, &options->old_daemon,
          "earlier daemon, which controller 0 runs for the first half", "FILE"},
         {"operator", 0, 0, G_OPTION_ARG_FILENAME, &options->operator_file,
@@ -107,6 +109,7 @@
                                            .lease_s = options->lease_s,
                                            .kinds = fault_schedule_parse_kinds(options->kinds),
                                            .with_roles = options->with_roles,
+                                           .with_varied_jobs = options->with_varied_jobs,
                                            .selected_faults = options->selected_faults,
                                            .operator_yaml = operator_yaml,
                                            .log_file = log,
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -10,7 +10,11 @@
 #define START_TIMEOUT_S 30.0  /* has_started must become true within this time */
 #define SETTLE_TIMEOUT_S 90.0 /* all jobs must end within this time after the last fault */
 #define STEP_S 0.05           /* the event loop runs this long between two checks */
-#define SUBMIT_GAP_MAX_S 0.8  /* upper bound of the random time between two submissions */
+/* With varied jobs: the machines' boot time, and the limits of the state service. */
+#define VARIED_BOOT_S 4.0
+#define VARIED_VALUE_KB 4.0
+enum { VARIED_TXN_OPS = 8 };
+#define SUBMIT_GAP_MAX_S 0.8 /* upper bound of the random time between two submissions */
 
 enum {
     OPEN_JOBS_MAX = 40, /* no job is submitted while this many have not ended */
@@ -89,6 +93,14 @@
     return next;
 }
 
+static void submit_job(const struct soak *soak)
+{
+    if (soak->settings->with_varied_jobs)
+        workload_submit_varied_job(soak->cluster, soak->random);
+    else
+        workload_submit_job(soak->cluster, soak->random, array_task_factor(soak->settings));
+}
+
 static void run_schedule(struct soak *soak)
 {
     bool is_upgrade_done = !soak->settings->old_daemon; /* also true if no upgrade is planned */
@@ -99,7 +111,7 @@
         next = begin_due_faults(soak, next);
         if (soak_elapsed_s(soak) >= submit_at_s &&
             cluster_open_job_count(soak->cluster) < OPEN_JOBS_MAX) {
-            workload_submit_job(soak->cluster, soak->random, array_task_factor(soak->settings));
+            submit_job(soak);
             submit_at_s = soak_elapsed_s(soak) + g_rand_double(soak->random) * SUBMIT_GAP_MAX_S;
         }
         is_upgrade_done = is_upgrade_done || try_upgrade(soak);
@@ -181,6 +193,12 @@
         .teams = workload_teams(settings->max_machines * MACHINE_CPUS),
         .team_count = WORKLOAD_TEAMS,
         .random = soak->random,
+        .zone_count = settings->with_varied_jobs ? CLUSTER_ZONES_MAX : 0,
+        .type_count = settings->with_varied_jobs ? WORKLOAD_VARIED_TYPES : 0,
+        .boot_s = settings->with_varied_jobs ? VARIED_BOOT_S : 0,
+        .boots_together = settings->seed % 2,
+        .store_value_kb = settings->with_varied_jobs ? VARIED_VALUE_KB : 0,
+        .store_txn_ops = settings->with_varied_jobs ? VARIED_TXN_OPS : 0,
         /* Versions before protocol version 6 start a task anew when a copy of its launch arrives.
          */
         .copies_pushes = !settings->old_daemon};
@@ -244,7 +262,7 @@
     soak.cluster = start_cluster(&soak);
     if (settings->with_roles)
         violations_observe_provider_calls(&soak);
-    workload_submit_job(soak.cluster, soak.random, array_task_factor(settings));
+    submit_job(&soak);
     is_started = wait_for_start(&soak);
     if (is_started) {
         run_schedule(&soak);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -25,6 +25,10 @@
     /* Enables links and roles in the default operator settings, and checks the calls to the
      * provider. */
     bool with_roles;
+    /* Draws jobs over the whole range of the protocol's fields, in a cluster of three zones and
+     * three machine types with slow boots and with a state service of small values and
+     * transactions. */
+    bool with_varied_jobs;
     const char *operator_yaml; /* the operators' settings; if NULL, the soak's defaults */
     /* Path of the controllers' log, to which the soak adds lines about faults and violations. If
      * this is NULL, the log is a temporary file that is removed after the run. */
--- a/src/soak/tests/test_soak.c
+++ b/src/soak/tests/test_soak.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 #include <cmocka.h>
 
-enum { SEED = 7, EXIT_BAD_INPUT = 2 };
+enum { SEED = 7, VARIED_SEED = 1, EXIT_BAD_INPUT = 2 };
 
 static const struct soak_settings default_settings = {.seed = SEED,
                                                       .seconds = 25,
@@ -39,6 +39,21 @@
     g_free(violations);
 }
 
+/* Without the bound of a sizing, the leader and its successors ended with this seed. */
+static void short_soak_with_varied_jobs_is_clean(void **arg)
+{
+    struct soak_settings settings = default_settings;
+    char *violations;
+
+    (void)arg;
+    settings.seed = VARIED_SEED;
+    settings.with_varied_jobs = true;
+    settings.max_machines = 40;
+    violations = run_soak(settings, NULL);
+    assert_string_equal(violations, "");
+    g_free(violations);
+}
+
 static void quota_off_by_one_is_found(void **arg)
 {
     struct soak_settings settings = default_settings;
@@ -143,6 +158,7 @@
         cmocka_unit_test(quota_off_by_one_is_found),
         cmocka_unit_test(end_of_a_controller_by_itself_is_found),
         cmocka_unit_test(short_soak_is_clean),
+        cmocka_unit_test(short_soak_with_varied_jobs_is_clean),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/soak/workload.c
+++ b/src/soak/workload.c
@@ -22,6 +22,11 @@
 static struct cluster_team teams[WORKLOAD_TEAMS] = {
     {.name = "team-a"}, {.name = "team-b"}, {.name = "team-c"}};
 
+const char *workload_team_name(int team)
+{
+    return teams[team].name;
+}
+
 const struct cluster_team *workload_teams(double total_cpus)
 {
     /* The limits of the first two teams together are less than the machines' processors, so these
--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -11,7 +11,9 @@
 #define EPOCH_KEY "p/epoch"
 #define SHARD_PREFIX "p/b/"
 
-enum { DEFAULT_MAX_MACHINES = 8, ADDR_OCTET_VALUES = 250 };
+#define DEFAULT_VALUE_KB 16.0
+
+enum { DEFAULT_MAX_MACHINES = 8, DEFAULT_TXN_OPS = 12, ADDR_OCTET_VALUES = 250 };
 
 /* All clusters of this process. They are never freed, because the callbacks of HTTP calls in flight
  * still read a cluster after cluster_free. */
@@ -89,6 +91,12 @@
     }
     if (!settings->max_machines)
         settings->max_machines = DEFAULT_MAX_MACHINES;
+    if (!settings->zone_count)
+        settings->zone_count = CLUSTER_ZONES;
+    if (settings->store_value_kb <= 0)
+        settings->store_value_kb = DEFAULT_VALUE_KB;
+    if (!settings->store_txn_ops)
+        settings->store_txn_ops = DEFAULT_TXN_OPS;
     if (settings->lease_s <= 0)
         settings->lease_s = CLUSTER_LEASE_S;
 }
@@ -148,7 +156,10 @@
 {
     const struct fake_provider_settings settings = {
         .controller_count = cluster->settings.controller_count,
-        .zone_count = CLUSTER_ZONES,
+        .zone_count = cluster->settings.zone_count,
+        .type_count = cluster->settings.type_count,
+        .boot_s = cluster->settings.boot_s,
+        .boots_together = cluster->settings.boots_together,
         .max_machines = cluster->settings.max_machines,
         .heartbeat_s = CLUSTER_HEARTBEAT_S,
         .lease_s = cluster->settings.lease_s,
@@ -197,6 +208,11 @@
 
 /* ---- accessors ---- */
 
+int cluster_zone_count(const struct cluster *cluster)
+{
+    return cluster->settings.zone_count;
+}
+
 struct history *cluster_history(struct cluster *cluster)
 {
     return cluster->history;
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -15,7 +15,7 @@
 
 #include <stdbool.h>
 
-enum { CLUSTER_CONTROLLERS_MAX = 8, CLUSTER_ZONES = 2 };
+enum { CLUSTER_CONTROLLERS_MAX = 8, CLUSTER_ZONES = 2, CLUSTER_ZONES_MAX = 3 };
 
 struct cluster;
 
@@ -29,13 +29,21 @@
 /* All pointers are borrowed and outlive the cluster. */
 struct cluster_settings {
     int controller_count;
-    const char *daemon;               /* path of the program that each controller runs */
-    const char *operator_yaml;        /* content of the operators' settings file; NULL: no file */
-    const char *old_daemon;           /* an older program for controller 0; NULL: `daemon` */
-    bool quiet;                       /* discard the controllers' logs, unless log_file is set */
-    const char *log_file;             /* the logs are appended to this file; NULL: no file */
-    int max_machines;                 /* 0: a small default */
-    double lease_s;                   /* duration of the workers' leases; 0: a short default */
+    const char *daemon;        /* path of the program that each controller runs */
+    const char *operator_yaml; /* content of the operators' settings file; NULL: no file */
+    const char *old_daemon;    /* an older program for controller 0; NULL: `daemon` */
+    bool quiet;                /* discard the controllers' logs, unless log_file is set */
+    const char *log_file;      /* the logs are appended to this file; NULL: no file */
+    int max_machines;          /* 0: a small default */
+    double lease_s;            /* duration of the workers' leases; 0: a short default */
+    int zone_count;            /* 0: CLUSTER_ZONES */
+    int type_count;            /* number of machine types; 0: one, without spot machines */
+    double boot_s;             /* see struct fake_provider_settings */
+    bool boots_together;       /* see struct fake_provider_settings */
+    /* Limits that the controllers are told: the size of a value of the state service, and the
+     * changes in one transaction. 0: ample defaults. */
+    double store_value_kb;
+    int store_txn_ops;
     const struct cluster_team *teams; /* NULL: one team, whose quota is the whole cluster */
     int team_count;
     /* If set, each request of a user goes to a random controller, some submissions are repeated,
@@ -51,9 +59,16 @@
     const char *kind;     /* "array", "group" or "standing" */
     const char *priority; /* a priority of the API, such as "normal" */
     unsigned task_count;
-    double cpus, run_s;       /* of each task; run_s 0: it runs until the job is cancelled */
-    double estimated_run_s;   /* the user's estimate of `run_s`; 0: the same */
-    double accelerators;      /* of each task */
+    double cpus, run_s;     /* of each task; run_s 0: it runs until the job is cancelled */
+    double estimated_run_s; /* the user's estimate of `run_s`; 0: the same */
+    double accelerators;    /* of each task */
+    double ram_gb;          /* of each task; 0: a small default */
+    double image_gb;        /* size of the image; 0: a small default */
+    int image;              /* number of the image */
+    double deadline_s;      /* 0: none */
+    double checkpoint_interval_s, checkpoint_duration_s;
+    bool same_zone, spread_zones;
+    bool ordinary_only;       /* it may not use spot machines */
     int zone;                 /* the only zone it may run in; -1: any zone */
     const char *dependency;   /* id of a job that must be done first; NULL: none */
     const char *machine_type; /* the only allowed machine type; NULL: any type */
@@ -79,6 +94,8 @@
 struct fake_provider *cluster_provider(struct cluster *cluster);
 /* The event loop that runs the fake services; borrowed from the cluster. */
 struct ev_loop *cluster_loop(struct cluster *cluster);
+/* The number of zones. */
+int cluster_zone_count(const struct cluster *cluster);
 /* The path of a controller's settings file; borrowed from the cluster. */
 const char *cluster_settings_path(const struct cluster *cluster, int controller);
 /* From now on calls `observer` for every key that is written or deleted in the state service, as
--- a/src/testing/cluster_faults.c
+++ b/src/testing/cluster_faults.c
@@ -38,7 +38,7 @@
     cluster_set_link_fault(cluster, controller, CLUSTER_LINK_PROVIDER, 0, none);
     for (int peer = 0; peer < cluster->settings.controller_count; peer++)
         cluster_set_link_fault(cluster, controller, CLUSTER_LINK_PEER, peer, none);
-    for (int zone = 0; zone < CLUSTER_ZONES; zone++)
+    for (int zone = 0; zone < cluster->settings.zone_count; zone++)
         cluster_set_link_fault(cluster, controller, CLUSTER_LINK_ZONE, zone, none);
 }
 
--- a/src/testing/cluster_files.c
+++ b/src/testing/cluster_files.c
@@ -11,7 +11,7 @@
     g_string_append_printf(text,
                            "host_name = \"%s\"\ndomain = \"zone-%d\"\nserve_on = \"%s\"\n"
                            "back = \"%s\"\n",
-                           node->name, controller % CLUSTER_ZONES, node->worker_addr,
+                           node->name, controller % cluster->settings.zone_count, node->worker_addr,
                            node->peer_addr);
 }
 
@@ -23,26 +23,38 @@
             continue;
         g_string_append_printf(
             text, "[[peers]]\nhost_name = \"%s\"\ndomain = \"zone-%d\"\npeer_addr = \"%s\"\n",
-            peer->name, i % CLUSTER_ZONES, relay_addr(peer->peer_relay));
+            peer->name, i % cluster->settings.zone_count, relay_addr(peer->peer_relay));
     }
 }
 
+static void append_zones(const struct cluster *cluster, GString *text)
+{
+    g_string_append(text, "zones = [");
+    for (int i = 0; i < cluster->settings.zone_count; i++)
+        g_string_append_printf(text, "%s\"zone-%d\"", i ? ", " : "", i);
+    g_string_append(text, "]\n");
+}
+
 static void append_shared_settings(const struct cluster *cluster, GString *text)
 {
+    g_string_append_printf(text,
+                           "[outside]\ncloud = \"%s\"\nstate = \"%s\"\n"
+                           "[settings]\nsize = %d\ntime_bound_ms = 5.0\n",
+                           fake_provider_addr(cluster->provider), relay_addr(cluster->store_relay),
+                           cluster->settings.controller_count);
+    append_zones(cluster, text);
     g_string_append_printf(
         text,
-        "[outside]\ncloud = \"%s\"\nstate = \"%s\"\n"
-        "[settings]\nsize = %d\nzones = [\"zone-0\", \"zone-1\"]\ntime_bound_ms = 5.0\n"
         "[[settings.objectives]]\nkind = \"wait\"\nclass = \"batch\"\nwithin_s = 2.0\n"
         "share = 0.9\n"
         "[settings.workers]\nreport_s = %g\nlease_s = %g\ngang_wait_s = %g\n"
         "gang_peer_s = %g\ncancel_s = %g\n"
-        "[settings.state]\nrps = 1000.0\nwrite_rps = 200.0\nvalue_kb = 16.0\ntxn_ops = 12\n"
+        "[settings.state]\nrps = 1000.0\nwrite_rps = 200.0\nvalue_kb = %g\ntxn_ops = %d\n"
         "[settings.cloud]\nrps = 10.0\nlist_lag_s = 0.5\n"
         "[settings.quota]\ncores = 1.0\nmem_mb = 512.0\nsockets = 900\n",
-        fake_provider_addr(cluster->provider), relay_addr(cluster->store_relay),
-        cluster->settings.controller_count, CLUSTER_HEARTBEAT_S, cluster->settings.lease_s,
-        CLUSTER_GANG_WAIT_S, CLUSTER_GANG_PEER_S, cluster_cancel_limit_s(cluster));
+        CLUSTER_HEARTBEAT_S, cluster->settings.lease_s, CLUSTER_GANG_WAIT_S, CLUSTER_GANG_PEER_S,
+        cluster_cancel_limit_s(cluster), cluster->settings.store_value_kb,
+        cluster->settings.store_txn_ops);
 }
 
 static void append_teams(const struct cluster *cluster, GString *text)
--- a/src/testing/cluster_users.c
+++ b/src/testing/cluster_users.c
@@ -55,8 +55,10 @@
 {
     const struct cluster_job *wanted = &job->wanted;
     char zone[16];
+    char image[16];
 
     snprintf(zone, sizeof zone, "zone-%d", wanted->zone);
+    snprintf(image, sizeof image, "image-%d", wanted->image);
     pm_cbor_put_map(out);
     pm_cbor_put_pair_text(out, "name_id", job->id);
     pm_cbor_put_pair_text(out, "ledger", "batch");
@@ -66,12 +68,15 @@
     pm_cbor_put_pair_uint(out, "entries", wanted->task_count);
     pm_cbor_put_pair_number(out, "cpus", wanted->cpus);
     pm_cbor_put_pair_number(out, "accelerators", wanted->accelerators);
-    pm_cbor_put_pair_number(out, "ram_gb", TASK_RAM_GB);
-    pm_cbor_put_pair_text(out, "bundle", "image");
-    pm_cbor_put_pair_number(out, "size_gb", TASK_IMAGE_GB);
-    pm_cbor_put_pair_flag(out, "same_place", false);
-    pm_cbor_put_pair_flag(out, "spread", false);
-    pm_cbor_put_pair_flag(out, "borrowed", true);
+    pm_cbor_put_pair_number(out, "ram_gb", wanted->ram_gb > 0 ? wanted->ram_gb : TASK_RAM_GB);
+    pm_cbor_put_pair_text(out, "bundle", image);
+    pm_cbor_put_pair_number(out, "size_gb",
+                            wanted->image_gb > 0 ? wanted->image_gb : TASK_IMAGE_GB);
+    pm_cbor_put_pair_flag(out, "same_place", wanted->same_zone);
+    pm_cbor_put_pair_flag(out, "spread", wanted->spread_zones);
+    pm_cbor_put_pair_flag(out, "borrowed", !wanted->ordinary_only);
+    if (wanted->deadline_s > 0)
+        pm_cbor_put_pair_number(out, "due_s", wanted->deadline_s);
     if (wanted->zone >= 0)
         pm_cbor_put_pair_text(out, "room", zone);
     if (wanted->machine_type) {
@@ -82,8 +87,8 @@
     }
     pm_cbor_put_pair_number(out, "expected_s",
                             wanted->estimated_run_s > 0 ? wanted->estimated_run_s : wanted->run_s);
-    pm_cbor_put_pair_number(out, "bookmark_s", 0);
-    pm_cbor_put_pair_number(out, "filing_s", 0);
+    pm_cbor_put_pair_number(out, "bookmark_s", wanted->checkpoint_interval_s);
+    pm_cbor_put_pair_number(out, "filing_s", wanted->checkpoint_duration_s);
     if (job->dependency[0]) {
         pm_cbor_put_text(out, "awaits");
         pm_cbor_put_list(out);
@@ -239,7 +244,13 @@
                           (struct history_job){.team = job->team,
                                                .cpus = wanted->cpus,
                                                .accelerators = wanted->accelerators,
-                                               .zone = wanted->zone});
+                                               .zone = wanted->zone,
+                                               .machine_type = wanted->machine_type,
+                                               .ordinary_only = wanted->ordinary_only,
+                                               .same_zone = wanted->same_zone,
+                                               .zone_tasks_max = wanted->spread_zones
+                                                                     ? (wanted->task_count + 1) / 2
+                                                                     : 0});
     fake_provider_describe_job(cluster->provider, job->id,
                                (struct fake_provider_job){.tasks = wanted->task_count,
                                                           .cpus = wanted->cpus,
--- a/src/testing/fake_provider.h
+++ b/src/testing/fake_provider.h
@@ -12,15 +12,21 @@
 
 #include <glib.h>
 
-/* The name of the only machine type. */
+/* The name of the first machine type, which is the only one by default. */
 #define FAKE_PROVIDER_MACHINE_TYPE "m8"
 
+enum { FAKE_PROVIDER_TYPES_MAX = 3 };
+
 struct fake_provider;
 
 /* All pointers are borrowed and outlive the provider. */
 struct fake_provider_settings {
     int controller_count, zone_count;
     int max_machines; /* a rental beyond this limit gets fewer machines, or 503 if none */
+    int type_count;   /* number of machine types, up to FAKE_PROVIDER_TYPES_MAX; 0: one */
+    double boot_s;    /* machines boot within this time, which `random` draws; 0: at once */
+    /* All machines that boot within the same span of `boot_s` come up at its end. */
+    bool boots_together;
     double heartbeat_s, lease_s;
     double gang_wait_s;              /* a waiting task ends if its gang is incomplete for longer */
     double gang_peer_s;              /* a running gang ends if a task is missing for this long */
@@ -48,6 +54,9 @@
 /* The number of heartbeats that this controller has answered with 200 so far. */
 unsigned fake_provider_answered_heartbeats(const struct fake_provider *provider, int controller);
 
+/* The name of the machine type with this index, a string constant. */
+const char *fake_provider_type_name(int type);
+
 /* ---- jobs ---- */
 
 /* What workers need to know about a job. */
--- a/src/testing/fake_provider_api.c
+++ b/src/testing/fake_provider_api.c
@@ -6,14 +6,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TYPE_RAM_GB 64
 #define TYPE_LOCAL_DISK_GB 200
 #define TYPE_PULL_GB_PER_S 1
-#define TYPE_PRICE 1
-#define TYPE_SPOT_PRICE 0.4
+#define SPOT_PRICE_SHARE 0.4
 #define TYPE_BOOT_S 1
 
-enum { IDEMPOTENCY_KEY_SIZE = 256, ZONE_NAME_SIZE = 32, MACHINE_NAME_SIZE = 32 };
+enum {
+    IDEMPOTENCY_KEY_SIZE = 256,
+    ZONE_NAME_SIZE = 32,
+    MACHINE_NAME_SIZE = 32,
+    TYPE_NAME_SIZE = 16
+};
 
 static void reply(struct pm_http_request *request, struct pm_buffer *body)
 {
@@ -52,14 +55,33 @@
     return out;
 }
 
-/* Adds `count` machines, or fewer if max_machines is reached. */
-static void add_machines(struct fake_provider *provider, const char *zone, uint64_t count)
+/* Returns the index of the type of that name; 0 if there is none. */
+static int find_type(const char *name)
 {
-    int zone_index = (int)strtol(zone + strlen("zone-"), NULL, 10);
+    for (int i = 0; i < FAKE_PROVIDER_TYPES_MAX; i++)
+        if (!strcmp(fake_machine_types[i].name, name))
+            return i;
+    return 0;
+}
+
+/* Adds the machines that the request asks for, or fewer if max_machines is reached. A provider with
+ * a single type has no spot machines. */
+static void add_machines(struct fake_provider *provider, const cbor_item_t *body)
+{
+    char zone[ZONE_NAME_SIZE] = "zone-0";
+    char type[TYPE_NAME_SIZE] = "";
+    bool is_spot = false;
+    uint64_t count = 0;
 
+    pm_cbor_read_text(pm_cbor_get(body, "room"), zone, sizeof zone);
+    pm_cbor_read_text(pm_cbor_get(body, "model"), type, sizeof type);
+    pm_cbor_read_flag(pm_cbor_get(body, "borrowed"), &is_spot);
+    pm_cbor_read_uint(pm_cbor_get(body, "how_many"), &count);
+    is_spot = is_spot && provider->settings.type_count > 1;
     for (; count && fake_provider_machine_count(provider) < provider->settings.max_machines;
          count--)
-        fake_machine_new(provider, zone_index);
+        fake_machine_new(provider, find_type(type), (int)strtol(zone + strlen("zone-"), NULL, 10),
+                         is_spot);
 }
 
 /* A request that repeats an earlier idempotency key gets the same answer and rents no machine. */
@@ -68,19 +90,15 @@
 {
     struct pm_buffer *answer;
     char idempotency_key[IDEMPOTENCY_KEY_SIZE];
-    char zone[ZONE_NAME_SIZE] = "";
-    uint64_t count = 0;
     guint first = provider->machines->len;
 
     pm_cbor_read_text(pm_cbor_get(body, "booking"), idempotency_key, sizeof idempotency_key);
-    pm_cbor_read_text(pm_cbor_get(body, "room"), zone, sizeof zone);
-    pm_cbor_read_uint(pm_cbor_get(body, "how_many"), &count);
     answer = g_hash_table_lookup(provider->api.rental_answers, idempotency_key);
     if (answer) {
         pm_http_reply(request, HTTP_OK, answer->data, answer->size, 0);
         return;
     }
-    add_machines(provider, zone, count);
+    add_machines(provider, body);
     if (first == provider->machines->len) {
         pm_http_reply(request, HTTP_UNAVAILABLE, NULL, 0, 0);
         return;
@@ -175,12 +193,19 @@
 
 /* ---- lists ---- */
 
+static const char *status_of(const struct fake_machine *machine)
+{
+    if (machine->faults.has_failed)
+        return "failed";
+    return fake_machine_is_booting(machine) ? "starting" : "running";
+}
+
 static void put_machine(const struct fake_machine *machine, struct pm_buffer *out)
 {
     pm_cbor_put_map(out);
     pm_cbor_put_pair_text(out, "name_id", machine->name);
     fake_machine_put_description(machine, out);
-    pm_cbor_put_pair_text(out, "status", machine->faults.has_failed ? "failed" : "running");
+    pm_cbor_put_pair_text(out, "status", status_of(machine));
     pm_cbor_put_pair_number(out, "age_s", pm_clock_monotonic() - machine->rented_at);
     pm_cbor_put_end(out);
 }
@@ -209,20 +234,21 @@
     reply(request, &out);
 }
 
-static void put_machine_type(const struct fake_provider *provider, struct pm_buffer *out)
+static void put_machine_type(const struct fake_provider *provider,
+                             const struct fake_machine_type *type, struct pm_buffer *out)
 {
     char zone[ZONE_NAME_SIZE];
 
     pm_cbor_put_map(out);
-    pm_cbor_put_pair_text(out, "sku", FAKE_PROVIDER_MACHINE_TYPE);
-    pm_cbor_put_pair_number(out, "cpus", FAKE_MACHINE_CPUS);
-    pm_cbor_put_pair_number(out, "accelerators", FAKE_MACHINE_ACCELERATORS);
-    pm_cbor_put_pair_number(out, "ram_gb", TYPE_RAM_GB);
+    pm_cbor_put_pair_text(out, "sku", type->name);
+    pm_cbor_put_pair_number(out, "cpus", type->cpus);
+    pm_cbor_put_pair_number(out, "accelerators", type->accelerators);
+    pm_cbor_put_pair_number(out, "ram_gb", type->ram_gb);
     pm_cbor_put_pair_number(out, "local_gb", TYPE_LOCAL_DISK_GB);
     pm_cbor_put_pair_number(out, "pull_gb_per_s", TYPE_PULL_GB_PER_S);
-    pm_cbor_put_pair_number(out, "price", TYPE_PRICE);
-    pm_cbor_put_pair_number(out, "market_price", TYPE_SPOT_PRICE);
-    pm_cbor_put_pair_number(out, "ready_s", TYPE_BOOT_S);
+    pm_cbor_put_pair_number(out, "price", type->price);
+    pm_cbor_put_pair_number(out, "market_price", type->price * SPOT_PRICE_SHARE);
+    pm_cbor_put_pair_number(out, "ready_s", MAX(TYPE_BOOT_S, provider->settings.boot_s));
     pm_cbor_put_text(out, "rooms");
     pm_cbor_put_list(out);
     for (int i = 0; i < provider->settings.zone_count; i++) {
@@ -241,7 +267,8 @@
     pm_cbor_put_map(&out);
     pm_cbor_put_text(&out, "models");
     pm_cbor_put_list(&out);
-    put_machine_type(provider, &out);
+    for (int i = 0; i < MAX(provider->settings.type_count, 1); i++)
+        put_machine_type(provider, &fake_machine_types[i], &out);
     pm_cbor_put_end(&out);
     pm_cbor_put_end(&out);
     reply(request, &out);
--- a/src/testing/fake_provider_internal.h
+++ b/src/testing/fake_provider_internal.h
@@ -15,8 +15,13 @@
 
 enum { FAKE_PROVIDER_ZONES_MAX = 4, FAKE_PROVIDER_ADDR_SIZE = 64 };
 
-/* Capacity of a machine; there is one machine type. */
-enum { FAKE_MACHINE_CPUS = 8, FAKE_MACHINE_ACCELERATORS = 4 };
+/* A machine type. */
+struct fake_machine_type {
+    const char *name;
+    double cpus, accelerators, ram_gb, price;
+};
+/* The machine types, of which the provider offers the first `type_count`. */
+extern const struct fake_machine_type fake_machine_types[FAKE_PROVIDER_TYPES_MAX];
 
 struct fake_machine;
 
@@ -65,7 +70,10 @@
     char name[32];
     char addr[FAKE_PROVIDER_ADDR_SIZE]; /* the address of the machine's relay */
     int zone;
+    int type; /* index in fake_machine_types */
+    bool is_spot;
     double rented_at;
+    double up_at; /* monotonic: the machine boots until then */
     bool is_terminated;
     struct relay *relay;
     struct fake_machine_endpoint endpoints[RELAY_CONTROLLERS_MAX];
@@ -114,7 +122,9 @@
 /* ---- fake_machine.c ---- */
 
 /* Adds a machine to the provider, which owns it. */
-void fake_machine_new(struct fake_provider *provider, int zone);
+void fake_machine_new(struct fake_provider *provider, int type, int zone, bool is_spot);
+/* Whether the machine is still booting. */
+bool fake_machine_is_booting(const struct fake_machine *machine);
 /* Marks the machine as terminated and closes its relay and endpoints. Does not end its tasks:
  * fake_worker_stop_all does. */
 void fake_machine_terminate(struct fake_machine *machine);
--- a/src/testing/fake_worker.c
+++ b/src/testing/fake_worker.c
@@ -202,6 +202,10 @@
     struct pm_buffer out = {0};
     int status;
 
+    if (fake_machine_is_booting(machine)) {
+        g_ptr_array_add(machine->provider->unanswered_requests, request);
+        return;
+    }
     if (!strcmp(request->path, "/do") &&
         fake_worker_maybe_delay_command(machine, endpoint->controller, request)) {
         g_ptr_array_add(machine->provider->unanswered_requests, request);
@@ -240,6 +244,8 @@
 {
     struct fake_worker *worker = &machine->worker;
 
+    if (fake_machine_is_booting(machine))
+        return;
     check_lease(machine, now);
     if (machine->faults.is_suspended)
         return;
--- a/src/testing/fake_worker_tasks.c
+++ b/src/testing/fake_worker_tasks.c
@@ -52,7 +52,7 @@
             task->has_ended ? NULL : find_job(machine->provider, task->name);
         used_cpus += job ? job->cpus : 0;
     }
-    return used_cpus + wanted->cpus <= FAKE_MACHINE_CPUS;
+    return used_cpus + wanted->cpus <= fake_machine_types[machine->type].cpus;
 }
 
 /* ---- commands ---- */
--- a/src/testing/history.c
+++ b/src/testing/history.c
@@ -5,7 +5,7 @@
 
 #define QUOTA_TOLERANCE 1e-6
 
-enum { STATUS_SIZE = 16, CONTROLLER_NAME_SIZE = 64 };
+enum { STATUS_SIZE = 16, CONTROLLER_NAME_SIZE = 64, TYPE_SIZE = 16 };
 
 /* An epoch, and the controller that wrote it. */
 struct written_epoch {
@@ -33,6 +33,15 @@
     struct team *team; /* NULL: an unknown team */
     double cpus, accelerators;
     int zone;
+    char machine_type[TYPE_SIZE]; /* "": any type */
+    bool ordinary_only, same_zone;
+    unsigned zone_tasks_max;
+};
+
+/* What a machine is, besides its zone. */
+struct described_machine {
+    char type[TYPE_SIZE];
+    bool is_spot;
 };
 
 struct history {
@@ -48,6 +57,7 @@
     GHashTable *teams;            /* maps a team name to struct team */
     GHashTable *submitted_jobs;   /* maps a job id to struct submitted_job */
     GHashTable *zones;            /* maps a machine to its zone number plus 1 */
+    GHashTable *machines;         /* maps a machine to struct described_machine */
     unsigned start_count;
     GString *violations;
 };
@@ -77,6 +87,7 @@
     history->teams = new_table();
     history->submitted_jobs = new_table();
     history->zones = new_set();
+    history->machines = new_table();
     history->violations = g_string_new("");
     return history;
 }
@@ -86,7 +97,8 @@
     GHashTable *tables[] = {
         history->shard_owners, history->attempts,         history->machines_by_task,
         history->completed,    history->completed_counts, history->reported_jobs,
-        history->teams,        history->submitted_jobs,   history->zones};
+        history->teams,        history->submitted_jobs,   history->zones,
+        history->machines};
 
     for (size_t i = 0; i < G_N_ELEMENTS(tables); i++)
         g_hash_table_destroy(tables[i]);
@@ -163,7 +175,12 @@
     *submitted = (struct submitted_job){.team = g_hash_table_lookup(history->teams, job.team),
                                         .cpus = job.cpus,
                                         .accelerators = job.accelerators,
-                                        .zone = job.zone};
+                                        .zone = job.zone,
+                                        .ordinary_only = job.ordinary_only,
+                                        .same_zone = job.same_zone,
+                                        .zone_tasks_max = job.zone_tasks_max};
+    if (job.machine_type)
+        g_strlcpy(submitted->machine_type, job.machine_type, sizeof submitted->machine_type);
     g_hash_table_replace(history->submitted_jobs, g_strdup(id), submitted);
 }
 
@@ -172,6 +189,16 @@
     g_hash_table_replace(history->zones, g_strdup(machine), GINT_TO_POINTER(zone + 1));
 }
 
+void history_describe_machine(struct history *history, const char *machine, const char *type,
+                              bool is_spot)
+{
+    struct described_machine *described = g_new0(struct described_machine, 1);
+
+    g_strlcpy(described->type, type, sizeof described->type);
+    described->is_spot = is_spot;
+    g_hash_table_replace(history->machines, g_strdup(machine), described);
+}
+
 void history_unknown_job_reported(struct history *history, const char *id)
 {
     g_string_append_printf(history->violations,
@@ -202,11 +229,69 @@
     team->is_over_quota = is_over;
 }
 
+static int zone_of(const struct history *history, const char *machine)
+{
+    return GPOINTER_TO_INT(g_hash_table_lookup(history->zones, machine)) - 1;
+}
+
+/* Checks the zones of the job's other tasks when one more has started in `zone`. */
+static void check_zones_of_others(struct history *history, const struct submitted_job *job,
+                                  const char *id, const char *task, int zone)
+{
+    char *prefix = g_strdup_printf("%s/", id);
+    unsigned here = 0;
+    unsigned elsewhere = 0;
+    GHashTableIter iter;
+    gpointer other;
+    gpointer machine;
+
+    g_hash_table_iter_init(&iter, history->machines_by_task);
+    while (g_hash_table_iter_next(&iter, &other, &machine)) {
+        if (!g_str_has_prefix(other, prefix))
+            continue;
+        if (zone_of(history, machine) == zone)
+            here++;
+        else
+            elsewhere++;
+    }
+    g_free(prefix);
+    if (job->same_zone && elsewhere)
+        g_string_append_printf(history->violations,
+                               "task %s started in zone %d, but %u tasks of its job, which have to "
+                               "be in one zone, are in others\n",
+                               task, zone, elsewhere);
+    if (job->zone_tasks_max && here > job->zone_tasks_max)
+        g_string_append_printf(history->violations,
+                               "task %s started in zone %d, where %u tasks of its job are now, but "
+                               "at most %u may be\n",
+                               task, zone, here, job->zone_tasks_max);
+}
+
+static void check_machine(struct history *history, const char *id, const char *task,
+                          const char *machine)
+{
+    const struct submitted_job *job = g_hash_table_lookup(history->submitted_jobs, id);
+    const struct described_machine *described = g_hash_table_lookup(history->machines, machine);
+
+    if (!job || !described)
+        return;
+    if (job->machine_type[0] && strcmp(job->machine_type, described->type) != 0)
+        g_string_append_printf(history->violations,
+                               "task %s started on type %s, but its job allows only %s\n", task,
+                               described->type, job->machine_type);
+    if (job->ordinary_only && described->is_spot)
+        g_string_append_printf(history->violations,
+                               "task %s started on a spot machine, but its job allows none\n",
+                               task);
+    if (job->same_zone || job->zone_tasks_max)
+        check_zones_of_others(history, job, id, task, zone_of(history, machine));
+}
+
 static void check_zone(struct history *history, const char *id, const char *task,
                        const char *machine)
 {
     const struct submitted_job *job = g_hash_table_lookup(history->submitted_jobs, id);
-    int zone = GPOINTER_TO_INT(g_hash_table_lookup(history->zones, machine)) - 1;
+    int zone = zone_of(history, machine);
 
     if (job && job->zone >= 0 && zone >= 0 && job->zone != zone)
         g_string_append_printf(history->violations,
@@ -235,6 +320,7 @@
     g_hash_table_replace(history->machines_by_task, g_strdup(task), g_strdup(machine));
     change_usage(history, id, task, 1);
     check_zone(history, id, task, machine);
+    check_machine(history, id, task, machine);
     history->start_count++;
     g_free(id);
     g_free(key);
--- a/src/testing/history.h
+++ b/src/testing/history.h
@@ -9,7 +9,8 @@
  *   starts or is still on a machine.
  * - A launch carries a fencing token whose epoch the sending controller wrote, or its sender has
  *   been assigned a shard.
- * - No team uses more than its quota. No task starts in a zone that its job does not allow.
+ * - No team uses more than its quota. No task starts on a type, in a zone or on a kind of machine
+ *   that its job does not allow, given the job's other tasks at that moment.
  * - No controller reports a job that was never submitted.
  * - No controller's process ends by itself.
  *
@@ -31,6 +32,10 @@
     const char *team;
     double cpus, accelerators; /* of each task */
     int zone;                  /* the only allowed zone; -1: any zone */
+    const char *machine_type;  /* the only allowed type; NULL: any type */
+    bool ordinary_only;        /* not allowed on spot machines */
+    bool same_zone;            /* all tasks have to be in one zone */
+    unsigned zone_tasks_max;   /* at most this many tasks in one zone; 0: any number */
 };
 
 /* Creates an empty history, owned by the caller. `cancel_limit_s` is the time within which all
@@ -47,6 +52,10 @@
                       double accelerators_max);
 /* Records a machine's zone. */
 void history_add_machine(struct history *history, const char *machine, int zone);
+/* Records the type of a machine, and whether it is a spot machine. A machine that was not described
+ * has any type and is ordinary. */
+void history_describe_machine(struct history *history, const char *machine, const char *type,
+                              bool is_spot);
 /* Records a submitted job. A job that was not recorded counts towards no quota and may run in any
  * zone. */
 void history_job_submitted(struct history *history, const char *id, struct history_job job);
--- a/src/testing/tests/test_history.c
+++ b/src/testing/tests/test_history.c
@@ -1,6 +1,7 @@
 /* Tests that the history reports each kind of violation, and none in a correct run. */
 #include "testing/history.h"
 
+#include <glib.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -61,7 +62,9 @@
 {
     (void)arg;
     history_add_team(history, "team-a", 3, 0);
-    history_job_submitted(history, "job-2", (struct history_job){"team-a", 2, 0, -1});
+    history_job_submitted(
+        history, "job-2",
+        (struct history_job){.team = "team-a", .cpus = 2, .accelerators = 0, .zone = -1});
     history_task_started(history, "i-3", "job-2/0", 1, 6);
     history_task_ended(history, "i-3", "job-2/0", false);
     history_task_started(history, "i-3", "job-2/0", 2, 6);
@@ -74,7 +77,9 @@
 {
     (void)arg;
     history_add_team(history, "team-a", 100, 1);
-    history_job_submitted(history, "job-2", (struct history_job){"team-a", 2, 1, -1});
+    history_job_submitted(
+        history, "job-2",
+        (struct history_job){.team = "team-a", .cpus = 2, .accelerators = 1, .zone = -1});
     history_task_started(history, "i-3", "job-2/0", 1, 6);
     assert_string_equal(history_violations(history), "");
     history_task_started(history, "i-4", "job-2/1", 2, 6);
@@ -85,13 +90,50 @@
 {
     (void)arg;
     history_add_machine(history, "i-3", 1);
-    history_job_submitted(history, "job-2", (struct history_job){"team-a", 2, 0, 0});
+    history_job_submitted(
+        history, "job-2",
+        (struct history_job){.team = "team-a", .cpus = 2, .accelerators = 0, .zone = 0});
     history_task_started(history, "i-3", "job-2/0", 1, 6);
     assert_violation("task job-2/0 started in zone 1, but its job allows only zone 0");
     history_unknown_job_reported(history, "job-9");
     assert_violation("job job-9 was never submitted, but a controller reports it");
 }
 
+static void start_on_another_type_or_kind_is_found(void **arg)
+{
+    (void)arg;
+    history_describe_machine(history, "i-3", "m4", true);
+    history_job_submitted(
+        history, "job-2",
+        (struct history_job){
+            .team = "team-a", .zone = -1, .machine_type = "m8", .ordinary_only = true});
+    history_task_started(history, "i-3", "job-2/0", 1, 6);
+    assert_violation("task job-2/0 started on type m4, but its job allows only m8");
+    assert_violation("task job-2/0 started on a spot machine, but its job allows none");
+}
+
+static void start_in_the_wrong_zone_beside_others_is_found(void **arg)
+{
+    (void)arg;
+    for (int i = 0; i < 3; i++) {
+        char *machine = g_strdup_printf("i-%d", i + 3);
+        history_add_machine(history, machine, i / 2);
+        history_describe_machine(history, machine, "m8", false);
+        g_free(machine);
+    }
+    history_job_submitted(history, "job-2",
+                          (struct history_job){.team = "team-a", .zone = -1, .zone_tasks_max = 1});
+    history_job_submitted(history, "job-3",
+                          (struct history_job){.team = "team-a", .zone = -1, .same_zone = true});
+    history_task_started(history, "i-3", "job-2/0", 1, 6);
+    history_task_started(history, "i-3", "job-3/0", 1, 6);
+    assert_string_equal(history_violations(history), "");
+    history_task_started(history, "i-4", "job-2/1", 2, 6);
+    assert_violation("where 2 tasks of its job are now, but at most 1 may be");
+    history_task_started(history, "i-5", "job-3/1", 2, 6);
+    assert_violation("but 1 tasks of its job, which have to be in one zone, are in others");
+}
+
 static void repeated_attempt_is_found(void **arg)
 {
     (void)arg;
@@ -149,6 +191,9 @@
         cmocka_unit_test_setup_teardown(cpus_over_quota_are_found, set_up, tear_down),
         cmocka_unit_test_setup_teardown(accelerators_over_quota_are_found, set_up, tear_down),
         cmocka_unit_test_setup_teardown(start_in_another_zone_is_found, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(start_on_another_type_or_kind_is_found, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(start_in_the_wrong_zone_beside_others_is_found, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(repeated_attempt_is_found, set_up, tear_down),
         cmocka_unit_test_setup_teardown(early_and_contradicted_completion_is_found, set_up,
                                         tear_down),
