--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -208,6 +208,16 @@
 
 /* ---- accessors ---- */
 
+const char *cluster_worker_addr(const struct cluster *cluster, int controller)
+{
+    return cluster->nodes[controller].worker_addr;
+}
+
+const char *cluster_peer_addr(const struct cluster *cluster, int controller)
+{
+    return cluster->nodes[controller].peer_addr;
+}
+
 int cluster_zone_count(const struct cluster *cluster)
 {
     return cluster->settings.zone_count;
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -94,6 +94,10 @@
 struct fake_provider *cluster_provider(struct cluster *cluster);
 /* The event loop that runs the fake services; borrowed from the cluster. */
 struct ev_loop *cluster_loop(struct cluster *cluster);
+/* The addresses, as "IP:PORT", where a controller serves users and workers, and where it serves its
+ * peers, without the relay in between; borrowed from the cluster. */
+const char *cluster_worker_addr(const struct cluster *cluster, int controller);
+const char *cluster_peer_addr(const struct cluster *cluster, int controller);
 /* The number of zones. */
 int cluster_zone_count(const struct cluster *cluster);
 /* The path of a controller's settings file; borrowed from the cluster. */
--- a/src/testing/fake_provider.h
+++ b/src/testing/fake_provider.h
@@ -22,9 +22,11 @@
 /* All pointers are borrowed and outlive the provider. */
 struct fake_provider_settings {
     int controller_count, zone_count;
-    int max_machines; /* a rental beyond this limit gets fewer machines, or 503 if none */
-    int type_count;   /* number of machine types, up to FAKE_PROVIDER_TYPES_MAX; 0: one */
-    double boot_s;    /* machines boot within this time, which `random` draws; 0: at once */
+    /* A rental beyond this limit gets fewer machines, or 503 if none. With several machine types, a
+     * sixth of it limits each type in each zone, spot and ordinary. */
+    int max_machines;
+    int type_count; /* number of machine types, up to FAKE_PROVIDER_TYPES_MAX; 0: one */
+    double boot_s;  /* machines boot within this time, which `random` draws; 0: at once */
     /* All machines that boot within the same span of `boot_s` come up at its end. */
     bool boots_together;
     double heartbeat_s, lease_s;
@@ -108,6 +110,17 @@
  * never answered. */
 void fake_provider_delay_messages(struct fake_provider *provider, double heartbeat_share,
                                   double command_share);
+/* Holds every pushed command, without an answer, until fake_provider_release_commands. */
+void fake_provider_hold_commands(struct fake_provider *provider);
+/* Delivers the commands that were held, and returns their number. */
+unsigned fake_provider_release_commands(struct fake_provider *provider);
+/* Restarts the workers of all machines that are up, at once and without what they knew: their
+ * incarnations and sequence numbers start over, and they have seen no token. If `keeps_tasks`,
+ * their tasks go on; otherwise these have ended. */
+void fake_provider_restart_workers(struct fake_provider *provider, bool keeps_tasks);
+/* The number of machines that are up and whose worker's lease was not renewed within the last
+ * `seconds`. */
+int fake_provider_unserved_machine_count(const struct fake_provider *provider, double seconds);
 /* Makes one machine fail: the provider lists it as failed. Returns false if no machine is up. */
 bool fake_provider_fail_machine(struct fake_provider *provider);
 /* Sets the fault of the network between a controller and the machines of a zone. */
@@ -124,6 +137,8 @@
 void fake_provider_lose_next_answer(struct fake_provider *provider, bool rental);
 /* The next `requests` requests to rent or terminate are answered with `status` and not executed. */
 void fake_provider_refuse_requests(struct fake_provider *provider, int status, int requests);
+/* The next request to rent is executed after `seconds` and never answered. */
+void fake_provider_delay_next_rental(struct fake_provider *provider, double seconds);
 /* The next request to terminate is executed after `seconds` and never answered. */
 void fake_provider_delay_next_termination(struct fake_provider *provider, double seconds);
 
--- a/src/testing/fake_provider_api.c
+++ b/src/testing/fake_provider_api.c
@@ -18,6 +18,9 @@
     TYPE_NAME_SIZE = 16
 };
 
+/* With several types, each kind of machine has this part of max_machines. */
+enum { KIND_DIVISOR = 6 };
+
 static void reply(struct pm_http_request *request, struct pm_buffer *body)
 {
     pm_http_reply(request, HTTP_OK, body->data, body->size, 0);
@@ -64,6 +67,29 @@
     return 0;
 }
 
+static int zone_index_of(const char *zone)
+{
+    return (int)strtol(zone + strlen("zone-"), NULL, 10);
+}
+
+/* Whether one more machine of the kind can be rented. With several types, each kind has a capacity
+ * of its own, as in the protocol; otherwise machines of one kind could keep out another for which a
+ * job waits. */
+static bool has_capacity(const struct fake_provider *provider, int type, int zone, bool is_spot)
+{
+    const struct fake_provider_settings *settings = &provider->settings;
+    int count = 0;
+
+    if (settings->type_count <= 1)
+        return fake_provider_machine_count(provider) < settings->max_machines;
+    for (guint i = 0; i < provider->machines->len; i++) {
+        const struct fake_machine *machine = g_ptr_array_index(provider->machines, i);
+        count += !machine->is_terminated && machine->type == type && machine->zone == zone &&
+                 machine->is_spot == is_spot;
+    }
+    return count < MAX(settings->max_machines / KIND_DIVISOR, 1);
+}
+
 /* Adds the machines that the request asks for, or fewer if max_machines is reached. A provider with
  * a single type has no spot machines. */
 static void add_machines(struct fake_provider *provider, const cbor_item_t *body)
@@ -78,10 +104,8 @@
     pm_cbor_read_flag(pm_cbor_get(body, "borrowed"), &is_spot);
     pm_cbor_read_uint(pm_cbor_get(body, "how_many"), &count);
     is_spot = is_spot && provider->settings.type_count > 1;
-    for (; count && fake_provider_machine_count(provider) < provider->settings.max_machines;
-         count--)
-        fake_machine_new(provider, find_type(type), (int)strtol(zone + strlen("zone-"), NULL, 10),
-                         is_spot);
+    for (; count && has_capacity(provider, find_type(type), zone_index_of(zone), is_spot); count--)
+        fake_machine_new(provider, find_type(type), zone_index_of(zone), is_spot);
 }
 
 /* A request that repeats an earlier idempotency key gets the same answer and rents no machine. */
@@ -156,6 +180,13 @@
     }
 }
 
+static void delay_rental(struct fake_provider *provider, cbor_item_t *body)
+{
+    provider->api.delayed_rental = cbor_incref(body);
+    provider->api.delayed_rental_at = pm_clock_monotonic() + provider->faults.rental_delay_s;
+    provider->faults.rental_delay_s = 0;
+}
+
 static void delay_termination(struct fake_provider *provider, cbor_item_t *body)
 {
     provider->api.delayed_termination = cbor_incref(body);
@@ -182,13 +213,18 @@
 
 void fake_provider_api_tick(struct fake_provider *provider, double now)
 {
-    cbor_item_t *delayed = provider->api.delayed_termination;
+    struct fake_provider_api *api = &provider->api;
 
-    if (!delayed || now < provider->api.delayed_termination_at)
-        return;
-    terminate_machines(provider, delayed);
-    pm_cbor_free(delayed);
-    provider->api.delayed_termination = NULL;
+    if (api->delayed_termination && now >= api->delayed_termination_at) {
+        terminate_machines(provider, api->delayed_termination);
+        pm_cbor_free(api->delayed_termination);
+        api->delayed_termination = NULL;
+    }
+    if (api->delayed_rental && now >= api->delayed_rental_at) {
+        add_machines(provider, api->delayed_rental);
+        pm_cbor_free(api->delayed_rental);
+        api->delayed_rental = NULL;
+    }
 }
 
 /* ---- lists ---- */
@@ -288,6 +324,9 @@
         serve_machine_types(provider, request);
     } else if (!strcmp(request->path, "/machines/release")) {
         serve_termination(provider, body, request);
+    } else if (request->method == PM_HTTP_POST && provider->faults.rental_delay_s > 0) {
+        g_ptr_array_add(provider->unanswered_requests, request);
+        delay_rental(provider, body);
     } else if (request->method == PM_HTTP_POST) {
         serve_rental(provider, body, request);
     } else {
--- a/src/testing/fake_provider_faults.c
+++ b/src/testing/fake_provider_faults.c
@@ -1,5 +1,6 @@
 /* Fault injection: faults of machines, of the network, and of the provider's API. */
 #include "testing/fake_provider_internal.h"
+#include "base/clock.h"
 
 static const struct relay_fault partition = {.from_controller = true, .to_controller = true};
 
@@ -54,6 +55,47 @@
     provider->faults.delayed_command_share = command_share;
 }
 
+void fake_provider_hold_commands(struct fake_provider *provider)
+{
+    provider->faults.holds_commands = true;
+}
+
+unsigned fake_provider_release_commands(struct fake_provider *provider)
+{
+    provider->faults.holds_commands = false;
+    return fake_worker_end_hold(provider);
+}
+
+void fake_provider_restart_workers(struct fake_provider *provider, bool keeps_tasks)
+{
+    double now = pm_clock_monotonic();
+
+    for (guint i = 0; i < provider->machines->len; i++) {
+        struct fake_machine *machine = g_ptr_array_index(provider->machines, i);
+        struct fake_worker *worker = &machine->worker;
+        if (!fake_machine_is_up(machine))
+            continue;
+        if (!keeps_tasks)
+            fake_worker_stop_all(machine);
+        worker->incarnation = 1;
+        worker->heartbeat_sequence = 0;
+        worker->fencing_token = 0;
+        worker->lease_renewed_at = now;
+    }
+}
+
+int fake_provider_unserved_machine_count(const struct fake_provider *provider, double seconds)
+{
+    double now = pm_clock_monotonic();
+    int count = 0;
+
+    for (guint i = 0; i < provider->machines->len; i++) {
+        const struct fake_machine *machine = g_ptr_array_index(provider->machines, i);
+        count += fake_machine_is_up(machine) && now - machine->worker.lease_renewed_at > seconds;
+    }
+    return count;
+}
+
 bool fake_provider_fail_machine(struct fake_provider *provider)
 {
     for (guint i = 0; i < provider->machines->len; i++) {
@@ -96,6 +138,11 @@
     provider->faults.refusals = requests;
 }
 
+void fake_provider_delay_next_rental(struct fake_provider *provider, double seconds)
+{
+    provider->faults.rental_delay_s = seconds;
+}
+
 void fake_provider_delay_next_termination(struct fake_provider *provider, double seconds)
 {
     provider->faults.termination_delay_s = seconds;
--- a/src/testing/fake_provider_internal.h
+++ b/src/testing/fake_provider_internal.h
@@ -90,6 +90,8 @@
     void *observer_arg;
     cbor_item_t *delayed_termination; /* body of the delayed request; NULL: there is none */
     double delayed_termination_at;
+    cbor_item_t *delayed_rental; /* body of the delayed request; NULL: there is none */
+    double delayed_rental_at;
 };
 
 /* Set by fake_provider_faults.c. Faults of the next request are cleared by the code that serves
@@ -100,6 +102,8 @@
     bool lose_next_rental_answer, lose_next_termination_answer;
     int refusal_status, refusals; /* HTTP status of refusals, and how many requests to refuse */
     double termination_delay_s;   /* delay of the next termination; 0: none */
+    double rental_delay_s;        /* delay of the next rental; 0: none */
+    bool holds_commands;          /* pushed commands are held until this ends */
     double delayed_heartbeat_share, delayed_command_share;
 };
 
@@ -197,6 +201,8 @@
  * the caller must execute the command now. */
 bool fake_worker_maybe_delay_command(struct fake_machine *machine, int controller,
                                      const struct pm_http_request *request);
+/* Makes the held commands due, and returns their number. */
+unsigned fake_worker_end_hold(struct fake_provider *provider);
 /* Delivers the delayed messages that are due. */
 void fake_worker_deliver_delayed(struct fake_provider *provider, double now);
 
--- a/src/testing/fake_worker_delays.c
+++ b/src/testing/fake_worker_delays.c
@@ -3,6 +3,8 @@
 #include "testing/fake_provider_internal.h"
 #include "base/clock.h"
 
+#include <math.h>
+
 #define MIN_DELAY_S 1
 #define MAX_HEARTBEAT_DELAY_LEASES 2
 #define MAX_COMMAND_DELAY_S 8
@@ -65,9 +67,11 @@
     bool selected = is_randomly_selected(provider, provider->faults.delayed_command_share);
     double delay_s = 0;
 
-    if (!selected && !machine->faults.is_suspended)
+    if (!selected && !machine->faults.is_suspended && !provider->faults.holds_commands)
         return false;
-    if (selected)
+    if (provider->faults.holds_commands)
+        delay_s = INFINITY;
+    else if (selected)
         delay_s = g_rand_double_range(provider->settings.random, MIN_DELAY_S, MAX_COMMAND_DELAY_S);
     delay_message(provider->delayed_commands, machine, controller, request->body,
                   request->body_size, pm_clock_monotonic() + delay_s);
@@ -84,6 +88,18 @@
                       request->body_size, pm_clock_monotonic() + COPY_DELAY_S);
 }
 
+unsigned fake_worker_end_hold(struct fake_provider *provider)
+{
+    unsigned held = 0;
+
+    for (guint i = 0; i < provider->delayed_commands->len; i++) {
+        struct delayed_message *message = g_ptr_array_index(provider->delayed_commands, i);
+        held += isinf(message->due_at);
+        message->due_at = MIN(message->due_at, pm_clock_monotonic());
+    }
+    return held;
+}
+
 /* ---- delivery ---- */
 
 /* Ignores the answer: no worker waits for it. */
--- a/src/testing/history.c
+++ b/src/testing/history.c
@@ -410,10 +410,19 @@
 void history_report_open_jobs(struct history *history)
 {
     unsigned open = history_open_job_count(history);
+    GHashTableIter iter;
+    gpointer id;
+    gpointer job;
 
-    if (open)
-        g_string_append_printf(history->violations,
-                               "accepted jobs never reported as done or cancelled: %u\n", open);
+    if (!open)
+        return;
+    g_string_append_printf(history->violations,
+                           "accepted jobs never reported as done or cancelled: %u\n", open);
+    g_hash_table_iter_init(&iter, history->reported_jobs);
+    while (g_hash_table_iter_next(&iter, &id, &job))
+        if (!is_final(((struct reported_job *)job)->status))
+            g_string_append_printf(history->violations, "open job %s: %s\n", (const char *)id,
+                                   ((struct reported_job *)job)->status);
 }
 
 unsigned history_start_count(const struct history *history)
