Read the keys of a map also when they are written in chunks

What callers saw: a sound submission was answered 400 when its keys were texts of indefinite length, which CBOR allows; the same body with keys in one piece was accepted. Cause: the look-up of a key skipped texts in chunks, while texts as values were read in either form: a check in one path and not in the other. Change: keys compare equal in either form.

--- a/src/base/cbor.c
+++ b/src/base/cbor.c
@@ -138,17 +138,34 @@
         cbor_decref(&item);
 }
 
-static cbor_item_t *find_value(const cbor_item_t *map, const char *key)
+/* Whether the item is this text, in one piece or in chunks. */
+static bool is_text(const cbor_item_t *item, const char *text)
 {
-    size_t length = strlen(key);
+    size_t left = strlen(text);
+
+    if (!cbor_isa_string(item))
+        return false;
+    if (cbor_string_is_definite(item))
+        return cbor_string_length(item) == left &&
+               (!left || !memcmp(cbor_string_handle(item), text, left));
+    for (size_t i = 0; i < cbor_string_chunk_count(item); i++) {
+        const cbor_item_t *chunk = cbor_string_chunks_handle(item)[i];
+        size_t length = cbor_string_length(chunk);
+        if (length > left || (length && memcmp(cbor_string_handle(chunk), text, length)))
+            return false;
+        text += length;
+        left -= length;
+    }
+    return left == 0;
+}
 
+static cbor_item_t *find_value(const cbor_item_t *map, const char *key)
+{
     if (!map || !cbor_isa_map(map))
         return NULL;
     for (size_t i = 0; i < cbor_map_size(map); i++) {
         struct cbor_pair *pair = &cbor_map_handle(map)[i];
-        if (cbor_isa_string(pair->key) && cbor_string_is_definite(pair->key) &&
-            cbor_string_length(pair->key) == length &&
-            !memcmp(cbor_string_handle(pair->key), key, length))
+        if (is_text(pair->key, key))
             return pair->value;
     }
     return NULL;
