--- a/src/cmd/pumicemount/tests/test_hostile_requests.c
+++ b/src/cmd/pumicemount/tests/test_hostile_requests.c
@@ -23,6 +23,7 @@
 #define DEADLINE_S 60.0    /* limit of each wait, ample even on a busy machine */
 #define ANSWER_LIMIT_S 1.0 /* the load balancer's limit for the answer of GET /ready */
 #define READY_POLL_S 0.1
+#define CUT_ANSWERS_S 3.0
 #define SLOW_BYTE_INTERVAL_S 1.0
 #define OBSERVED_S 12.0 /* longer than a request may take to arrive */
 
@@ -250,11 +251,30 @@
     close(peer);
 }
 
+/* Every controller reads the answers of the state service, and the leader those of workers. */
+static void cut_answers_end_no_controller(void **state)
+{
+    struct fake_provider *provider = cluster_provider(cluster);
+
+    (void)state;
+    wait_until_all_are_ready();
+    assert_job_runs();
+    fake_provider_cut_worker_answers(provider, true);
+    cluster_submit_array(cluster, 2, 1);
+    cluster_run(cluster, CUT_ANSWERS_S);
+    fake_store_cut_answers(true);
+    cluster_run(cluster, CUT_ANSWERS_S);
+    fake_provider_cut_worker_answers(provider, false);
+    fake_store_cut_answers(false);
+    assert_job_runs();
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(malformed_requests_end_no_controller, set_up, tear_down),
         cmocka_unit_test_setup_teardown(cut_requests_end_no_controller, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(cut_answers_end_no_controller, set_up, tear_down),
         cmocka_unit_test_setup_teardown(unfinished_requests_by_the_hundred_block_nobody, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(request_of_one_byte_a_second_is_ended_and_blocks_nobody,
--- a/src/testing/fake_provider.h
+++ b/src/testing/fake_provider.h
@@ -110,6 +110,8 @@
  * never answered. */
 void fake_provider_delay_messages(struct fake_provider *provider, double heartbeat_share,
                                   double command_share);
+/* Cuts the bodies of all answers of workers in the middle from now on, or no longer. */
+void fake_provider_cut_worker_answers(struct fake_provider *provider, bool are_cut);
 /* Holds every pushed command, without an answer, until fake_provider_release_commands. */
 void fake_provider_hold_commands(struct fake_provider *provider);
 /* Delivers the commands that were held, and returns their number. */
--- a/src/testing/fake_provider_faults.c
+++ b/src/testing/fake_provider_faults.c
@@ -55,6 +55,11 @@
     provider->faults.delayed_command_share = command_share;
 }
 
+void fake_provider_cut_worker_answers(struct fake_provider *provider, bool are_cut)
+{
+    provider->faults.are_worker_answers_cut = are_cut;
+}
+
 void fake_provider_hold_commands(struct fake_provider *provider)
 {
     provider->faults.holds_commands = true;
--- a/src/testing/fake_provider_internal.h
+++ b/src/testing/fake_provider_internal.h
@@ -103,6 +103,7 @@
     int refusal_status, refusals; /* HTTP status of refusals, and how many requests to refuse */
     double termination_delay_s;   /* delay of the next termination; 0: none */
     double rental_delay_s;        /* delay of the next rental; 0: none */
+    bool are_worker_answers_cut;  /* in the middle of their bodies */
     bool holds_commands;          /* pushed commands are held until this ends */
     double delayed_heartbeat_share, delayed_command_share;
 };
--- a/src/testing/fake_store.c
+++ b/src/testing/fake_store.c
@@ -6,9 +6,17 @@
 
 enum { CONNECTIONS_MAX = 256, SECOND_ADDR_CONNECTIONS_MAX = 64 };
 
+/* Whether the bodies of all answers of this process's stores are cut in the middle. */
+static bool are_answers_cut;
+
+void fake_store_cut_answers(bool are_cut)
+{
+    are_answers_cut = are_cut;
+}
+
 void fake_store_reply(struct pm_http_request *request, int status, struct pm_buffer *body)
 {
-    pm_http_reply(request, status, body->data, body->size, 0);
+    pm_http_reply(request, status, body->data, are_answers_cut ? body->size / 2 : body->size, 0);
     pm_buffer_free(body);
 }
 
--- a/src/testing/fake_store.h
+++ b/src/testing/fake_store.h
@@ -67,6 +67,9 @@
 /* The next transaction is executed but gets a malformed answer, so the client does not learn the
  * result. */
 void fake_store_lose_next_answer(struct fake_store *store);
+/* Cuts the bodies of all answers in the middle from now on, or no longer. Concerns all stores of
+ * this process. */
+void fake_store_cut_answers(bool are_cut);
 /* Delays the next transaction whose body contains `text`, such as a key: it gets a malformed answer
  * at once and is executed only by fake_store_execute_delayed_txn. */
 void fake_store_delay_next_txn(struct fake_store *store, const char *text);
--- a/src/testing/fake_worker.c
+++ b/src/testing/fake_worker.c
@@ -213,7 +213,8 @@
     }
     status = execute_request(machine, endpoint->controller, request);
     put_heartbeat(machine, &out);
-    pm_http_reply(request, status, out.data, out.size, 0);
+    pm_http_reply(request, status, out.data,
+                  machine->provider->faults.are_worker_answers_cut ? out.size / 2 : out.size, 0);
     pm_buffer_free(&out);
 }
 
