Give each address of a test cluster a loopback address of its own

Cause, as far as it can be told: exit status 1 from the start on is what a controller does that can't listen. All controllers of a cluster shared one address, and their ports came from the kernel one after the other, each closed before the next was asked for, so that two could be equal. Change: each address gets an IP address of its own.

--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -129,14 +129,16 @@
 }
 
 /* Writes an address that no workers or users of another cluster have called. The kernel reuses a
- * port soon after it is closed, so each cluster gets a loopback IP address of its own. */
+ * port soon after it is closed, and may name the same free port twice, so each address has a
+ * loopback IP address of its own. */
 static void choose_address(char *out)
 {
+    static unsigned address_count;
     unsigned process = (unsigned)getpid();
 
     snprintf(out, CLUSTER_ADDR_SIZE, "127.%u.%u.%u:%d", 1 + process % ADDR_OCTET_VALUES,
              process / ADDR_OCTET_VALUES % ADDR_OCTET_VALUES,
-             all_clusters->len % ADDR_OCTET_VALUES + 1, event_loop_free_port());
+             address_count++ % ADDR_OCTET_VALUES + 1, event_loop_free_port());
 }
 
 static void start_nodes(struct cluster *cluster)
