--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,7 +17,7 @@
   gcc $flags "$@" -c "$source" -o "$object"
   objects="$objects $object"
 done
-for source in review/[4-8]/case.c; do
+for source in review/[4-8]/play.c; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   # shellcheck disable=SC2046,SC2086
