Log what a leader finds of a job's tasks, ends of gangs and writes of final states

Cause: a gang that had completed stayed queued after a change of leader, and no log told apart whether its end was stored in part, its final state was never written, or tasks were never proven to have ended. Change: debug events job.restored, gang.completed and commit.final_state.

--- a/src/cmd/pumicemount/leadership_events.c
+++ b/src/cmd/pumicemount/leadership_events.c
@@ -35,6 +35,15 @@
     }
 }
 
+/* Logs what was stored of the job's tasks, if anything was. */
+static void log_restored(const struct pm_job *job)
+{
+    if (job->work.done_count || job->work.placed_count)
+        pm_debug("job.restored", "%s: of %u tasks, %u are done and %u are placed, last attempt %u",
+                 job->id, job->task_count, job->work.done_count, job->work.placed_count,
+                 job->work.last_attempt);
+}
+
 /* Adds the job's stored placements to the working state, and returns their number. */
 static int recover_placements(struct pm_controller *controller, struct pm_job *job, double now)
 {
@@ -52,6 +61,7 @@
             count++;
         }
     }
+    log_restored(job);
     return count;
 }
 
--- a/src/cmd/pumicemount/placement_events.c
+++ b/src/cmd/pumicemount/placement_events.c
@@ -49,6 +49,8 @@
 /* Marks all tasks of the gang as done: they complete together, so when one is done, all are. */
 static void mark_gang_done(struct pm_job *job)
 {
+    pm_debug("gang.completed", "%s: a task is done, so all %u are; %u are still placed", job->id,
+             job->task_count, job->work.placed_count);
     for (uint32_t i = 0; i < job->task_count; i++)
         pm_job_ensure_task(job, i)->done = true;
     job->work.done_count = job->task_count;
--- a/src/jobs/commit_results.c
+++ b/src/jobs/commit_results.c
@@ -123,6 +123,9 @@
 static void apply_to_final_state(struct pm_job *job, enum pm_store_result result, double now)
 {
     job->write_back.final_in_flight = false;
+    pm_debug("commit.final_state",
+             "the write of the final state of %s, or of deletions after it: %s", job->id,
+             pm_store_result_name(result));
     if (result != PM_STORE_OK)
         job->write_back.retry_at = now + retry_delay_s(result);
 }
