Finish a gang of which only some tasks are stored as done

What users saw: a gang of more than 128 tasks, or of more than 64 where values are stored in halves, had completed and stayed queued for ever, as did the jobs that wait for it, when a machine was cut off at its end and the leader crashed. Cause: when one task of a gang is done, all are. The leader marked all of them in memory, but marked only the chunk of the reported task to be written. The next leader counted what was stored: some tasks done, the others lost. Such a gang neither ends, which takes all tasks, nor starts again, which takes none. Change: pm_job_complete_task marks all tasks of a gang, and every chunk that has changed. Why it works: no order of writes, and no crash between two, leaves a state other than none done or all done.

--- a/src/cmd/pumicemount/placement_events.c
+++ b/src/cmd/pumicemount/placement_events.c
@@ -46,16 +46,6 @@
 
 /* ---- workers ---- */
 
-/* Marks all tasks of the gang as done: they complete together, so when one is done, all are. */
-static void mark_gang_done(struct pm_job *job)
-{
-    pm_debug("gang.completed", "%s: a task is done, so all %u are; %u are still placed", job->id,
-             job->task_count, job->work.placed_count);
-    for (uint32_t i = 0; i < job->task_count; i++)
-        pm_job_ensure_task(job, i)->done = true;
-    job->work.done_count = job->task_count;
-}
-
 static void note_completion(struct pm_controller *controller, const struct pm_placement *placement,
                             const struct pm_task *task, double now)
 {
@@ -63,8 +53,6 @@
 
     if (placement->running_since && !task->was_resumed)
         pm_scheduler_record_run_time(controller->scheduler, job, now - placement->running_since);
-    if (job->spec->kind == PM_WORKLOAD_GANG)
-        mark_gang_done(job);
 }
 
 static void note_interruption(const struct pm_placement *placement, struct pm_task *task,
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -109,6 +109,11 @@
 /* Marks the half of the chunk that contains the task as changed, so that it is written back. */
 void pm_job_mark_dirty(struct pm_job *job, uint32_t task_index);
 
+/* Records that the task is done, and marks what has to be written back. The tasks of a gang
+ * complete together, so when one is done, all are. Does nothing if the task is known to be done.
+ * The job must have a description. */
+void pm_job_complete_task(struct pm_job *job, uint32_t task_index);
+
 /* Keeps the task from being started before the monotonic time `until`. */
 void pm_job_back_off(struct pm_job *job, uint32_t task_index, double until);
 
--- a/src/jobs/work.c
+++ b/src/jobs/work.c
@@ -1,5 +1,6 @@
 /* The working state that the controller that places a job keeps of it: its tasks, the counts over
  * them, and which chunks have to be written. */
+#include "base/log.h"
 #include "jobs/internal.h"
 
 #include <string.h>
@@ -37,6 +38,37 @@
         pm_chunk_dirty_bits(half_index(task_index));
 }
 
+/* Marks the task as done, and its half of the chunk to be written. */
+static void complete_task(struct pm_job *job, uint32_t task_index)
+{
+    struct pm_task *task = pm_job_ensure_task(job, task_index);
+
+    if (task->done)
+        return;
+    task->done = true;
+    job->work.done_count++;
+    pm_job_mark_dirty(job, task_index);
+}
+
+static void complete_gang(struct pm_job *job)
+{
+    for (uint32_t i = 0; i < job->task_count; i++)
+        complete_task(job, i);
+}
+
+void pm_job_complete_task(struct pm_job *job, uint32_t task_index)
+{
+    if (job->spec->kind != PM_WORKLOAD_GANG) {
+        complete_task(job, task_index);
+        return;
+    }
+    if (job->work.done_count == job->task_count)
+        return;
+    pm_debug("gang.completed", "%s: task %u is done, so all %u are; %u are still placed", job->id,
+             task_index, job->task_count, job->work.placed_count);
+    complete_gang(job);
+}
+
 void pm_job_back_off(struct pm_job *job, uint32_t task_index, double until)
 {
     pm_job_ensure_task(job, task_index)->backoff_until = until;
@@ -136,6 +168,15 @@
     }
 }
 
+/* Whether the replica shows only some tasks of a gang as done. Their values are written one by one,
+ * by a leader that may end in between; and earlier versions wrote only those of tasks whose workers
+ * had reported them. */
+static bool is_gang_stored_as_done_in_part(const struct pm_job *job)
+{
+    return job->spec && job->spec->kind == PM_WORKLOAD_GANG && job->work.done_count &&
+           job->work.done_count < job->task_count;
+}
+
 void pm_job_reset_working_state(struct pm_job *job)
 {
     job->work = (struct pm_job_work){0};
@@ -151,6 +192,8 @@
         if (chunk->is_stored)
             restore_chunk_work(job, chunk);
     }
+    if (is_gang_stored_as_done_in_part(job))
+        complete_gang(job);
     /* The replica does not record whether all tasks were placed at some moment. This is inferred
      * from the number of attempts, which by then is at least the number of tasks. */
     job->scheduling.has_fully_started = job->work.last_attempt >= job->task_count;
--- a/src/testing/fake_provider.h
+++ b/src/testing/fake_provider.h
@@ -101,6 +101,10 @@
  * at index `choice`, modulo the number of machines ever rented. Returns false if it is not up. */
 bool fake_provider_partition_machine(struct fake_provider *provider, unsigned choice,
                                      bool partitioned);
+/* The same for the machine on which the task with that name (JOB/INDEX) runs. Returns false if it
+ * runs on none that is up. */
+bool fake_provider_partition_task_machine(struct fake_provider *provider, const char *task,
+                                          bool partitioned);
 /* Suspends or resumes a machine, which `choice` selects as above. Returns false if it is not up. */
 bool fake_provider_suspend_machine(struct fake_provider *provider, unsigned choice, bool suspended);
 /* Ends the partitions and suspensions of all machines, and stops delaying messages. */
--- a/src/testing/fake_provider_faults.c
+++ b/src/testing/fake_provider_faults.c
@@ -29,6 +29,15 @@
     return true;
 }
 
+bool fake_provider_partition_task_machine(struct fake_provider *provider, const char *task,
+                                          bool partitioned)
+{
+    for (guint i = 0; i < provider->machines->len; i++)
+        if (fake_worker_has_running_task(g_ptr_array_index(provider->machines, i), task))
+            return fake_provider_partition_machine(provider, i, partitioned);
+    return false;
+}
+
 bool fake_provider_suspend_machine(struct fake_provider *provider, unsigned choice, bool suspended)
 {
     struct fake_machine *machine = choose_machine(provider, choice);
--- a/src/testing/fake_provider_internal.h
+++ b/src/testing/fake_provider_internal.h
@@ -170,6 +170,8 @@
 
 /* ---- fake_worker_tasks.c ---- */
 
+/* Whether an attempt of the task with that name runs or waits on the machine. */
+bool fake_worker_has_running_task(const struct fake_machine *machine, const char *name);
 /* Executes a controller's commands, which are a CBOR list. */
 void fake_worker_execute_commands(struct fake_machine *machine, const cbor_item_t *commands,
                                   int controller);
--- a/src/testing/fake_worker_tasks.c
+++ b/src/testing/fake_worker_tasks.c
@@ -28,6 +28,11 @@
     return false;
 }
 
+bool fake_worker_has_running_task(const struct fake_machine *machine, const char *name)
+{
+    return has_running_attempt(&machine->worker, name);
+}
+
 /* The job of a task; NULL if the job was not described to the provider. */
 static const struct fake_provider_job *find_job(const struct fake_provider *provider,
                                                 const char *task)
--- a/src/workers/placements.c
+++ b/src/workers/placements.c
@@ -63,16 +63,6 @@
     g_ptr_array_remove_fast(placement->machine->placements, placement);
 }
 
-static void mark_task_done(struct pm_job *job, uint32_t task_index)
-{
-    struct pm_task *task = pm_job_ensure_task(job, task_index);
-
-    if (task->done)
-        return;
-    task->done = true;
-    job->work.done_count++;
-}
-
 void pm_workers_end_placement(struct pm_workers *workers, struct pm_placement *placement,
                               enum pm_task_exit end, bool checkpointed, double now)
 {
@@ -80,7 +70,7 @@
     uint32_t task_index = placement->task_index;
 
     if (end == PM_TASK_EXIT_DONE)
-        mark_task_done(job, task_index);
+        pm_job_complete_task(job, task_index);
     release_placement(placement);
     pm_job_mark_dirty(job, task_index);
     pm_failures_note_exit(placement, end, now);
