--- a/src/cmd/pumicemount/tests/test_gang_leader_change.c
+++ b/src/cmd/pumicemount/tests/test_gang_leader_change.c
@@ -14,7 +14,7 @@
 #include <cmocka.h>
 
 #define DEADLINE_S 60.0 /* limit of each wait, ample even on a busy machine */
-#define SETTLE_S 1.0 /* until the leader has read what it has just written */
+#define SETTLE_S 1.0    /* until the leader has read what it has just written */
 #define RUN_S 3.0
 #define CUT_AFTER_S 1.0
 #define STORED_AFTER_S 1.5 /* from the gang's end until its end is stored */
@@ -96,7 +96,8 @@
         .team_count = 1,
     });
     assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
-    assert_true(cluster_run_until(cluster, has_protocol_version, DEADLINE_S));
+    if (!first_daemon) /* earlier versions do not tell theirs */
+        assert_true(cluster_run_until(cluster, has_protocol_version, DEADLINE_S));
     cluster_run(cluster, SETTLE_S);
 }
 
