Launch no task of a job that has ended, nor a done task of a gang

Cause: a launch was due as long as its placement was durable and not marked to be stopped, and only a plan marks it. Between the controller's word of a cancellation and its next plan, the answer to a heartbeat, or a push, started the task; a new leader did so for a placement that was stored before the cancellation, however long ago it was confirmed. Change: pm_placement_is_wanted tells whether a placement's task is still to run. It is asked before each launch, before an absent task is launched again, and before a placement that is not durable is kept. Why it works: the job's state is read when the command is encoded, under the lock under which the cancellation is applied.

--- a/src/scheduler/mandatory_stops.c
+++ b/src/scheduler/mandatory_stops.c
@@ -82,14 +82,15 @@
     scheduler->run.actions++;
 }
 
-/* Stops tasks of jobs that have ended, without a grace period. */
+/* Stops tasks of jobs that have ended, without a grace period, and withdraws placements that are no
+ * longer wanted. */
 static void stop_tasks_of_ended_jobs(struct pm_scheduler *scheduler,
                                      const struct pm_machine *machine)
 {
     for (guint i = 0; i < machine->placements->len;) {
         struct pm_placement *placement = g_ptr_array_index(machine->placements, i);
         bool is_live = placement->job->state == PM_JOB_LIVE;
-        if (placement->state == PM_PLACEMENT_PROPOSED && (!is_live || placement->should_stop)) {
+        if (placement->state == PM_PLACEMENT_PROPOSED && !pm_placement_is_wanted(placement)) {
             withdraw(scheduler, placement); /* the next placement now has this index */
             continue;
         }
--- a/src/workers/commands.c
+++ b/src/workers/commands.c
@@ -55,7 +55,7 @@
 
 static bool is_launch_due(const struct pm_placement *placement, const struct pm_machine *machine)
 {
-    return placement->state == PM_PLACEMENT_DURABLE && !placement->should_stop &&
+    return placement->state == PM_PLACEMENT_DURABLE && pm_placement_is_wanted(placement) &&
            placement->incarnation == machine->heartbeat.incarnation &&
            machine->state == PM_MACHINE_UP;
 }
--- a/src/workers/heartbeat.c
+++ b/src/workers/heartbeat.c
@@ -216,7 +216,7 @@
         }
         placement->launch_reply_sequence = placement->launch_push_number = 0;
         placement->launch_outcome_unknown = false;
-        if (!placement->should_stop && placement->state <= PM_PLACEMENT_DURABLE) {
+        if (pm_placement_is_wanted(placement) && placement->state <= PM_PLACEMENT_DURABLE) {
             i++; /* the launch never arrived; it is sent again, as the same attempt */
             continue;
         }
--- a/src/workers/placements.c
+++ b/src/workers/placements.c
@@ -78,6 +78,13 @@
     pm_workers_remove_placement(workers, placement);
 }
 
+bool pm_placement_is_wanted(const struct pm_placement *placement)
+{
+    const struct pm_task *task = pm_job_find_task(placement->job, placement->task_index);
+
+    return !placement->should_stop && placement->job->state == PM_JOB_LIVE && !(task && task->done);
+}
+
 void pm_placement_stop(struct pm_placement *placement, double grace_s)
 {
     if (placement->should_stop && placement->grace_s <= grace_s)
