Keep a chunk dirty until its deletion with the final state has succeeded

Cause: the write of a final state that deletes half chunks marked them clean when it was sent. When it failed, they stayed clean, so workers were told to forget tasks whose ends were not durable. If the leader then ended, the next one found the placements stored and the workers without the tasks, and launched the same attempts again. Evidence: ends_are_not_durable_after_a_failed_final_write failed before the change: the half chunk was not dirty after the failed write. Change: a chunk becomes clean once nothing of it is stored any more. A whole chunk that is deleted because both halves are stored keeps its dirty halves, as before.

--- a/src/jobs/commit_results.c
+++ b/src/jobs/commit_results.c
@@ -49,6 +49,14 @@
     return hash ? hash : 1;
 }
 
+static bool is_any_value_stored(struct pm_chunk *chunk)
+{
+    for (int half = PM_CHUNK_WHOLE; half < PM_CHUNK_HALVES; half++)
+        if (pm_stored_chunk_revision(pm_chunk_stored_value(chunk, half)))
+            return true;
+    return false;
+}
+
 static void chunk_succeeded(struct pm_chunk *chunk, const struct commit_change *change,
                             uint64_t store_revision)
 {
@@ -57,6 +65,8 @@
     chunk->write_back.failures = 0;
     if (change->is_delete) {
         stored->revision = stored->written_revision = 0;
+        if (!is_any_value_stored(chunk))
+            chunk->write_back.dirty = 0; /* deleted with the job's final state */
         return;
     }
     stored->written_revision = store_revision;
--- a/src/jobs/commit_transaction.c
+++ b/src/jobs/commit_transaction.c
@@ -210,6 +210,8 @@
     }
 }
 
+/* The chunks stay dirty until the deletion has succeeded: their tasks' ends are not durable before.
+ */
 static void delete_chunks(struct commit_transaction *transaction, struct pm_job *job)
 {
     for (int k = 0; k < job->chunk_count; k++) {
@@ -220,7 +222,6 @@
                 continue;
             compare_chunk(transaction, job, k, half);
             delete_chunk(transaction, job, k, half);
-            chunk->write_back.dirty = 0;
         }
     }
 }
--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -4,6 +4,8 @@
 #include "api_fixture.h"
 #include "base/protocol.h"
 
+#define HALF_VALUE_KB 0.19 /* too small for two placements in one value */
+
 /* ---- Placements ---- */
 
 static struct pm_job *submit_accepted(const char *id)
@@ -375,6 +377,37 @@
     assert_false(pm_job_is_chunk_split(&tables, job, 0));
 }
 
+static bool has_failed_final_write(void *arg)
+{
+    const struct pm_job *job = arg;
+
+    run_commit();
+    return job->write_back.retry_at > 0;
+}
+
+/* Guards against ends of tasks that workers are told to forget before they are durable: the write
+ * of the job's final state, with the deletion of half chunks, failed. The next leader would have
+ * found the placement stored and the worker without the task, and launched it again. */
+static void ends_are_not_durable_after_a_failed_final_write(void **arg)
+{
+    struct pm_job *job = submit_accepted("job-4");
+
+    (void)arg;
+    tables.protocol_version = PM_PROTOCOL_DEPENDENCIES;
+    settings.store_value_kb = HALF_VALUE_KB;
+    propose_placement(job);
+    assert_true(event_loop_run_until(loop, is_stored_after_commit, "p/t/job-4/0/0"));
+    complete_task(job, 0);
+    complete_task(job, 1);
+    fake_store_set_outage(state_service, true);
+    assert_true(event_loop_run_until(loop, has_failed_final_write, job));
+    assert_false(job->chunks[0]->write_back.in_flight);
+    assert_int_not_equal(job->chunks[0]->write_back.dirty, 0);
+    fake_store_set_outage(state_service, false);
+    assert_true(event_loop_run_until(loop, is_final, "job-4"));
+    assert_int_equal(fake_store_revision(state_service, "p/t/job-4/0/0"), 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -389,6 +422,7 @@
         cmocka_unit_test_setup(task_ends_count_once_across_leaders, set_up),
         cmocka_unit_test_setup(a_whole_chunk_is_split_into_halves, set_up),
         cmocka_unit_test_setup(a_small_chunk_stays_whole, set_up),
+        cmocka_unit_test_setup(ends_are_not_durable_after_a_failed_final_write, set_up),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
