Do not launch an earlier attempt of a gang that has begun a later one

Such a gang would have begun later, by the time that its tasks wait for one another. Cause: the start of a gang is stored by chunks. A leader that ended between two of them left the new attempt in one value and, in another, an attempt that had been stopped before its launch. The next leader launched that one, for which the others wait in vain. Change: pm_placement_is_wanted says no to an attempt below the gang's highest; its absence ends it, and the gang is stopped and begins again as a whole. In the traces, stored_placement takes the highest attempt as an option, and none is changed.

--- a/src/scheduler/tests/trace_inputs.h
+++ b/src/scheduler/tests/trace_inputs.h
@@ -113,17 +113,20 @@
     feed_job(world, words[1], &spec, PM_JOB_CANCELLED);
 }
 
-/* stored_placement JOB/INDEX:ATTEMPT MACHINE incarnation=N: adds a durable placement, as a new
- * leader reads it from the store */
+/* stored_placement JOB/INDEX:ATTEMPT MACHINE incarnation=N last_attempt=N: adds a durable
+ * placement, as a new leader reads it from the store; with `last_attempt`, the job's highest
+ * attempt so far */
 static void run_stored_placement(struct trace_world *world, char **words)
 {
     char **part = g_strsplit_set(words[1], "/:", 3);
     struct pm_machine *machine = pm_workers_find_or_add(world->workers, words[2]);
+    struct pm_job *job = pm_jobs_find(world->jobs, part[0]);
+    uint32_t attempt = (uint32_t)strtoul(part[2], NULL, 10);
 
-    pm_workers_add_placement(
-        world->workers, pm_jobs_find(world->jobs, part[0]), (uint32_t)strtoul(part[1], NULL, 10),
-        machine, (uint32_t)strtoul(part[2], NULL, 10),
-        (uint64_t)trace_number(words, "incarnation", 1), PM_PLACEMENT_DURABLE, world->now);
+    pm_workers_add_placement(world->workers, job, (uint32_t)strtoul(part[1], NULL, 10), machine,
+                             attempt, (uint64_t)trace_number(words, "incarnation", 1),
+                             PM_PLACEMENT_DURABLE, world->now);
+    job->work.last_attempt = (uint32_t)trace_number(words, "last_attempt", job->work.last_attempt);
     machine->state = PM_MACHINE_UP;
     machine->heartbeat.last_message_at = world->now;
     g_strfreev(part);
--- a/src/workers/placements.c
+++ b/src/workers/placements.c
@@ -78,11 +78,22 @@
     pm_workers_remove_placement(workers, placement);
 }
 
+/* Whether a later attempt of the placement's gang has begun. The tasks of a gang have one attempt
+ * in common; a value that was stored before the later attempt may still list the earlier one. */
+static bool is_of_earlier_gang_attempt(const struct pm_placement *placement)
+{
+    const struct pm_job *job = placement->job;
+
+    return job->spec && job->spec->kind == PM_WORKLOAD_GANG &&
+           placement->attempt < job->work.last_attempt;
+}
+
 bool pm_placement_is_wanted(const struct pm_placement *placement)
 {
     const struct pm_task *task = pm_job_find_task(placement->job, placement->task_index);
 
-    return !placement->should_stop && placement->job->state == PM_JOB_LIVE && !(task && task->done);
+    return !placement->should_stop && placement->job->state == PM_JOB_LIVE &&
+           !(task && task->done) && !is_of_earlier_gang_attempt(placement);
 }
 
 void pm_placement_stop(struct pm_placement *placement, double grace_s)
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -268,8 +268,8 @@
 void pm_workers_remove_placement(struct pm_workers *workers, struct pm_placement *placement);
 /* Ends all placements on the machine as lost: its lease has expired, or it was terminated. */
 void pm_workers_mark_lost(struct pm_workers *workers, struct pm_machine *machine, double now);
-/* Whether the placement's task is still to run: it is not to be killed, it is not done, and its job
- * has not ended. Only then may the task be launched. */
+/* Whether the placement's task is still to run: it is not to be killed, it is not done, its job has
+ * not ended, and no later attempt of its gang has begun. Only then may the task be launched. */
 bool pm_placement_is_wanted(const struct pm_placement *placement);
 /* Marks the placement's task to be killed with a grace period of `grace_s` seconds. A later call
  * can shorten the grace period, but not extend it. */
