Test copies of start commands that arrive at any time

Need: a launch that was carried out and answered may reach its machine once more, also after the task has ended, moved or been cancelled, and after a controller or machine was back within a second.

--- a/src/testing/fake_provider.c
+++ b/src/testing/fake_provider.c
@@ -65,6 +65,7 @@
     provider->delayed_heartbeats = g_ptr_array_new();
     provider->delayed_commands = g_ptr_array_new();
     provider->copied_pushes = g_ptr_array_new();
+    provider->repeated_pushes = g_ptr_array_new();
     provider->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fake_provider_api_start(provider);
     ev_timer_init(&provider->tick, on_tick, FAKE_PROVIDER_TICK_S, FAKE_PROVIDER_TICK_S);
--- a/src/testing/fake_provider.h
+++ b/src/testing/fake_provider.h
@@ -120,6 +120,14 @@
 void fake_provider_hold_commands(struct fake_provider *provider);
 /* Delivers the commands that were held, and returns their number. */
 unsigned fake_provider_release_commands(struct fake_provider *provider);
+/* From now on, or no longer, repeats every push that a worker has executed, again and again, to the
+ * same worker. */
+void fake_provider_repeat_pushes(struct fake_provider *provider, bool are_repeated);
+/* The number of repeated pushes that workers have executed. They refuse the others. */
+unsigned fake_provider_repeated_push_count(const struct fake_provider *provider);
+/* Lets the task with that name (JOB/INDEX) fail on the machine on which it runs. Returns false if
+ * it runs on none that is up. */
+bool fake_provider_fail_task(struct fake_provider *provider, const char *task);
 /* Restarts the workers of all machines that are up, at once and without what they knew: their
  * incarnations and sequence numbers start over, and they have seen no token. If `keeps_tasks`,
  * their tasks go on; otherwise these have ended. */
--- a/src/testing/fake_provider_faults.c
+++ b/src/testing/fake_provider_faults.c
@@ -29,13 +29,28 @@
     return true;
 }
 
+/* The machine that is up on which the task runs, and its index; NULL if there is none. */
+static struct fake_machine *find_task_machine(const struct fake_provider *provider,
+                                              const char *task, unsigned *index)
+{
+    for (guint i = 0; i < provider->machines->len; i++) {
+        struct fake_machine *machine = choose_machine(provider, i);
+        if (!machine || !fake_worker_has_running_task(machine, task))
+            continue;
+        if (index)
+            *index = i;
+        return machine;
+    }
+    return NULL;
+}
+
 bool fake_provider_partition_task_machine(struct fake_provider *provider, const char *task,
                                           bool partitioned)
 {
-    for (guint i = 0; i < provider->machines->len; i++)
-        if (fake_worker_has_running_task(g_ptr_array_index(provider->machines, i), task))
-            return fake_provider_partition_machine(provider, i, partitioned);
-    return false;
+    unsigned index;
+
+    return find_task_machine(provider, task, &index) &&
+           fake_provider_partition_machine(provider, index, partitioned);
 }
 
 bool fake_provider_suspend_machine(struct fake_provider *provider, unsigned choice, bool suspended)
@@ -80,6 +95,26 @@
     return fake_worker_end_hold(provider);
 }
 
+void fake_provider_repeat_pushes(struct fake_provider *provider, bool are_repeated)
+{
+    provider->faults.repeats_pushes = are_repeated;
+}
+
+unsigned fake_provider_repeated_push_count(const struct fake_provider *provider)
+{
+    return provider->repeated_push_count;
+}
+
+bool fake_provider_fail_task(struct fake_provider *provider, const char *task)
+{
+    struct fake_machine *machine = find_task_machine(provider, task, NULL);
+
+    if (!machine)
+        return false;
+    fake_worker_fail_task(machine, task);
+    return true;
+}
+
 void fake_provider_restart_workers(struct fake_provider *provider, bool keeps_tasks)
 {
     double now = pm_clock_monotonic();
--- a/src/testing/fake_provider_internal.h
+++ b/src/testing/fake_provider_internal.h
@@ -106,6 +106,7 @@
     bool are_worker_answers_cut;  /* in the middle of their bodies */
     bool holds_commands;          /* pushed commands are held until this ends */
     double delayed_heartbeat_share, delayed_command_share;
+    bool repeats_pushes; /* executed pushes are repeated again and again */
 };
 
 struct fake_provider {
@@ -120,6 +121,9 @@
     unsigned answered_heartbeats[RELAY_CONTROLLERS_MAX];
     /* Of struct delayed_message. Written by fake_worker_delays.c. */
     GPtrArray *delayed_heartbeats, *delayed_commands, *copied_pushes;
+    GPtrArray *repeated_pushes; /* are delivered again and again */
+    double pushes_repeated_at;
+    unsigned repeated_push_count; /* how many of them workers have executed */
     struct fake_provider_api api;
     struct fake_provider_faults faults;
 };
@@ -172,6 +176,8 @@
 
 /* Whether an attempt of the task with that name runs or waits on the machine. */
 bool fake_worker_has_running_task(const struct fake_machine *machine, const char *name);
+/* Ends the task with that name as failed, if an attempt of it runs or waits on the machine. */
+void fake_worker_fail_task(struct fake_machine *machine, const char *name);
 /* Executes a controller's commands, which are a CBOR list. */
 void fake_worker_execute_commands(struct fake_machine *machine, const cbor_item_t *commands,
                                   int controller);
@@ -197,7 +203,8 @@
 /* If this heartbeat is randomly selected, schedules a copy for later delivery. */
 void fake_worker_maybe_copy_heartbeat(struct fake_machine *machine, int controller,
                                       const struct pm_buffer *body, double now);
-/* Schedules a copy of the executed push for later delivery, if settings.copies_pushes is set. */
+/* Schedules a copy of the executed push for later delivery, if settings.copies_pushes is set, and
+ * for repeated delivery, if faults.repeats_pushes is. */
 void fake_worker_copy_push(struct fake_machine *machine, int controller,
                            const struct pm_http_request *request);
 /* Delays a pushed command if it is randomly selected or the machine is suspended. Returns false if
--- a/src/testing/fake_worker_delays.c
+++ b/src/testing/fake_worker_delays.c
@@ -10,6 +10,8 @@
 #define MAX_COMMAND_DELAY_S 8
 #define COPY_DELAY_S 1.2 /* long enough for a short task to end and be forgotten */
 
+#define REPEAT_INTERVAL_S 0.1
+
 /* A message that is delivered once `due_at` has passed. A command also waits until its machine is
  * not suspended. */
 struct delayed_message {
@@ -86,6 +88,9 @@
     if (provider->settings.copies_pushes)
         delay_message(provider->copied_pushes, machine, controller, request->body,
                       request->body_size, pm_clock_monotonic() + COPY_DELAY_S);
+    if (provider->faults.repeats_pushes)
+        delay_message(provider->repeated_pushes, machine, controller, request->body,
+                      request->body_size, 0);
 }
 
 unsigned fake_worker_end_hold(struct fake_provider *provider)
@@ -119,15 +124,42 @@
     fake_worker_post_heartbeat(provider, controller, &message->body, on_copy_answer, NULL);
 }
 
-static void deliver_command(struct fake_provider *provider, const struct delayed_message *message)
+/* Returns whether the worker has executed the push. */
+static bool execute_push(const struct delayed_message *message)
 {
-    struct fake_machine *machine = message->machine;
     cbor_item_t *body = pm_cbor_parse(message->body.data, message->body.size);
+    int status = fake_worker_execute_pushed_commands(message->machine, message->controller, body);
 
-    (void)provider;
-    if (fake_machine_is_up(machine))
-        fake_worker_execute_pushed_commands(machine, message->controller, body);
     pm_cbor_free(body);
+    return status == HTTP_OK;
+}
+
+static void deliver_command(struct fake_provider *provider, const struct delayed_message *message)
+{
+    (void)provider;
+    if (fake_machine_is_up(message->machine))
+        execute_push(message);
+}
+
+static bool is_push_repeatable(const struct delayed_message *message)
+{
+    const struct fake_machine *machine = message->machine;
+
+    return fake_machine_is_up(machine) && !machine->faults.is_suspended &&
+           !machine->faults.is_partitioned;
+}
+
+/* Delivers each of the repeated pushes once more. */
+static void repeat_pushes(struct fake_provider *provider, double now)
+{
+    if (!provider->faults.repeats_pushes || now - provider->pushes_repeated_at < REPEAT_INTERVAL_S)
+        return;
+    provider->pushes_repeated_at = now;
+    for (guint i = 0; i < provider->repeated_pushes->len; i++) {
+        const struct delayed_message *message = g_ptr_array_index(provider->repeated_pushes, i);
+        if (is_push_repeatable(message))
+            provider->repeated_push_count += execute_push(message);
+    }
 }
 
 static bool is_heartbeat_deliverable(const struct delayed_message *message, double now)
@@ -164,4 +196,5 @@
             now);
     deliver(provider, provider->delayed_commands, is_command_deliverable, deliver_command, now);
     deliver(provider, provider->copied_pushes, is_command_deliverable, deliver_command, now);
+    repeat_pushes(provider, now);
 }
--- a/src/testing/fake_worker_tasks.c
+++ b/src/testing/fake_worker_tasks.c
@@ -81,6 +81,17 @@
     g_array_set_size(tasks, 0);
 }
 
+void fake_worker_fail_task(struct fake_machine *machine, const char *name)
+{
+    GArray *tasks = machine->worker.tasks;
+
+    for (guint i = 0; i < tasks->len; i++) {
+        struct fake_task *task = &g_array_index(tasks, struct fake_task, i);
+        if (!strcmp(task->name, name))
+            fake_worker_end_task(machine, task, "error");
+    }
+}
+
 /* Marks the task as ended without starting it. The history is not told, because the task never
  * ran. */
 static void reject(struct fake_task *task, const char *cause)
