--- a/src/soak/main.c
+++ b/src/soak/main.c
@@ -16,7 +16,7 @@
 struct options {
     int seed, count, controllers, machines;
     double seconds, lease_s;
-    gboolean with_roles, with_varied_jobs;
+    gboolean with_roles, with_varied_jobs, repeats_pushes;
     char *daemon, *old_daemon, *selected_faults, *kinds, *operator_file, *log_directory;
 };
 
@@ -37,6 +37,8 @@
         {"duties", 0, 0, G_OPTION_ARG_NONE, &options->with_roles, "enable links and duties", NULL},
         {"varied", 0, 0, G_OPTION_ARG_NONE, &options->with_varied_jobs,
          "draw jobs over the whole range of the protocol's fields", NULL},
+        {"repeat-pushes", 0, 0, G_OPTION_ARG_NONE, &options->repeats_pushes,
+         "repeat each executed push to its worker again and again", NULL},
         {"old-daemon", 0, 0, G_OPTION_ARG_FILENAME, &options->old_daemon,
          "earlier daemon, which controller 0 runs for the first half", "FILE"},
         {"operator", 0, 0, G_OPTION_ARG_FILENAME, &options->operator_file,
@@ -110,6 +112,7 @@
                                            .kinds = fault_schedule_parse_kinds(options->kinds),
                                            .with_roles = options->with_roles,
                                            .with_varied_jobs = options->with_varied_jobs,
+                                           .repeats_pushes = options->repeats_pushes,
                                            .selected_faults = options->selected_faults,
                                            .operator_yaml = operator_yaml,
                                            .log_file = log,
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -260,6 +260,7 @@
     if (!prepare(&soak))
         return false;
     soak.cluster = start_cluster(&soak);
+    fake_provider_repeat_pushes(cluster_provider(soak.cluster), settings->repeats_pushes);
     if (settings->with_roles)
         violations_observe_provider_calls(&soak);
     submit_job(&soak);
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -29,6 +29,7 @@
      * three machine types with slow boots and with a state service of small values and
      * transactions. */
     bool with_varied_jobs;
+    bool repeats_pushes; /* workers receive each push that they have executed again and again */
     const char *operator_yaml; /* the operators' settings; if NULL, the soak's defaults */
     /* Path of the controllers' log, to which the soak adds lines about faults and violations. If
      * this is NULL, the log is a temporary file that is removed after the run. */
