Leave the dependencies of an ended job out of its value

What users saw: 503 to every attempt to cancel a job that waits for 200 others, after the state service had lowered its limits as announced. Cause: the cancelled job was written with its whole description, which was accepted under larger limits; the state service refused the value. The same held for the final state of such a job that is done and has more chunks than one transaction deletes. Change: a job that has ended waits for nothing, so its value leaves the ids out. The number of its separate lists stays, since these are deleted by it.

--- a/src/jobs/job_codec.c
+++ b/src/jobs/job_codec.c
@@ -226,8 +226,11 @@
         pm_cbor_put_pair_text(out, FIELD_ZONE, tables->settings->zone_names[spec->zone]);
 }
 
+/* Writes the description of a job in that state. One that has ended waits for no other job, so the
+ * ids of its dependencies are left out: the value may have to fit into lower limits than those
+ * under which the job was accepted. */
 static void write_description(const struct pm_name_tables *tables, const struct pm_spec *spec,
-                              struct pm_buffer *out)
+                              enum pm_job_state state, struct pm_buffer *out)
 {
     pm_cbor_put_pair_text(out, FIELD_CLASS, pm_names_text(tables->class_names, spec->class_index));
     pm_cbor_put_pair_text(out, FIELD_TEAM, tables->settings->teams[spec->team].name);
@@ -238,7 +241,7 @@
     write_placement_rules(tables, spec, out);
     if (spec->overflow_list_count)
         pm_cbor_put_pair_uint(out, FIELD_OVERFLOW_LISTS, spec->overflow_list_count);
-    else if (spec->dependency_count)
+    else if (spec->dependency_count && state == PM_JOB_LIVE)
         pm_dependencies_field_encode(tables, spec, 0, spec->dependency_count, out);
     pm_cbor_put_pair_number(out, FIELD_SUBMITTED_WALL, spec->submitted_wall);
 }
@@ -256,7 +259,7 @@
     pm_cbor_put_map(out);
     write_summary(&(struct pm_job_summary){state, task_count}, out);
     if (with_description)
-        write_description(tables, spec, out);
+        write_description(tables, spec, state, out);
     pm_cbor_put_end(out);
 }
 
@@ -270,6 +273,6 @@
     if (is_end_time_read && job->ended_wall > 0)
         pm_cbor_put_pair_number(out, FIELD_ENDED_WALL, job->ended_wall);
     if (with_description)
-        write_description(tables, job->spec, out);
+        write_description(tables, job->spec, PM_JOB_DONE, out);
     pm_cbor_put_end(out);
 }
--- a/src/jobs/tests/test_jobs.c
+++ b/src/jobs/tests/test_jobs.c
@@ -10,6 +10,8 @@
 #include <string.h>
 #include <cmocka.h>
 
+enum { DEPENDENCIES = 200, SMALL_VALUE_BYTES = 2048 };
+
 static struct pm_settings settings;
 static struct pm_name_tables tables;
 static struct pm_jobs *jobs;
@@ -272,6 +274,45 @@
     pm_buffer_free(&buf);
 }
 
+static size_t json_size(struct pm_buffer *buf)
+{
+    cbor_item_t *value = pm_cbor_parse(buf->data, buf->size);
+    size_t size = pm_cbor_json_size(value);
+
+    pm_cbor_free(value);
+    pm_buffer_free(buf);
+    return size;
+}
+
+static void add_dependencies(struct pm_spec *spec)
+{
+    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+
+    for (int i = 0; i < DEPENDENCIES; i++)
+        g_ptr_array_add(ids, g_strdup_printf("job-%06d", i));
+    pm_spec_set_dependencies(&tables, spec, ids);
+    g_ptr_array_free(ids, TRUE);
+}
+
+/* Guards against a job that can't be cancelled, nor end: it was stored before the state service
+ * lowered its limits, and its value with all the jobs that it waits for is too large since. */
+static void an_ended_job_fits_into_smaller_values(void **state)
+{
+    struct pm_job *job = put_live(5);
+    struct pm_buffer live = {0};
+    struct pm_buffer cancelled = {0};
+    struct pm_buffer done = {0};
+
+    (void)state;
+    add_dependencies(job->spec);
+    pm_job_encode(&tables, job->spec, job->task_count, PM_JOB_LIVE, true, &live);
+    pm_job_encode(&tables, job->spec, job->task_count, PM_JOB_CANCELLED, true, &cancelled);
+    pm_job_encode_done(&tables, job, true, &done);
+    assert_true(json_size(&live) > SMALL_VALUE_BYTES);
+    assert_true(json_size(&cancelled) < SMALL_VALUE_BYTES);
+    assert_true(json_size(&done) < SMALL_VALUE_BYTES);
+}
+
 /* The other tasks of a gang are both done and placed until their workers report them. */
 static void gang_that_is_done_but_still_placed_does_not_wait(void **state)
 {
@@ -292,6 +333,7 @@
         cmocka_unit_test(gang_that_is_done_but_still_placed_does_not_wait),
         cmocka_unit_test_setup_teardown(submissions_are_validated, set_up, tear_down),
         cmocka_unit_test_setup_teardown(chunks_survive_a_new_leader, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(an_ended_job_fits_into_smaller_values, set_up, tear_down),
         cmocka_unit_test_setup_teardown(final_states_stay, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_reported_cancellation_stays, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_job_with_an_unreadable_state_is_not_run, set_up,
