Keep the logs of the controllers that tests start

Need: a test failed once under load and left a job queued; its controllers' logs had been discarded, so nothing told why. The two tests with an option of their own lose it.

--- a/src/cmd/pumicemount/tests/test_gang_leader_change.c
+++ b/src/cmd/pumicemount/tests/test_gang_leader_change.c
@@ -1,9 +1,8 @@
 /* Checks that a gang that has completed ends as done, though the leader that heard of it is killed
  * while one of the gang's machines is cut off. Runs real controller processes.
  *
- * PM_TEST_LOG in the environment shows the controllers' logs, and PM_TEST_LOG_FILE appends them to
- * that file. PM_FIRST_DAEMON names an earlier version's program that stores the end, and leads
- * alone, until it is upgraded. */
+ * PM_TEST_LOG in the environment shows the controllers' logs. PM_FIRST_DAEMON names an earlier
+ * version's program that stores the end, and leads alone, until it is upgraded. */
 #include "testing/cluster.h"
 
 #include <setjmp.h>
@@ -87,7 +86,6 @@
         .daemon = PM_DAEMON,
         .old_daemon = first_daemon,
         .quiet = !getenv("PM_TEST_LOG"),
-        .log_file = getenv("PM_TEST_LOG_FILE"),
         .max_machines = MACHINES_MAX,
         .lease_s = LEASE_S,
         .store_value_kb = tested->store_value_kb,
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -32,7 +32,8 @@
     const char *daemon;        /* path of the program that each controller runs */
     const char *operator_yaml; /* content of the operators' settings file; NULL: no file */
     const char *old_daemon;    /* an older program for controller 0; NULL: `daemon` */
-    bool quiet;                /* discard the controllers' logs, unless log_file is set */
+    bool quiet;                /* discard the controllers' logs, unless log_file is set; if
+                                * PM_TEST_LOG_DIR is set, they go to files in that directory */
     const char *log_file;      /* the logs are appended to this file; NULL: no file */
     int max_machines;          /* 0: a small default */
     double lease_s;            /* duration of the workers' leases; 0: a short default */
--- a/src/testing/cluster_processes.c
+++ b/src/testing/cluster_processes.c
@@ -3,6 +3,7 @@
 #include "testing/cluster_internal.h"
 #include "base/clock.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -32,12 +33,29 @@
     setenv("ASAN_OPTIONS", "detect_leaks=0:hard_rss_limit_mb=800", 1);
 }
 
+/* The file to which a controller's log goes; NULL: the test's standard error. Owned by the caller.
+ * `test_process` is the id of the test's process. */
+static char *log_path(const struct cluster_settings *settings, pid_t test_process)
+{
+    const char *directory = g_getenv("PM_TEST_LOG_DIR");
+
+    if (settings->log_file)
+        return g_strdup(settings->log_file);
+    if (!settings->quiet)
+        return NULL;
+    if (!directory)
+        return g_strdup("/dev/null");
+    return g_strdup_printf("%s/%s-%d.log", directory, program_invocation_short_name,
+                           (int)test_process);
+}
+
 static void redirect_log(const struct cluster_settings *settings)
 {
-    const char *path = settings->log_file ? settings->log_file : "/dev/null";
+    char *path = log_path(settings, getppid());
 
-    if (settings->quiet || settings->log_file)
+    if (path)
         dup2(open(path, O_WRONLY | O_CREAT | O_APPEND, LOG_MODE), STDERR_FILENO);
+    g_free(path);
 }
 
 void cluster_start_controller(struct cluster *cluster, int controller)
--- a/src/workers/tests/test_late_copies.c
+++ b/src/workers/tests/test_late_copies.c
@@ -3,8 +3,8 @@
  * cancelled, and while controllers and machines are gone for less than a second. Runs real
  * controller processes.
  *
- * PM_TEST_LOG in the environment shows the controllers' logs, and PM_TEST_LOG_FILE appends them to
- * that file. PM_TEST_DAEMON names another program to run, such as an earlier version's. */
+ * PM_TEST_LOG in the environment shows the controllers' logs. PM_TEST_DAEMON names another program
+ * to run, such as an earlier version's. */
 #include "testing/cluster.h"
 
 #include <setjmp.h>
@@ -36,7 +36,6 @@
         .controller_count = CONTROLLERS,
         .daemon = daemon ? daemon : PM_DAEMON,
         .quiet = !getenv("PM_TEST_LOG"),
-        .log_file = getenv("PM_TEST_LOG_FILE"),
         .max_machines = MACHINES_MAX,
     });
     fake_provider_repeat_pushes(cluster_provider(cluster), true);
