--- a/src/autoscaler/tests/test_extreme_jobs.c
+++ b/src/autoscaler/tests/test_extreme_jobs.c
@@ -40,18 +40,13 @@
     return 0;
 }
 
-static bool has_leader(struct cluster *tested_cluster)
-{
-    return cluster_leader(tested_cluster) >= 0;
-}
-
 /* Submits the job among ordinary ones, and checks that the ordinary ones end and no controller
  * does. */
 static void check_beside_ordinary_jobs(struct cluster_job extreme)
 {
     const char *id;
 
-    assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
+    assert_true(cluster_run_until(cluster, cluster_has_leader, DEADLINE_S));
     id = cluster_submit_job(cluster, &extreme);
     for (int i = 0; i < ORDINARY_JOBS; i++)
         cluster_submit_job(cluster, &ordinary_job);
--- a/src/cmd/pumicemount/tests/test_gang_leader_change.c
+++ b/src/cmd/pumicemount/tests/test_gang_leader_change.c
@@ -47,11 +47,6 @@
 static unsigned gang_tasks;
 static unsigned chunk_writes;
 
-static bool has_leader(struct cluster *tested_cluster)
-{
-    return cluster_leader(tested_cluster) >= 0;
-}
-
 /* Whether chunks may be stored in halves: all controllers are known to read them. */
 static bool has_protocol_version(struct cluster *tested_cluster)
 {
@@ -93,7 +88,7 @@
         .teams = &team,
         .team_count = 1,
     });
-    assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
+    assert_true(cluster_run_until(cluster, cluster_has_leader, DEADLINE_S));
     if (!first_daemon) /* earlier versions do not tell theirs */
         assert_true(cluster_run_until(cluster, has_protocol_version, DEADLINE_S));
     cluster_run(cluster, SETTLE_S);
--- a/src/cmd/pumicemount/tests/test_restart.c
+++ b/src/cmd/pumicemount/tests/test_restart.c
@@ -32,11 +32,6 @@
     return 0;
 }
 
-static bool has_leader(struct cluster *tested_cluster)
-{
-    return cluster_leader(tested_cluster) >= 0;
-}
-
 static bool has_accepted_jobs(struct cluster *tested_cluster)
 {
     return history_open_job_count(cluster_history(tested_cluster)) > 0;
@@ -65,7 +60,7 @@
                               .machine_type = FAKE_PROVIDER_MACHINE_TYPE};
 
     (void)state;
-    assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
+    assert_true(cluster_run_until(cluster, cluster_has_leader, DEADLINE_S));
     cluster_submit_job(cluster, &job);
     assert_true(cluster_run_until(cluster, has_accepted_jobs, DEADLINE_S));
     restart_all_controllers();
--- a/src/links/tests/test_cuts.c
+++ b/src/links/tests/test_cuts.c
@@ -34,11 +34,6 @@
     return history_start_count(cluster_history(cluster)) >= 4;
 }
 
-static bool has_leader(struct cluster *cluster)
-{
-    return cluster_leader(cluster) >= 0;
-}
-
 static struct cluster *start_cluster(void)
 {
     struct cluster *cluster =
@@ -202,7 +197,7 @@
     cluster_start_controller(cluster, leader);
     cluster_clear_link_faults(cluster);
     cluster_run(cluster, SHORTER_THAN_LEASES_S);
-    assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
+    assert_true(cluster_run_until(cluster, cluster_has_leader, DEADLINE_S));
     leader = cluster_leader(cluster);
     cluster_pause_controller(cluster, leader, true);
     cluster_run(cluster, LONGER_THAN_LEASES_S);
--- a/src/testing/cluster.c
+++ b/src/testing/cluster.c
@@ -64,6 +64,11 @@
     return -1;
 }
 
+bool cluster_has_leader(struct cluster *cluster)
+{
+    return cluster_leader(cluster) >= 0;
+}
+
 int cluster_first_shard_owner(const struct cluster *cluster)
 {
     char key[32];
--- a/src/testing/cluster.h
+++ b/src/testing/cluster.h
@@ -118,6 +118,8 @@
 /* Returns the index of the leader: the controller that wrote the current epoch. Returns -1 if the
  * state service has no leader key. */
 int cluster_leader(const struct cluster *cluster);
+/* Whether the state service has a leader key. */
+bool cluster_has_leader(struct cluster *cluster);
 /* Returns the lowest index among the controllers that own a shard, or -1 if none does. */
 int cluster_first_shard_owner(const struct cluster *cluster);
 /* Whether every submitted job has ended as far as users know, and there is a leader. */
--- a/src/workers/tests/test_late_commands.c
+++ b/src/workers/tests/test_late_commands.c
@@ -38,11 +38,6 @@
     return 0;
 }
 
-static bool has_leader(struct cluster *tested_cluster)
-{
-    return cluster_leader(tested_cluster) >= 0;
-}
-
 static bool has_machines(struct cluster *tested_cluster)
 {
     return fake_provider_machine_count(cluster_provider(tested_cluster)) > 0;
@@ -64,7 +59,7 @@
 /* Runs a job, so that machines are up. */
 static void warm_up(void)
 {
-    assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
+    assert_true(cluster_run_until(cluster, cluster_has_leader, DEADLINE_S));
     cluster_submit_array(cluster, TASKS, 1);
     assert_true(cluster_run_until(cluster, cluster_is_idle, DEADLINE_S));
 }
@@ -140,7 +135,7 @@
     struct fake_provider *provider = cluster_provider(cluster);
 
     (void)state;
-    assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
+    assert_true(cluster_run_until(cluster, cluster_has_leader, DEADLINE_S));
     fake_provider_delay_next_rental(provider, LATE_S);
     cluster_submit_array(cluster, TASKS, 1);
     cluster_run(cluster, LATE_S / 2);
--- a/src/workers/tests/test_late_copies.c
+++ b/src/workers/tests/test_late_copies.c
@@ -49,11 +49,6 @@
     return 0;
 }
 
-static bool has_leader(struct cluster *tested_cluster)
-{
-    return cluster_leader(tested_cluster) >= 0;
-}
-
 static bool has_shard_owner(struct cluster *tested_cluster)
 {
     return cluster_first_shard_owner(tested_cluster) >= 0;
@@ -87,7 +82,7 @@
  * copies of launches are about. */
 static void warm_up(void)
 {
-    assert_true(cluster_run_until(cluster, has_leader, DEADLINE_S));
+    assert_true(cluster_run_until(cluster, cluster_has_leader, DEADLINE_S));
     submit("group", 2 * TASKS, TASK_CPUS, SHORT_RUN_S);
     assert_true(cluster_run_until(cluster, cluster_is_idle, DEADLINE_S));
 }
