--- a/src/jobs/tests/test_commit.c
+++ b/src/jobs/tests/test_commit.c
@@ -377,6 +377,41 @@
     assert_false(pm_job_is_chunk_split(&tables, job, 0));
 }
 
+static bool is_done_with_description(void *arg)
+{
+    const struct pm_job *job = arg;
+
+    run_commit();
+    return job->state == PM_JOB_DONE && job->spec;
+}
+
+/* The end of a job takes several transactions, and its leader ends after the first: the next leader
+ * deletes what is left of the chunks, and then the description. */
+static void a_later_leader_finishes_the_end_of_a_job(void **arg)
+{
+    struct pm_job *job = submit_accepted("job-5");
+
+    (void)arg;
+    tables.protocol_version = PM_PROTOCOL_DEPENDENCIES;
+    settings.store_value_kb = HALF_VALUE_KB;
+    job->task_count = PM_CHUNK_TASKS; /* its tasks are in both halves of the chunk */
+    propose_placement(job);
+    pm_job_mark_dirty(job, PM_CHUNK_TASKS - 1);
+    assert_true(event_loop_run_until(loop, is_stored_after_commit, "p/t/job-5/0/0"));
+    assert_true(event_loop_run_until(loop, is_stored_after_commit, "p/t/job-5/0/1"));
+    for (uint32_t i = 0; i < PM_CHUNK_TASKS; i++)
+        complete_task(job, i);
+    settings.store_txn_ops = 2;
+    assert_true(event_loop_run_until(loop, is_done_with_description, job));
+    pm_workers_reset(workers); /* another controller becomes the leader */
+    pm_jobs_reset_working_state(jobs);
+    pm_commit_reset(commit);
+    assert_true(event_loop_run_until(loop, is_final, "job-5"));
+    assert_int_equal(fake_store_revision(state_service, "p/t/job-5/0/0"), 0);
+    assert_int_equal(fake_store_revision(state_service, "p/t/job-5/0/1"), 0);
+    assert_string_equal(request("GET", "/work/job-5", NULL).state, "done");
+}
+
 static bool has_failed_final_write(void *arg)
 {
     const struct pm_job *job = arg;
@@ -422,6 +457,7 @@
         cmocka_unit_test_setup(task_ends_count_once_across_leaders, set_up),
         cmocka_unit_test_setup(a_whole_chunk_is_split_into_halves, set_up),
         cmocka_unit_test_setup(a_small_chunk_stays_whole, set_up),
+        cmocka_unit_test_setup(a_later_leader_finishes_the_end_of_a_job, set_up),
         cmocka_unit_test_setup(ends_are_not_durable_after_a_failed_final_write, set_up),
     };
 
