--- a/src/jobs/commit_results.c
+++ b/src/jobs/commit_results.c
@@ -179,6 +179,46 @@
     commit->hooks.placement_durable(commit->hooks.arg, placement);
 }
 
+static bool is_key_in(const cbor_item_t *keys, const char *key)
+{
+    char listed[STORE_KEY_MAX];
+
+    for (size_t i = 0; i < pm_cbor_length(keys); i++)
+        if (pm_cbor_read_text(pm_cbor_at(keys, i), listed, sizeof listed) && !strcmp(listed, key))
+            return true;
+    return false;
+}
+
+/* Drops the revisions of this controller's own writes that the state service has refuted: the keys
+ * were deleted or written since, by transactions whose answers were lost. From now on the replica
+ * tells their revisions. */
+static void drop_refuted_revisions(const struct commit_change *change,
+                                   const cbor_item_t *conflicting_keys)
+{
+    struct pm_job *job = change->job;
+    struct pm_chunk *chunk = change->index < job->chunk_count ? job->chunks[change->index] : NULL;
+    char key[PM_JOBS_KEY_MAX];
+
+    for (int half = PM_CHUNK_WHOLE; chunk && half < PM_CHUNK_HALVES; half++) {
+        pm_chunk_key_write(job, change->index, half, key);
+        if (is_key_in(conflicting_keys, key))
+            pm_chunk_stored_value(chunk, half)->written_revision = 0;
+    }
+}
+
+static void apply_conflict(const struct commit_transaction *transaction,
+                           const cbor_item_t *conflicting_keys)
+{
+    for (guint i = 0; i < transaction->changes->len; i++) {
+        const struct commit_change *change =
+            &g_array_index(transaction->changes, struct commit_change, i);
+        if (change->kind == CHANGE_CHUNK)
+            drop_refuted_revisions(change, conflicting_keys);
+    }
+    if (is_key_in(conflicting_keys, PM_KEY_EPOCH))
+        transaction->commit->hooks.epoch_conflict(transaction->commit->hooks.arg);
+}
+
 static void apply_result(const struct commit_transaction *transaction, enum pm_store_result result,
                          uint64_t store_revision)
 {
@@ -192,17 +232,6 @@
         mark_durable(commit, &g_array_index(transaction->placements, struct proposed_placement, i));
 }
 
-static void report_epoch_conflict(const struct pm_commit *commit,
-                                  const cbor_item_t *conflicting_keys)
-{
-    char key[STORE_KEY_MAX];
-
-    for (size_t i = 0; i < pm_cbor_length(conflicting_keys); i++)
-        if (pm_cbor_read_text(pm_cbor_at(conflicting_keys, i), key, sizeof key) &&
-            !strcmp(key, PM_KEY_EPOCH))
-            commit->hooks.epoch_conflict(commit->hooks.arg);
-}
-
 void pm_commit_on_result(void *arg, enum pm_store_result result, uint64_t store_revision,
                          const cbor_item_t *conflicting_keys)
 {
@@ -219,7 +248,7 @@
             pm_debug("commit.failed",
                      "a transaction with changes of jobs failed with result %d (%s)", result,
                      pm_store_result_name(result));
-        report_epoch_conflict(commit, conflicting_keys);
+        apply_conflict(transaction, conflicting_keys);
     }
     pm_commit_transaction_free(transaction);
 }
--- a/src/jobs/feed.c
+++ b/src/jobs/feed.c
@@ -130,6 +130,8 @@
     if (!stored || stored->revision > revision)
         return NULL;
     stored->revision = 0;
+    if (stored->written_revision <= revision)
+        stored->written_revision = 0; /* the deletion came after that write */
     pm_chunk_merge(chunk);
     return job;
 }
